Lay out the workspace: model, board, member, web

Ruled out for membership: authority that ends only when a peer says so, because a paused host can't be told.

--- /dev/null
+++ b/bins/walkhookd/src/main.rs
@@ -0,0 +1,2 @@
+//! Empty.
+fn main() {}
--- /dev/null
+++ b/components/member/src/digest.rs
@@ -0,0 +1,53 @@
+//! What an entry host says about itself every few hundred milliseconds, over UDP.
+
+use std::net::SocketAddr;
+
+use model::{CellId, DataCentreId, HostId, Incarnation, Revision};
+use serde::{Deserialize, Serialize};
+
+/// Whether a host takes new responsibilities.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Presence {
+    /// It serves.
+    Serving,
+    /// It is on its way out: nothing new for it.
+    Leaving,
+    /// It has stopped; this is its last digest.
+    Gone,
+}
+
+/// Where a host can be reached.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Peer {
+    /// Its name.
+    pub host: HostId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// The address of its peer port, the same number for UDP and TCP.
+    pub peers: SocketAddr,
+    /// The address where it takes requests relayed by other entry hosts.
+    pub relay: SocketAddr,
+}
+
+/// One heartbeat.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// The cell; digests of another cell are dropped.
+    pub cell: CellId,
+    /// The sender.
+    pub from: Peer,
+    /// Its present life.
+    pub incarnation: Incarnation,
+    /// Grows by one with each digest of this life.
+    pub sequence: u64,
+    /// Whether it takes new work.
+    pub presence: Presence,
+    /// Revision of the configuration that it has in force.
+    pub configuration: Revision,
+    /// Version of the facts that it publishes.
+    pub facts: u64,
+    /// The last sequence that it heard from each live host of its own data centre, with the incarnation.
+    pub heard: Vec<(HostId, Incarnation, u64)>,
+    /// Some other live hosts, so that a newcomer who knows one host comes to know all.
+    pub known: Vec<Peer>,
+}
--- /dev/null
+++ b/components/member/src/table.rs
@@ -0,0 +1,211 @@
+//! The table of entry hosts, kept from their digests.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use model::{DataCentreId, HostId, Incarnation, Revision};
+
+use crate::digest::{Digest, Peer, Presence};
+
+/// Bounds of the failure detector.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// A host that is silent for so long is taken for dead.
+    pub dead_after: Duration,
+    /// Authority that rests on being heard by the peers ends after so long without their echo. Shorter
+    /// than `dead_after`, so that it ends before a peer can take over.
+    pub echo_within: Duration,
+    /// Dead hosts are forgotten after so long.
+    pub forget_after: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            dead_after: Duration::from_millis(2000),
+            echo_within: Duration::from_millis(1000),
+            forget_after: Duration::from_secs(3600),
+        }
+    }
+}
+
+/// How one host is seen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// Heard lately, and serving.
+    Live,
+    /// Heard lately, and on its way out.
+    Leaving,
+    /// Silent for too long, or said that it is gone.
+    Dead,
+}
+
+/// What is known of another entry host.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// Where it is.
+    pub peer: Peer,
+    /// Its newest life heard of.
+    pub incarnation: Incarnation,
+    /// Its last digest's sequence.
+    pub sequence: u64,
+    /// What it last said of itself.
+    pub presence: Presence,
+    /// When its last digest arrived.
+    pub heard_at: Instant,
+    /// Revision of the configuration that it has.
+    pub configuration: Revision,
+    /// Version of the facts that it publishes.
+    pub facts: u64,
+    /// The newest sequence of ours that it says it heard, and when it said so.
+    pub echo: Option<(u64, Instant)>,
+}
+
+/// All other entry hosts that this one knows of.
+#[derive(Debug)]
+pub struct Table {
+    own: Peer,
+    incarnation: Incarnation,
+    limits: Limits,
+    members: BTreeMap<HostId, Member>,
+    /// When each of our latest digests was sent, to date the echoes by our own clock.
+    sent: BTreeMap<u64, Instant>,
+}
+
+const SENT_REMEMBERED: usize = 64;
+
+impl Table {
+    /// Creates an empty table for the host `own` in the life `incarnation`.
+    pub fn new(own: Peer, incarnation: Incarnation, limits: Limits) -> Table {
+        Table { own, incarnation, limits, members: BTreeMap::new(), sent: BTreeMap::new() }
+    }
+
+    /// Notes that our digest `sequence` is sent now.
+    pub fn sending(&mut self, sequence: u64, now: Instant) {
+        self.sent.insert(sequence, now);
+        while self.sent.len() > SENT_REMEMBERED {
+            self.sent.pop_first();
+        }
+    }
+
+    /// Takes a digest in. Tells whether the set of live hosts may have changed.
+    ///
+    /// Digests of an older life, or older than the last one heard, are dropped: UDP may reorder them.
+    pub fn hear(&mut self, digest: &Digest, now: Instant) -> bool {
+        if digest.from.host == self.own.host {
+            return false;
+        }
+        let before = self.state(&digest.from.host, now);
+        let known = self.members.get(&digest.from.host);
+        let newer =
+            known.is_none_or(|member| (digest.incarnation, digest.sequence) > (member.incarnation, member.sequence));
+        if !newer {
+            return false;
+        }
+        let echo = self.echo_of(digest, known);
+        let replaced = known.is_some_and(|member| member.incarnation != digest.incarnation);
+        let member = Member {
+            peer: digest.from.clone(),
+            incarnation: digest.incarnation,
+            sequence: digest.sequence,
+            presence: digest.presence,
+            heard_at: now,
+            configuration: digest.configuration,
+            facts: digest.facts,
+            echo,
+        };
+        self.members.insert(digest.from.host.clone(), member);
+        replaced || before != self.state(&digest.from.host, now)
+    }
+
+    /// The echo is dated by when *we* sent the digest that was heard: a digest held up on the way, or a
+    /// pause of ours, can't stretch the authority that rests on it.
+    fn echo_of(&self, digest: &Digest, known: Option<&Member>) -> Option<(u64, Instant)> {
+        let previous = known.filter(|member| member.incarnation == digest.incarnation).and_then(|member| member.echo);
+        let heard = digest.heard.iter().find(|(host, life, _)| *host == self.own.host && *life == self.incarnation);
+        let Some((_, _, sequence)) = heard else { return previous };
+        match self.sent.get(sequence) {
+            Some(sent_at) => Some((*sequence, *sent_at)),
+            None => previous,
+        }
+    }
+
+    /// The state of a host; `None` when it was never heard of.
+    pub fn state(&self, host: &str, now: Instant) -> Option<State> {
+        if host == self.own.host {
+            return Some(State::Live);
+        }
+        let member = self.members.get(host)?;
+        let silent = now.saturating_duration_since(member.heard_at);
+        Some(match member.presence {
+            Presence::Gone => State::Dead,
+            _ if silent > self.limits.dead_after => State::Dead,
+            Presence::Leaving => State::Leaving,
+            Presence::Serving => State::Live,
+        })
+    }
+
+    /// A host's entry.
+    pub fn get(&self, host: &str) -> Option<&Member> {
+        self.members.get(host)
+    }
+
+    /// All entries, dead ones too.
+    pub fn iter(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Other hosts that are live or leaving.
+    pub fn reachable(&self, now: Instant) -> Vec<&Member> {
+        let alive = |member: &&Member| self.state(&member.peer.host, now) != Some(State::Dead);
+        self.members.values().filter(alive).collect()
+    }
+
+    /// Names of the live hosts of a data centre, without the leaving ones; includes this host when it is
+    /// in that data centre and `own_serving`.
+    pub fn live_in(&self, data_centre: &DataCentreId, own_serving: bool, now: Instant) -> Vec<HostId> {
+        let mut names: Vec<HostId> = self
+            .members
+            .values()
+            .filter(|member| &member.peer.data_centre == data_centre)
+            .filter(|member| self.state(&member.peer.host, now) == Some(State::Live))
+            .map(|member| member.peer.host.clone())
+            .collect();
+        if own_serving && &self.own.data_centre == data_centre {
+            names.push(self.own.host.clone());
+        }
+        names.sort();
+        names
+    }
+
+    /// Whether every reachable peer of the own data centre has heard a digest of ours that was sent lately.
+    ///
+    /// Authority that others would take over when they miss us rests on this: it ends by our own clock
+    /// before they can declare us dead, also after a pause.
+    pub fn echoed(&self, now: Instant) -> bool {
+        self.reachable(now)
+            .into_iter()
+            .filter(|member| member.peer.data_centre == self.own.data_centre)
+            .all(|member| self.echo_is_fresh(member, now))
+    }
+
+    fn echo_is_fresh(&self, member: &Member, now: Instant) -> bool {
+        let Some((_, sent_at)) = member.echo else { return false };
+        now.saturating_duration_since(sent_at) <= self.limits.echo_within
+    }
+
+    /// What our next digest says it heard in the own data centre.
+    pub fn heard(&self, now: Instant) -> Vec<(HostId, Incarnation, u64)> {
+        self.reachable(now)
+            .into_iter()
+            .filter(|member| member.peer.data_centre == self.own.data_centre)
+            .map(|member| (member.peer.host.clone(), member.incarnation, member.sequence))
+            .collect()
+    }
+
+    /// Forgets hosts that have been dead for long.
+    pub fn forget(&mut self, now: Instant) {
+        let limit = self.limits.forget_after;
+        self.members.retain(|_, member| now.saturating_duration_since(member.heard_at) < limit);
+    }
+}
--- /dev/null
+++ b/components/web/src/client.rs
@@ -0,0 +1,119 @@
+//! A JSON client over pooled HTTP/1.1 connections.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client as Pool;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+
+const IDLE: Duration = Duration::from_secs(30);
+
+/// Why a call brought no answer that can be used.
+#[derive(Debug, Error)]
+pub enum Fault {
+    /// No connection: the other side surely received nothing.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// The request may have been received and carried out.
+    #[error("no answer: {0}")]
+    Unknown(String),
+    /// An answer with a status other than 2xx.
+    #[error("status {status}: {body}")]
+    Status {
+        /// The status.
+        status: StatusCode,
+        /// The body, as text.
+        body: String,
+    },
+    /// An answer that can't be read.
+    #[error("malformed answer: {0}")]
+    Malformed(String),
+}
+
+/// A pool of connections for calls with small JSON bodies.
+#[derive(Clone)]
+pub struct Client {
+    pool: Pool<HttpConnector, Full<Bytes>>,
+    timeout: Duration,
+    limit: usize,
+}
+
+impl Client {
+    /// Creates a client whose calls end after `timeout` and whose answers have at most `limit` bytes.
+    pub fn new(timeout: Duration, limit: usize) -> Client {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(timeout));
+        connector.set_nodelay(true);
+        let pool =
+            Pool::builder(TokioExecutor::new()).pool_timer(TokioTimer::new()).pool_idle_timeout(IDLE).build(connector);
+        Client { pool, timeout, limit }
+    }
+
+    /// Sends `body` by POST and reads the JSON answer.
+    pub async fn post<Q: Serialize, A: DeserializeOwned>(&self, url: &str, body: &Q) -> Result<A, Fault> {
+        let bytes = serde_json::to_vec(body).map_err(|fault| Fault::NotSent(fault.to_string()))?;
+        self.call(Method::POST, url, Bytes::from(bytes)).await
+    }
+
+    /// Reads the JSON answer to a GET.
+    pub async fn get<A: DeserializeOwned>(&self, url: &str) -> Result<A, Fault> {
+        self.call(Method::GET, url, Bytes::new()).await
+    }
+
+    async fn call<A: DeserializeOwned>(&self, method: Method, url: &str, body: Bytes) -> Result<A, Fault> {
+        let request = request(method, url, body)?;
+        let exchange = self.exchange(request);
+        let bytes = tokio::time::timeout(self.timeout, exchange)
+            .await
+            .map_err(|_| Fault::Unknown(format!("none within {:?}", self.timeout)))??;
+        serde_json::from_slice(&bytes).map_err(|fault| Fault::Malformed(fault.to_string()))
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Bytes, Fault> {
+        let answer = self.pool.request(request).await.map_err(from_pool)?;
+        let status = answer.status();
+        let limited = Limited::new(answer.into_body(), self.limit);
+        let bytes = limited.collect().await.map_err(|fault| Fault::Unknown(fault.to_string()))?.to_bytes();
+        if !status.is_success() {
+            return Err(Fault::Status { status, body: String::from_utf8_lossy(&bytes).into_owned() });
+        }
+        Ok(bytes)
+    }
+
+    /// Opens a call whose answer is read piece by piece, without a limit on its time.
+    pub async fn stream<Q: Serialize>(&self, url: &str, body: &Q) -> Result<Incoming, Fault> {
+        let bytes = serde_json::to_vec(body).map_err(|fault| Fault::NotSent(fault.to_string()))?;
+        let request = request(Method::POST, url, Bytes::from(bytes))?;
+        let answer = tokio::time::timeout(self.timeout, self.pool.request(request))
+            .await
+            .map_err(|_| Fault::Unknown(format!("none within {:?}", self.timeout)))?
+            .map_err(from_pool)?;
+        if !answer.status().is_success() {
+            return Err(Fault::Status { status: answer.status(), body: String::new() });
+        }
+        Ok(answer.into_body())
+    }
+}
+
+fn request(method: Method, url: &str, body: Bytes) -> Result<Request<Full<Bytes>>, Fault> {
+    Request::builder()
+        .method(method)
+        .uri(url)
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .body(Full::new(body))
+        .map_err(|fault| Fault::NotSent(fault.to_string()))
+}
+
+fn from_pool(fault: hyper_util::client::legacy::Error) -> Fault {
+    if fault.is_connect() {
+        return Fault::NotSent(fault.to_string());
+    }
+    Fault::Unknown(fault.to_string())
+}
--- /dev/null
+++ b/components/web/src/lib.rs
@@ -0,0 +1,8 @@
+//! Small helpers around `hyper-util`: a JSON client whose faults tell whether the request can have been
+//! received, and a server loop that stops without cutting off requests.
+
+mod client;
+mod server;
+
+pub use client::{Client, Fault};
+pub use server::{Body, empty, full, json, read_limited, serve};
