--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -1,1 +1,17 @@
-//! Empty.
+//! The protocol between entry hosts: sealed `postcard` messages, in UDP datagrams (digests) and TCP frames
+//! (requests and answers).
+//!
+//! Every message is `version (1 byte) | seal (32 bytes) | postcard`. The seal is a BLAKE3 hash keyed from the
+//! cell's shared key, so nothing without the key is even decoded. Decoding never panics and never allocates
+//! more than the message's own size.
+
+mod frame;
+mod message;
+mod seal;
+
+pub use frame::{MAX_FRAME, read, write};
+pub use message::{
+    Answer, Entry, EntryKey, Fact, FactKey, Inventoried, InventoryAnswer, Listed, ListedKind, Request, StartAnswer,
+    StartOrder, StopOrder, TaskFact, TaskState, WorkerFact,
+};
+pub use seal::{Fault, Key, MAX_DATAGRAM, open, seal};
--- /dev/null
+++ b/components/wire/src/message.rs
@@ -0,0 +1,253 @@
+//! The messages that entry hosts exchange over TCP, and the facts and configuration they carry.
+
+use std::net::SocketAddr;
+
+use board::{Delta, Version};
+use model::task::{Attempt, End, Id};
+use model::{CommandId, DataCentreId, Epoch, HostId, Partition, RackId, Resources, Revision, WorkerId, WorkloadId};
+use serde::{Deserialize, Serialize};
+
+/// A key of the configuration: the platform's key below the cell's prefix.
+pub type EntryKey = String;
+/// A value of the configuration, as it stands in the platform's key-value service.
+pub type Entry = Vec<u8>;
+
+/// What a line of the platform's list names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ListedKind {
+    /// A worker that runs tasks.
+    Worker,
+    /// An entry host.
+    Entry,
+}
+
+/// One line of the platform's lagging list of hosts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listed {
+    /// Worker or entry host.
+    pub kind: ListedKind,
+    /// Data centre.
+    pub data_centre: DataCentreId,
+    /// Rack.
+    pub rack: RackId,
+    /// Address by IP number.
+    pub address: SocketAddr,
+    /// All that a worker offers.
+    pub capacity: Resources,
+    /// On its way out.
+    pub leaving: bool,
+}
+
+/// Key of a fact that an entry host publishes.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum FactKey {
+    /// A worker that the host holds.
+    Worker(WorkerId),
+    /// An attempt on a worker that the host holds.
+    Task(Id, Attempt),
+}
+
+/// A fact that an entry host publishes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Fact {
+    /// About a worker.
+    Worker(WorkerFact),
+    /// About an attempt.
+    Task(TaskFact),
+}
+
+/// State of a held worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerFact {
+    /// Epoch of the hold.
+    pub epoch: Epoch,
+    /// Not committed to any task.
+    pub free: Resources,
+    /// Committed to patient tasks, which may be stopped for urgent work.
+    pub patient: Resources,
+    /// Whether the worker answers its holder.
+    pub reachable: bool,
+    /// Whether it is on its way out.
+    pub leaving: bool,
+    /// Whether it is on probation after failures.
+    pub probation: bool,
+    /// Whether this worker's tasks are all surely ended although it can't be reached.
+    pub lapsed: bool,
+}
+
+/// State of an attempt as its holder knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TaskState {
+    /// Committed; the worker has not confirmed yet.
+    Starting,
+    /// Runs; a service instance answers at the address.
+    Running(Option<SocketAddr>),
+    /// Told to stop.
+    Stopping,
+    /// Surely ended.
+    Ended(End),
+}
+
+/// An attempt on a held worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskFact {
+    /// Where it is.
+    pub worker: WorkerId,
+    /// How it is.
+    pub state: TaskState,
+    /// Its committed size.
+    pub resources: Resources,
+    /// Whether it may be stopped for urgent work.
+    pub patient: bool,
+}
+
+/// An order to start one attempt.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartOrder {
+    /// Where.
+    pub worker: WorkerId,
+    /// What.
+    pub task: Id,
+    /// Which attempt.
+    pub attempt: Attempt,
+    /// Its declared size.
+    pub resources: Resources,
+    /// The program.
+    pub run: String,
+    /// Whether it is a service instance.
+    pub service: bool,
+    /// Whether it may be stopped for urgent work.
+    pub patient: bool,
+}
+
+/// An order to stop one attempt.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StopOrder {
+    /// Where.
+    pub worker: WorkerId,
+    /// What.
+    pub task: Id,
+    /// Which attempt.
+    pub attempt: Attempt,
+}
+
+/// What a holder says to a start order. Anything but `Accepted` means that it surely was not started.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StartAnswer {
+    /// Committed in the ledger; it will be sent to the worker.
+    Accepted,
+    /// Does not fit; this is free.
+    Full(Resources),
+    /// This host does not hold the worker.
+    NotHolder,
+    /// The worker takes nothing new now: it is leaving, unreachable or on probation.
+    Closed,
+    /// A newer claim on the partition is known.
+    Superseded(Epoch),
+}
+
+/// What a host holds of a partition, for a new owner of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InventoryAnswer {
+    /// Newest claim epoch that this host knows for the partition.
+    pub epoch: Epoch,
+    /// Workers held with a complete inventory.
+    pub workers: Vec<WorkerId>,
+    /// Attempts at tasks of the partition.
+    pub tasks: Vec<Inventoried>,
+}
+
+/// One attempt found by an inventory.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Inventoried {
+    /// What.
+    pub task: Id,
+    /// Which attempt.
+    pub attempt: Attempt,
+    /// Where and how.
+    pub fact: TaskFact,
+}
+
+/// A request to another entry host.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Request {
+    /// Configuration after a revision.
+    Configuration {
+        /// The revision that the asker has.
+        since: Revision,
+    },
+    /// Facts after a version.
+    Facts {
+        /// The version that the asker has.
+        since: Version,
+    },
+    /// The platform's list of hosts, as last read.
+    List,
+    /// A new claim on a partition; answered with what is held of it.
+    Announce {
+        /// The partition.
+        partition: Partition,
+        /// Epoch of the claim.
+        epoch: Epoch,
+    },
+    /// The claim epochs that the host knows.
+    Epochs,
+    /// Start attempts of one partition.
+    Start {
+        /// The partition.
+        partition: Partition,
+        /// Epoch of the claim.
+        epoch: Epoch,
+        /// The orders.
+        orders: Vec<StartOrder>,
+    },
+    /// Stop attempts of one partition.
+    Stop {
+        /// The partition.
+        partition: Partition,
+        /// Epoch of the claim.
+        epoch: Epoch,
+        /// The orders.
+        orders: Vec<StopOrder>,
+    },
+    /// Ended attempts whose end is durable: forget them.
+    Acknowledge {
+        /// What and where.
+        ends: Vec<StopOrder>,
+    },
+    /// A statement that shows something, about the asked host's data centre.
+    Show {
+        /// The statement.
+        statement: String,
+    },
+    /// The state of a workload changed: look at it now.
+    Wake {
+        /// The workload.
+        workload: WorkloadId,
+        /// The command that changed it.
+        command: CommandId,
+    },
+}
+
+/// The answer to a request.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Answer {
+    /// To `Configuration`.
+    Configuration(Delta<EntryKey, Entry>),
+    /// To `Facts`.
+    Facts(Delta<FactKey, Fact>),
+    /// To `List`: its version and lines.
+    List(u64, Vec<(HostId, Listed)>),
+    /// To `Announce`.
+    Inventory(InventoryAnswer),
+    /// To `Epochs`.
+    Epochs(Vec<(Partition, Epoch)>),
+    /// To `Start`, in the order of the orders.
+    Started(Vec<StartAnswer>),
+    /// To `Stop`, `Acknowledge` and `Wake`.
+    Done,
+    /// To `Show`: rows of cells.
+    Rows(Vec<Vec<String>>),
+    /// The request can't be answered here and now.
+    Refused(String),
+}
