--- /dev/null
+++ b/components/events/src/catalogue.rs
@@ -0,0 +1,83 @@
+//! All events. Hundreds group them: 1xx the process, 2xx membership, 3xx the platform and configuration,
+//! 4xx workers, 5xx partitions and tasks, 6xx callers' requests, 7xx operators.
+
+use crate::{Event, Level};
+
+macro_rules! catalogue {
+    ($($(#[$doc:meta])* $name:ident = $number:literal, $level:ident, $text:literal;)*) => {
+        $($(#[$doc])* pub const $name: Event = Event { number: $number, level: Level::$level, text: $text };)*
+        /// Every event, in the order of the numbers.
+        pub const ALL: &[Event] = &[$($name),*];
+    };
+}
+
+catalogue! {
+    /// The process serves.
+    STARTED = 101, Info, "started";
+    /// A planned stop began.
+    STOPPING = 102, Info, "planned stop begins";
+    /// The process ends.
+    STOPPED = 103, Info, "stopped";
+    /// An address can't be listened on.
+    LISTEN_FAILED = 104, Error, "can't listen";
+    /// The process did not run for longer than its bound.
+    PAUSED = 105, Warning, "the process was paused; authority is confirmed anew";
+    /// An entry host is live.
+    HOST_LIVE = 201, Info, "entry host is live";
+    /// An entry host is leaving.
+    HOST_LEAVING = 202, Info, "entry host is leaving";
+    /// An entry host is dead.
+    HOST_DEAD = 203, Warning, "entry host is taken for dead";
+    /// A message on the peer port was refused.
+    MESSAGE_REFUSED = 204, Warning, "message on the peer port refused";
+    /// A platform call failed.
+    PLATFORM_FAILED = 301, Warning, "platform call failed";
+    /// The watch on the configuration ended.
+    WATCH_ENDED = 302, Info, "watch on the configuration ended; it is resumed";
+    /// New configuration is in force.
+    CONFIGURATION = 303, Debug, "configuration in force";
+    /// A record in the configuration can't be read.
+    RECORD_UNREADABLE = 304, Error, "record in the configuration can't be read; the last good one stays";
+    /// The platform's list changed.
+    LIST_CHANGED = 305, Info, "list of hosts changed";
+    /// A worker is held.
+    WORKER_HELD = 401, Info, "worker held";
+    /// Another host holds the worker.
+    WORKER_SUPERSEDED = 402, Info, "worker is held by another entry host";
+    /// A worker does not answer.
+    WORKER_SILENT = 403, Warning, "worker does not answer";
+    /// A worker answers again.
+    WORKER_BACK = 404, Info, "worker answers again";
+    /// All tasks of a silent worker have surely ended.
+    WORKER_LAPSED = 405, Warning, "leases on a silent worker have lapsed; its tasks have ended";
+    /// A worker was restarted empty.
+    WORKER_RESTARTED = 406, Warning, "worker was restarted; its earlier tasks have ended";
+    /// A worker fails tasks of different workloads.
+    WORKER_PROBATION = 407, Warning, "worker on probation";
+    /// A worker passed its trial.
+    WORKER_TRUSTED = 408, Info, "worker passed its trial";
+    /// A partition is owned.
+    PARTITION_OWNED = 501, Info, "partition owned";
+    /// A partition was given up.
+    PARTITION_RELEASED = 502, Info, "partition released";
+    /// A partition's view is rebuilt.
+    PARTITION_READY = 503, Info, "partition recovered; it starts work";
+    /// An attempt was started.
+    TASK_STARTED = 504, Debug, "attempt started";
+    /// An attempt ended.
+    TASK_ENDED = 505, Debug, "attempt ended";
+    /// A task is parked.
+    TASK_PARKED = 506, Warning, "task parked";
+    /// A task was stopped for urgent work.
+    TASK_PREEMPTED = 507, Info, "attempt stopped for urgent work";
+    /// A request's answer broke off.
+    ANSWER_BROKEN = 601, Warning, "answer of a backend server broke off";
+    /// The home of keys has lost its authority for a while.
+    KEYS_UNCERTAIN = 602, Warning, "key home is out of touch with its peers; unrepeatable requests are refused";
+    /// An operator's command was carried out.
+    COMMAND_DONE = 701, Info, "command done";
+    /// An operator's command was refused.
+    COMMAND_REFUSED = 702, Info, "command not done";
+    /// The outcome of an operator's command is not known.
+    COMMAND_UNKNOWN = 703, Warning, "outcome of a command not known yet";
+}
--- /dev/null
+++ b/components/events/tests/catalogue.rs
@@ -0,0 +1,23 @@
+//! The catalogue and its page say the same.
+
+use events::ALL;
+
+fn page_rows() -> Vec<String> {
+    let page = include_str!("../../../docs/EVENTS.md");
+    page.lines()
+        .filter(|line| line.starts_with("| ") && line.as_bytes()[2].is_ascii_digit())
+        .map(str::to_owned)
+        .collect()
+}
+
+#[test]
+fn the_page_lists_every_event_and_no_other() {
+    let rows: Vec<String> =
+        ALL.iter().map(|event| format!("| {} | {:?} | {} |", event.number, event.level, event.text)).collect();
+    assert_eq!(page_rows(), rows);
+}
+
+#[test]
+fn numbers_grow() {
+    assert!(ALL.windows(2).all(|pair| pair[0].number < pair[1].number));
+}
--- a/components/metrics/src/lib.rs
+++ b/components/metrics/src/lib.rs
@@ -1,1 +1,129 @@
-//! Empty.
+//! The metrics of an entry host, in the text format of Prometheus.
+
+use std::time::Duration;
+
+use prometheus_client::encoding::{EncodeLabelSet, text};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// Labels of a request's outcome.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Request {
+    /// Class from the settings.
+    pub class: String,
+    /// Team that sent it.
+    pub team: String,
+    /// How it ended: `answered`, `not_run`, `unknown`, `refused`.
+    pub outcome: &'static str,
+}
+
+/// Labels of a histogram by class and team.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Tenant {
+    /// Class of request, or kind of workload.
+    pub class: String,
+    /// Team.
+    pub team: String,
+}
+
+/// Label of a count by use.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Usage {
+    /// What for.
+    pub usage: &'static str,
+}
+
+type Histograms<L> = Family<L, Histogram, fn() -> Histogram>;
+
+/// All metrics. Clones share the same values.
+#[derive(Clone)]
+pub struct Metrics {
+    /// Requests by outcome.
+    pub requests: Family<Request, Counter>,
+    /// Seconds from receipt to the head of the answer.
+    pub request_seconds: Histograms<Tenant>,
+    /// Seconds that a request waited for a slot.
+    pub queue_seconds: Histograms<Tenant>,
+    /// Seconds from acceptance of a task to its start.
+    pub start_seconds: Histograms<Tenant>,
+    /// Seconds that one placement decision took.
+    pub decision_seconds: Histogram,
+    /// Calls to the platform.
+    pub platform_calls: Family<Usage, Counter>,
+    /// Bytes sent and received between entry hosts.
+    pub control_bytes: Family<Usage, Counter>,
+    /// Tasks by state, of the partitions owned here.
+    pub tasks: Family<Usage, Gauge>,
+    /// Workers held here.
+    pub workers: Gauge,
+    /// Processor time of this process, in milliseconds.
+    pub cpu_milliseconds: Gauge,
+    /// Resident memory of this process, in bytes.
+    pub resident_bytes: Gauge,
+}
+
+/// From 50 µs to 27 minutes.
+fn seconds() -> Histogram {
+    Histogram::new(exponential_buckets(0.000_05, 2.0, 25))
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Metrics {
+            requests: Family::default(),
+            request_seconds: Family::new_with_constructor(seconds),
+            queue_seconds: Family::new_with_constructor(seconds),
+            start_seconds: Family::new_with_constructor(seconds),
+            decision_seconds: Histogram::new(exponential_buckets(0.000_000_5, 2.0, 20)),
+            platform_calls: Family::default(),
+            control_bytes: Family::default(),
+            tasks: Family::default(),
+            workers: Gauge::default(),
+            cpu_milliseconds: Gauge::default(),
+            resident_bytes: Gauge::default(),
+        }
+    }
+}
+
+impl Metrics {
+    /// Registers all metrics under the prefix `walkhook`.
+    pub fn registry(&self) -> Registry {
+        let mut registry = Registry::with_prefix("walkhook");
+        registry.register("requests", "Requests by class, team and outcome", self.requests.clone());
+        registry.register("request_seconds", "From receipt to the answer's head", self.request_seconds.clone());
+        registry.register("queue_seconds", "Wait for a slot", self.queue_seconds.clone());
+        registry.register("start_seconds", "From acceptance of a task to its start", self.start_seconds.clone());
+        registry.register("decision_seconds", "One placement decision", self.decision_seconds.clone());
+        registry.register("platform_calls", "Calls to the platform", self.platform_calls.clone());
+        registry.register("control_bytes", "Bytes between entry hosts", self.control_bytes.clone());
+        registry.register("tasks", "Tasks of the partitions owned here", self.tasks.clone());
+        registry.register("workers", "Workers held here", self.workers.clone());
+        registry.register("cpu_milliseconds", "Processor time of this process", self.cpu_milliseconds.clone());
+        registry.register("resident_bytes", "Resident memory of this process", self.resident_bytes.clone());
+        registry
+    }
+
+    /// Counts bytes between entry hosts.
+    pub fn control(&self, usage: &'static str, bytes: usize) {
+        self.control_bytes.get_or_create(&Usage { usage }).inc_by(bytes as u64);
+    }
+
+    /// Records a request's end.
+    pub fn request(&self, class: &str, team: &str, outcome: &'static str, took: Duration) {
+        let (class, team) = (class.to_owned(), team.to_owned());
+        let tenant = Tenant { class: class.clone(), team: team.clone() };
+        self.request_seconds.get_or_create(&tenant).observe(took.as_secs_f64());
+        self.requests.get_or_create(&Request { class, team, outcome }).inc();
+    }
+}
+
+/// The registry's metrics as text.
+pub fn encode(registry: &Registry) -> String {
+    let mut out = String::new();
+    // Writing to a string can't fail.
+    let _ = text::encode(&mut out, registry);
+    out
+}
--- /dev/null
+++ b/components/platform/src/list.rs
@@ -0,0 +1,85 @@
+//! The platform's lagging list of live and leaving hosts.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_trait::async_trait;
+use model::{DataCentreId, HostId, RackId, Resources};
+use serde::{Deserialize, Serialize};
+
+use crate::budget::{Budget, Use};
+use crate::store::Fault;
+
+const MAX_LIST: usize = 4 * 1024 * 1024;
+
+/// What a host of the list is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// A worker.
+    Worker,
+    /// An entry host.
+    Entry,
+}
+
+/// One host of the list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Host {
+    /// Name.
+    pub name: HostId,
+    /// What it is.
+    pub kind: Kind,
+    /// Data centre.
+    pub data_centre: DataCentreId,
+    /// Rack.
+    pub rack: RackId,
+    /// Address by IP number.
+    pub address: SocketAddr,
+    /// All that a worker offers; nothing for an entry host.
+    #[serde(default)]
+    pub capacity: Resources,
+    /// On its way out.
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+/// The whole list.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct List {
+    /// Grows with each change of the list.
+    pub version: u64,
+    /// The hosts.
+    pub hosts: Vec<Host>,
+}
+
+/// Reads the list. A trait, because the users' own platform may speak another dialect.
+#[async_trait]
+pub trait Lister: Send + Sync {
+    /// The list as the platform has it now.
+    async fn list(&self) -> Result<List, Fault>;
+}
+
+/// Reads the list by `GET /v1/hosts` from the platform's address.
+pub struct Http {
+    http: web::Client,
+    url: String,
+    budget: Arc<Budget>,
+}
+
+impl Http {
+    /// Creates a reader; each call ends after `timeout` and takes from `budget`.
+    pub fn new(address: SocketAddr, timeout: Duration, budget: Arc<Budget>) -> Http {
+        Http { http: web::Client::new(timeout, MAX_LIST), url: format!("http://{address}/v1/hosts"), budget }
+    }
+}
+
+#[async_trait]
+impl Lister for Http {
+    async fn list(&self) -> Result<List, Fault> {
+        if !self.budget.take(Use::Hosts, Instant::now()) {
+            return Err(Fault::OverBudget);
+        }
+        self.http.get(&self.url).await.map_err(|fault| Fault::Unknown(fault.to_string()))
+    }
+}
--- /dev/null
+++ b/components/settings/src/check.rs
@@ -0,0 +1,213 @@
+//! Turns the tree into settings, gathering every fault on the way.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use model::workload::Priority;
+use serde_saphyr::Spanned;
+
+use crate::tree::{self, Fault, Faults, Node, Section, Sink};
+use crate::{Class, Level, Listen, Membership, Platform, Requests, Settings, Tasks};
+
+const SHORTEST_KEY: usize = 16;
+/// Renewals and digests that may be lost in a row before a lease or a host is given up.
+const LOSSES: u32 = 3;
+
+pub(crate) fn settings(file: &str, text: &str) -> Result<Settings, Faults> {
+    let all = |faults| Faults { file: file.to_owned(), faults };
+    let root: Spanned<Node> = match serde_saphyr::from_str(text) {
+        Ok(root) => root,
+        Err(fault) => {
+            let line = fault.location().map_or(1, |location| location.line());
+            let message = format!("not readable as YAML: {fault}");
+            return Err(all(vec![Fault { line, field: "(file)".to_owned(), message }]));
+        }
+    };
+    let sink = Sink::default();
+    let settings = whole(Section::new(&sink, String::new(), &root));
+    let faults = sink.into_faults();
+    match settings {
+        Some(settings) if faults.is_empty() => Ok(settings),
+        _ => Err(all(faults)),
+    }
+}
+
+// Each part is read before the first `?`, so that faults in all of them are gathered.
+fn whole(root: Section<'_>) -> Option<Settings> {
+    let cell = root.value("cell", tree::name);
+    let host = root.value("host", tree::name);
+    let data_centre = root.value("data_centre", tree::name);
+    let data_centres = root.values("data_centres", tree::name);
+    let listen = root.section("listen").and_then(listen);
+    let seeds = root.values("seeds", tree::address);
+    let platform = root.section("platform").and_then(platform);
+    let shared_key = root.value("shared_key", shared_key);
+    let membership = membership(root.optional_section("membership"));
+    let tasks = tasks(root.optional_section("tasks"));
+    let requests = requests(root.optional_section("requests"));
+    let classes: Vec<Option<Class>> = root.sections("classes").into_iter().map(class).collect();
+    let stop_within = root.value_or("stop_within", Duration::from_secs(30), tree::duration);
+    let log = root.value_or("log", Level::Info, level);
+    if let Some(own) = &data_centre
+        && !data_centres.contains(own)
+    {
+        root.fault("data_centres", format!("must contain this host's own, `{own}`"));
+    }
+    unique_classes(&root, &classes);
+    root.finish();
+    Some(Settings {
+        cell: cell?,
+        host: host?,
+        data_centre: data_centre?,
+        data_centres,
+        listen: listen?,
+        seeds,
+        platform: platform?,
+        shared_key: shared_key?,
+        membership,
+        tasks,
+        requests,
+        classes: classes.into_iter().collect::<Option<_>>()?,
+        stop_within,
+        log,
+    })
+}
+
+fn listen(section: Section<'_>) -> Option<Listen> {
+    let callers = section.value("callers", tree::address);
+    let operators = section.value("operators", tree::address);
+    let peers = section.value("peers", tree::address);
+    let relay = section.value("relay", tree::address);
+    let named = [("callers", callers), ("operators", operators), ("peers", peers), ("relay", relay)];
+    let mut taken: BTreeMap<SocketAddr, &str> = BTreeMap::new();
+    for (field, address) in named {
+        let Some(address) = address else { continue };
+        if let Some(first) = taken.insert(address, field) {
+            section.fault(field, format!("{address} is the address of `{first}` already"));
+        }
+        if address.port() == 0 {
+            section.fault(field, "needs a port other than 0, since others must know it");
+        }
+    }
+    section.finish();
+    Some(Listen { callers: callers?, operators: operators?, peers: peers?, relay: relay? })
+}
+
+fn platform(section: Section<'_>) -> Option<Platform> {
+    let address = section.value("address", tree::address);
+    let timeout = section.value_or("timeout", Duration::from_millis(1500), tree::duration);
+    let calls_per_second = section.value_or("calls_per_second", 30, tree::number);
+    if calls_per_second == 0 {
+        section.fault("calls_per_second", "must be at least 1");
+    }
+    section.finish();
+    Some(Platform { address: address?, timeout, calls_per_second })
+}
+
+fn membership(section: Option<Section<'_>>) -> Membership {
+    let default = Membership { heartbeat: Duration::from_millis(200), dead_after: Duration::from_millis(2000) };
+    let Some(section) = section else { return default };
+    let heartbeat = section.value_or("heartbeat", default.heartbeat, tree::duration);
+    let dead_after = section.value_or("dead_after", default.dead_after, tree::duration);
+    if dead_after < heartbeat * LOSSES {
+        section.fault(
+            "dead_after",
+            format!("must be at least {LOSSES} times `heartbeat`, so that a lost digest kills none"),
+        );
+    }
+    section.finish();
+    Membership { heartbeat, dead_after }
+}
+
+fn tasks(section: Option<Section<'_>>) -> Tasks {
+    let default = Tasks { lease: Duration::from_secs(15), renew_every: Duration::from_secs(1), partitions: 16 };
+    let Some(section) = section else { return default };
+    let lease = section.value_or("lease", default.lease, tree::duration);
+    let renew_every = section.value_or("renew_every", default.renew_every, tree::duration);
+    let partitions = section.value_or("partitions", default.partitions, tree::number);
+    if lease < renew_every * LOSSES {
+        section.fault("lease", format!("must be at least {LOSSES} times `renew_every`"));
+    }
+    if partitions == 0 {
+        section.fault("partitions", "must be at least 1");
+    }
+    section.finish();
+    Tasks { lease, renew_every, partitions }
+}
+
+fn requests(section: Option<Section<'_>>) -> Requests {
+    let default = Requests {
+        max_body: 16 * 1024 * 1024,
+        connections: 4096,
+        queue: 2048,
+        slots: 8,
+        key_window: Duration::from_secs(600),
+        max_remembered: 64 * 1024,
+    };
+    let Some(section) = section else { return default };
+    let requests = Requests {
+        max_body: section.value_or("max_body", default.max_body, tree::size),
+        connections: section.value_or("connections", default.connections, tree::number),
+        queue: section.value_or("queue", default.queue, tree::number),
+        slots: section.value_or("slots", default.slots, tree::number),
+        key_window: section.value_or("key_window", default.key_window, tree::duration),
+        max_remembered: section.value_or("max_remembered", default.max_remembered, tree::size),
+    };
+    if requests.slots == 0 {
+        section.fault("slots", "must be at least 1");
+    }
+    section.finish();
+    requests
+}
+
+fn class(section: Section<'_>) -> Option<Class> {
+    let name = section.value("name", tree::name);
+    let path = section.value("path", path);
+    let service = section.value("service", tree::name);
+    let priority = section.value_or("priority", Priority::Normal, priority);
+    let deadline = section.value("deadline", tree::duration);
+    let repeatable = section.value_or("repeatable", false, tree::flag);
+    section.finish();
+    Some(Class { name: name?, path: path?, service: service?, priority, deadline: deadline?, repeatable })
+}
+
+fn unique_classes(root: &Section<'_>, classes: &[Option<Class>]) {
+    let mut seen: BTreeMap<&str, &str> = BTreeMap::new();
+    for class in classes.iter().flatten() {
+        if let Some(first) = seen.insert(&class.path, &class.name) {
+            root.fault("classes", format!("`{}` and `{first}` have the same path {}", class.name, class.path));
+        }
+    }
+}
+
+fn shared_key(value: &str) -> Result<String, String> {
+    // The value is a secret: the message must not repeat it.
+    if value.len() < SHORTEST_KEY {
+        return Err(format!("must have at least {SHORTEST_KEY} characters"));
+    }
+    tree::text(value)
+}
+
+fn path(value: &str) -> Result<String, String> {
+    if value.starts_with('/') { Ok(value.to_owned()) } else { Err("must start with `/`".to_owned()) }
+}
+
+fn priority(value: &str) -> Result<Priority, String> {
+    match value {
+        "urgent" => Ok(Priority::Urgent),
+        "normal" => Ok(Priority::Normal),
+        "patient" => Ok(Priority::Patient),
+        other => Err(format!("`{other}` is not one of urgent, normal, patient")),
+    }
+}
+
+fn level(value: &str) -> Result<Level, String> {
+    match value {
+        "debug" => Ok(Level::Debug),
+        "info" => Ok(Level::Info),
+        "warning" => Ok(Level::Warning),
+        "error" => Ok(Level::Error),
+        other => Err(format!("`{other}` is not one of debug, info, warning, error")),
+    }
+}
