--- a/components/place/src/lib.rs
+++ b/components/place/src/lib.rs
@@ -1,1 +1,14 @@
-//! Empty.
+//! Where a task goes: pure decisions over the workers of one data centre.
+//!
+//! No clock, no sockets, no locks: the same inputs give the same answer, so that recorded traces replay
+//! through these functions to stated outcomes.
+
+mod cell;
+mod choose;
+mod order;
+mod preempt;
+
+pub use cell::{Cell, Worker, WorkerIndex};
+pub use choose::{Choice, Demand, Policy, Siblings, choose, gang, never_fits};
+pub use order::{Claimant, Rank, Usage, order};
+pub use preempt::{Candidate, Preemption, Victim, preempt};
--- /dev/null
+++ b/components/place/tests/place.rs
@@ -0,0 +1,138 @@
+//! Placement: never over, spread or packed by kind, gangs whole, refusals with their reason.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use model::task::{Attempt, Id};
+use model::workload::{Kind, Priority};
+use model::{Reason, Resources};
+use place::{
+    Candidate, Cell, Choice, Claimant, Demand, Policy, Siblings, Usage, Victim, Worker, choose, gang, order, preempt,
+};
+use proptest::prelude::*;
+
+fn worker(name: &str, rack: &str, cores: u32) -> Worker {
+    let capacity = Resources::new(cores, cores * 4096, 0);
+    Worker { id: name.to_owned(), rack: rack.to_owned(), capacity, free: capacity, open: true }
+}
+
+fn demand(kind: Kind, cores: u32) -> Demand {
+    Demand { each: Resources::new(cores, cores * 1024, 0), kind, policy: Policy::BestFit }
+}
+
+#[test]
+fn a_service_spreads_over_workers_and_racks() {
+    let mut cell = Cell::new([worker("a1", "a", 16), worker("a2", "a", 16), worker("b1", "b", 16)]);
+    let mut siblings = Siblings::default();
+    let mut placed = Vec::new();
+    for _ in 0..3 {
+        let Choice::Placed(at) = choose(&cell, &demand(Kind::Service, 2), &siblings) else { panic!("has room") };
+        cell.take(at, &Resources::new(2, 2048, 0));
+        siblings.add(&cell, at);
+        placed.push(cell.id(at).clone());
+    }
+    assert_eq!(placed, ["a1", "b1", "a2"]);
+}
+
+#[test]
+fn batch_packs_the_fullest_worker_with_room() {
+    let mut cell = Cell::new([worker("a", "a", 16), worker("b", "a", 16)]);
+    cell.take(1, &Resources::new(10, 1024, 0));
+    assert_eq!(choose(&cell, &demand(Kind::Batch, 4), &Siblings::default()), Choice::Placed(1));
+    assert_eq!(choose(&cell, &demand(Kind::Batch, 8), &Siblings::default()), Choice::Placed(0));
+}
+
+#[test]
+fn work_that_can_never_run_is_told_the_nearest_miss() {
+    let cell = Cell::new([worker("small", "a", 8), worker("large", "a", 16)]);
+    let Choice::Impossible(reason) = choose(&cell, &demand(Kind::Batch, 20), &Siblings::default()) else {
+        panic!("no worker has 20 cores")
+    };
+    assert_eq!(
+        reason.to_string(),
+        "can never run: largest worker large has 16 cores, 65536 MiB, asked 20 cores, 20480 MiB"
+    );
+}
+
+#[test]
+fn a_closed_worker_takes_nothing() {
+    let mut cell = Cell::new([worker("a", "a", 16)]);
+    cell.set_open(0, false);
+    assert_eq!(choose(&cell, &demand(Kind::Batch, 1), &Siblings::default()), Choice::Waiting(Reason::NoWorkers));
+}
+
+#[test]
+fn a_gang_is_placed_whole_or_leaves_nothing_behind() {
+    let mut cell = Cell::new([worker("a", "a", 16), worker("b", "a", 16)]);
+    let before = (cell.free(0), cell.free(1));
+    let refused = gang(&mut cell, &demand(Kind::Gang, 5), 7);
+    assert_eq!(refused, Err(Choice::Waiting(Reason::GangIncomplete { fitting: 6, needed: 7 })));
+    assert_eq!((cell.free(0), cell.free(1)), before);
+    assert_eq!(gang(&mut cell, &demand(Kind::Gang, 5), 6).unwrap().len(), 6);
+}
+
+#[test]
+fn the_cheapest_victims_on_one_worker_make_room() {
+    let victim = |workload: &str, cores: u32, unsaved: u64| Victim {
+        task: Id { workload: workload.to_owned(), data_centre: "gt-1".to_owned(), index: 0 },
+        attempt: Attempt { epoch: 1, number: 1 },
+        resources: Resources::new(cores, 1024, 0),
+        unsaved: Duration::from_secs(unsaved),
+    };
+    let candidates = [
+        Candidate {
+            worker: "a".to_owned(),
+            free: Resources::new(1, 65536, 0),
+            patient: vec![victim("old", 8, 5000), victim("young", 8, 10)],
+        },
+        Candidate { worker: "b".to_owned(), free: Resources::new(2, 65536, 0), patient: vec![victim("tiny", 1, 0)] },
+    ];
+    let chosen = preempt(&candidates, &Resources::new(4, 1024, 0)).unwrap();
+    assert_eq!(chosen.worker, "a");
+    assert_eq!(chosen.victims.len(), 1);
+    assert_eq!(chosen.victims[0].task.workload, "young");
+}
+
+#[test]
+fn urgent_goes_first_then_the_starving_then_the_team_that_uses_least() {
+    let claimant = |workload: &str, team: &str, priority, waited| Claimant {
+        workload: workload.to_owned(),
+        team: team.to_owned(),
+        priority,
+        waited: Duration::from_secs(waited),
+    };
+    let claimants = [
+        claimant("patient", "idle", Priority::Patient, 10),
+        claimant("normal-busy", "busy", Priority::Normal, 20),
+        claimant("normal-idle", "idle", Priority::Normal, 1),
+        claimant("starving", "busy", Priority::Patient, 601),
+        claimant("urgent", "busy", Priority::Urgent, 0),
+    ];
+    let busy = Usage { used: Resources::new(50, 0, 0), quota: None };
+    let usage = HashMap::from([("busy".to_owned(), busy)]);
+    let order = order(&claimants, &usage, &Resources::new(100, 1000, 0));
+    let names: Vec<&str> = order.into_iter().map(|at| claimants[at].workload.as_str()).collect();
+    assert_eq!(names, ["urgent", "starving", "normal-idle", "normal-busy", "patient"]);
+}
+
+proptest! {
+    #[test]
+    fn no_worker_is_ever_committed_beyond_its_capacity(
+        sizes in prop::collection::vec((1u32..20, 1u32..40, 0u32..2, 0u8..3), 1..300),
+        policy in prop_oneof![Just(Policy::FirstFit), Just(Policy::BestFit), Just(Policy::Aligned)],
+    ) {
+        let mut cell = Cell::new((0..8).map(|n| worker(&format!("w{n}"), &format!("r{}", n / 3), 16)));
+        let capacity = Resources::new(16, 16 * 4096, 0);
+        let mut used = [Resources::ZERO; 8];
+        for (cores, gib, accelerators, kind) in sizes {
+            let each = Resources::new(cores, gib * 1024, accelerators);
+            let kind = [Kind::Service, Kind::Batch, Kind::Gang][kind as usize];
+            let demand = Demand { each, kind, policy };
+            if let Choice::Placed(at) = choose(&cell, &demand, &Siblings::default()) {
+                prop_assert!(cell.take(at, &each));
+                used[at] = used[at].checked_add(&each).unwrap();
+                prop_assert!(used[at].fits_in(&capacity));
+            }
+        }
+    }
+}
