Add the ledger of a held worker

Leases count from the stamp of the last report that the holder received, by the worker's own clock. Ruled out: counting from the arrival of a batch, because a batch that waited in a frozen worker's socket would prolong tasks that the holder already takes for ended. proptest: no order of lost batches, stops and takeovers overcommits.

--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -1,1 +1,13 @@
-//! Empty.
+//! The only place that commits a worker's capacity: the ledger of the entry host that holds the worker.
+//!
+//! Pure: orders, reports and time go in; answers, commands for the worker and facts for the peers come out.
+//! It counts the declared size of everything started, stopping or in doubt, and it is rebuilt from the
+//! worker's own report before the first decision under a new epoch.
+
+mod book;
+mod reserve;
+mod trust;
+
+pub use book::{Commit, Ended, Ledger, Limits};
+pub use reserve::Reservation;
+pub use trust::Trust;
--- /dev/null
+++ b/components/ledger/tests/ledger.rs
@@ -0,0 +1,314 @@
+//! The ledger: never over capacity, idempotent orders, truth about ends.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use ledger::{Commit, Ledger, Limits};
+use model::Resources;
+use model::task::{Attempt, End, Id};
+use proptest::prelude::*;
+use wire::{Fact, FactKey, ReserveOrder, StartOrder, TaskState};
+use worker::{Command, Report, Run, Task};
+
+const LIMITS: Limits = Limits { lease: Duration::from_secs(15), margin: Duration::from_secs(1) };
+
+fn task(workload: &str, index: u32) -> Id {
+    Id { workload: workload.to_owned(), data_centre: "gt-1".to_owned(), index }
+}
+
+fn attempt(number: u32) -> Attempt {
+    Attempt { epoch: 1, number }
+}
+
+fn order(workload: &str, index: u32, number: u32, cores: u32) -> StartOrder {
+    StartOrder {
+        worker: "w".to_owned(),
+        task: task(workload, index),
+        attempt: attempt(number),
+        resources: Resources::new(cores, cores * 1024, 0),
+        run: "true".to_owned(),
+        service: false,
+        patient: true,
+    }
+}
+
+fn report(tasks: Vec<Task>) -> Report {
+    Report { incarnation: 1, stamp_ms: 0, capacity: Resources::new(16, 65536, 0), leaving: false, tasks }
+}
+
+fn found(workload: &str, index: u32, number: u32, cores: u32, run: Run) -> Task {
+    let resources = Resources::new(cores, cores * 1024, 0);
+    Task { task: task(workload, index), attempt: attempt(number), resources, patient: true, run, usage: None }
+}
+
+fn running() -> Run {
+    Run::Running { address: None }
+}
+
+fn open(tasks: Vec<Task>, now: Instant) -> Ledger {
+    Ledger::open("w".to_owned(), 3, report(tasks), LIMITS, now)
+}
+
+fn state(ledger: &Ledger, workload: &str) -> Option<TaskState> {
+    ledger.task_facts().find_map(|(key, fact)| match (key, fact) {
+        (FactKey::Task(id, _), Fact::Task(fact)) if id.workload == workload => Some(fact.state),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_ledger_opened_after_a_takeover_counts_what_already_runs() {
+    let now = Instant::now();
+    let mut ledger = open(vec![found("old", 0, 1, 10, running())], now);
+    assert_eq!(ledger.commit(&order("new", 0, 1, 8), now), Commit::Full(Resources::new(6, 65536 - 10240, 0)));
+    assert_eq!(ledger.commit(&order("new", 0, 1, 6), now), Commit::Accepted);
+}
+
+#[test]
+fn a_repeated_order_commits_once() {
+    let now = Instant::now();
+    let mut ledger = open(Vec::new(), now);
+    for _ in 0..3 {
+        assert_eq!(ledger.commit(&order("a", 0, 1, 10), now), Commit::Accepted);
+    }
+    assert_eq!(ledger.free(), Resources::new(6, 65536 - 10240, 0));
+}
+
+#[test]
+fn a_second_attempt_is_refused_while_the_first_lives() {
+    let now = Instant::now();
+    let mut ledger = open(vec![found("a", 0, 1, 1, running())], now);
+    assert_eq!(ledger.commit(&order("a", 0, 2, 1), now), Commit::Closed);
+}
+
+#[test]
+fn a_start_is_repeated_until_a_report_answers_it() {
+    let now = Instant::now();
+    let mut ledger = open(Vec::new(), now);
+    ledger.commit(&order("a", 0, 1, 1), now);
+    let first = ledger.commands();
+    ledger.silent();
+    assert_eq!(ledger.commands(), first, "the answer was lost");
+    ledger.batch_answered(&first, report(vec![found("a", 0, 1, 1, running())]), now);
+    assert_eq!(state(&ledger, "a"), Some(TaskState::Running(None)));
+    assert!(ledger.commands().is_empty());
+}
+
+#[test]
+fn work_cancelled_before_its_start_was_sent_is_never_started() {
+    let now = Instant::now();
+    let mut ledger = open(Vec::new(), now);
+    ledger.commit(&order("a", 0, 1, 1), now);
+    ledger.stop(&task("a", 0), attempt(1));
+    assert_eq!(state(&ledger, "a"), Some(TaskState::Ended(End::Stopped)));
+    assert!(ledger.commands().is_empty());
+    assert_eq!(ledger.free(), Resources::new(16, 65536, 0));
+}
+
+#[test]
+fn a_stop_after_an_unanswered_start_sends_no_start_again_and_frees_nothing_yet() {
+    let now = Instant::now();
+    let mut ledger = open(Vec::new(), now);
+    ledger.commit(&order("a", 0, 1, 4), now);
+    ledger.commands();
+    ledger.stop(&task("a", 0), attempt(1));
+    assert!(!ledger.commands().iter().any(|command| matches!(command, Command::Start { .. })));
+    assert_eq!(ledger.free().cpu_milli, 12_000, "it may be running: its room stays committed");
+}
+
+#[test]
+fn an_end_is_kept_until_it_is_acknowledged() {
+    let now = Instant::now();
+    let ended = || report(vec![found("a", 0, 1, 4, Run::Ended { end: End::Finished })]);
+    let mut ledger = open(vec![found("a", 0, 1, 4, running())], now);
+    assert_eq!(ledger.batch_answered(&[], ended(), now).len(), 1);
+    assert!(ledger.batch_answered(&[], ended(), now).is_empty(), "told once");
+    assert_eq!(ledger.free().cpu_milli, 16_000);
+    assert_eq!(state(&ledger, "a"), Some(TaskState::Ended(End::Finished)));
+    ledger.acknowledge(&task("a", 0), attempt(1));
+    let commands = ledger.commands();
+    assert_eq!(commands, [Command::Acknowledge { task: task("a", 0), attempt: attempt(1) }]);
+    ledger.batch_answered(&commands, report(Vec::new()), now);
+    assert_eq!(state(&ledger, "a"), None);
+}
+
+#[test]
+fn a_worker_restarted_empty_has_surely_ended_its_tasks() {
+    let now = Instant::now();
+    let mut ledger = open(vec![found("a", 0, 1, 4, running())], now);
+    let restarted = Report { incarnation: 2, ..report(Vec::new()) };
+    let ended = ledger.batch_answered(&[], restarted, now);
+    assert_eq!(ended[0].end, End::Lost);
+}
+
+#[test]
+fn a_silent_workers_tasks_end_only_after_lease_and_margin_and_only_under_a_sole_hold() {
+    let start = Instant::now();
+    let mut ledger = open(vec![found("a", 0, 1, 4, running())], start);
+    ledger.silent();
+    assert!(ledger.lapse(true, start + Duration::from_secs(16)).is_empty());
+    assert!(ledger.lapse(false, start + Duration::from_secs(17)).is_empty(), "another host may have renewed it");
+    assert_eq!(ledger.lapse(true, start + Duration::from_secs(17)).len(), 1);
+    assert_eq!(ledger.commit(&order("b", 0, 1, 1), start + Duration::from_secs(17)), Commit::Closed);
+}
+
+#[test]
+fn a_worker_that_fails_different_workloads_gets_one_trial_at_a_time() {
+    let start = Instant::now();
+    let failed = |workload: &str| {
+        found(workload, 0, 1, 1, Run::Ended { end: End::Failed { message: "no such device".to_owned() } })
+    };
+    let mut ledger = open(Vec::new(), start);
+    ledger.batch_answered(&[], report(vec![failed("a"), failed("b")]), start);
+    assert!(!ledger.on_probation(), "two workloads may both be bad");
+    ledger.batch_answered(&[], report(vec![failed("a"), failed("b"), failed("c")]), start);
+    assert!(ledger.on_probation());
+    assert_eq!(ledger.commit(&order("d", 0, 1, 1), start), Commit::Closed);
+    let later = start + Duration::from_secs(11);
+    assert_eq!(ledger.commit(&order("d", 0, 1, 1), later), Commit::Accepted);
+    assert_eq!(ledger.commit(&order("e", 0, 1, 1), later), Commit::Closed, "one trial at a time");
+    let good = report(vec![found("d", 0, 1, 1, Run::Ended { end: End::Finished })]);
+    let commands = ledger.commands();
+    ledger.batch_answered(&commands, good, later);
+    assert!(!ledger.on_probation(), "it passed its trial");
+    assert_eq!(ledger.commit(&order("e", 0, 1, 1), later), Commit::Accepted);
+}
+
+#[test]
+fn room_is_kept_for_the_senior_reservation_and_expires_by_itself() {
+    let start = Instant::now();
+    let mut ledger = open(Vec::new(), start);
+    let reserve = |workload: &str, cores: u32, seniority: u64| ReserveOrder {
+        worker: "w".to_owned(),
+        workload: workload.to_owned(),
+        resources: Resources::new(cores, 1024, 0),
+        seniority,
+        victims: Vec::new(),
+    };
+    ledger.reserve(&reserve("old-gang", 10, 1), start);
+    ledger.reserve(&reserve("young-gang", 10, 2), start);
+    assert!(matches!(ledger.commit(&order("small", 0, 1, 1), start), Commit::Full(_)));
+    assert!(matches!(ledger.commit(&order("young-gang", 0, 1, 8), start), Commit::Full(_)));
+    assert_eq!(ledger.commit(&order("old-gang", 0, 1, 10), start), Commit::Accepted);
+    let later = start + Duration::from_secs(4);
+    assert_eq!(ledger.commit(&order("small", 0, 1, 6), later), Commit::Accepted);
+}
+
+#[test]
+fn only_patient_attempts_are_stopped_for_a_reservation() {
+    let now = Instant::now();
+    let mut service = found("service", 0, 1, 8, running());
+    service.patient = false;
+    let mut ledger = open(vec![service, found("menus", 0, 1, 8, running())], now);
+    let reserve = ReserveOrder {
+        worker: "w".to_owned(),
+        workload: "urgent".to_owned(),
+        resources: Resources::new(8, 1024, 0),
+        seniority: 0,
+        victims: vec![(task("service", 0), attempt(1)), (task("menus", 0), attempt(1))],
+    };
+    ledger.reserve(&reserve, now);
+    assert_eq!(state(&ledger, "service"), Some(TaskState::Running(None)));
+    assert_eq!(state(&ledger, "menus"), Some(TaskState::Stopping));
+}
+
+/// A worker reduced to what the ledger can see of it.
+#[derive(Default)]
+struct Double {
+    tasks: BTreeMap<(Id, Attempt), Task>,
+}
+
+impl Double {
+    fn carry_out(&mut self, commands: &[Command]) {
+        for command in commands {
+            match command {
+                Command::Start { task, attempt, resources, .. } => {
+                    let key = (task.clone(), *attempt);
+                    self.tasks.entry(key).or_insert_with(|| Task {
+                        task: task.clone(),
+                        attempt: *attempt,
+                        resources: *resources,
+                        patient: true,
+                        run: running(),
+                        usage: None,
+                    });
+                }
+                Command::Stop { task, attempt } => self.end(&(task.clone(), *attempt), End::Stopped),
+                Command::Acknowledge { task, attempt } => {
+                    self.tasks.remove(&(task.clone(), *attempt));
+                }
+                Command::Throttle { .. } | Command::Checkpoint { .. } => {}
+            }
+        }
+    }
+
+    fn end(&mut self, key: &(Id, Attempt), end: End) {
+        if let Some(task) = self.tasks.get_mut(key)
+            && !matches!(task.run, Run::Ended { .. })
+        {
+            task.run = Run::Ended { end };
+        }
+    }
+
+    fn report(&self) -> Report {
+        report(self.tasks.values().cloned().collect())
+    }
+
+    fn committed(&self) -> Resources {
+        let live = self.tasks.values().filter(|task| !matches!(task.run, Run::Ended { .. }));
+        live.fold(Resources::ZERO, |sum, task| sum.checked_add(&task.resources).unwrap())
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Start(u32, u32),
+    Stop(u32),
+    Finish(u32),
+    Acknowledge(u32),
+    Batch,
+    BatchAnswerLost,
+    BatchLost,
+    Takeover,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0u32..12, 1u32..9).prop_map(|(index, cores)| Step::Start(index, cores)),
+        1 => (0u32..12).prop_map(Step::Stop),
+        1 => (0u32..12).prop_map(Step::Finish),
+        1 => (0u32..12).prop_map(Step::Acknowledge),
+        3 => Just(Step::Batch),
+        1 => Just(Step::BatchAnswerLost),
+        1 => Just(Step::BatchLost),
+        1 => Just(Step::Takeover),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn the_worker_is_never_overcommitted_whatever_is_lost(steps in prop::collection::vec(step(), 1..120)) {
+        let now = Instant::now();
+        let capacity = Resources::new(16, 65536, 0);
+        let mut double = Double::default();
+        let mut ledger = open(Vec::new(), now);
+        for step in steps {
+            match step {
+                Step::Start(index, cores) => { ledger.commit(&order("a", index, 1, cores), now); }
+                Step::Stop(index) => ledger.stop(&task("a", index), attempt(1)),
+                Step::Finish(index) => double.end(&(task("a", index), attempt(1)), End::Finished),
+                Step::Acknowledge(index) => ledger.acknowledge(&task("a", index), attempt(1)),
+                Step::Batch => {
+                    let commands = ledger.commands();
+                    double.carry_out(&commands);
+                    ledger.batch_answered(&commands, double.report(), now);
+                }
+                Step::BatchAnswerLost => double.carry_out(&ledger.commands()),
+                Step::BatchLost => { ledger.commands(); }
+                Step::Takeover => ledger = Ledger::open("w".to_owned(), ledger.epoch() + 1, double.report(), LIMITS, now),
+            }
+            prop_assert!(double.committed().fits_in(&capacity));
+            prop_assert!(ledger.free().fits_in(&capacity));
+        }
+    }
+}
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -61,12 +61,16 @@
 pub struct WorkerFact {
     /// Epoch of the hold.
     pub epoch: Epoch,
-    /// Not committed to any task.
+    /// All that the worker offers.
+    pub capacity: Resources,
+    /// Neither committed to a task nor kept for a workload.
     pub free: Resources,
     /// Committed to patient tasks, which may be stopped for urgent work.
     pub patient: Resources,
     /// Whether the worker answers its holder.
     pub reachable: bool,
+    /// Whether it takes new tasks.
+    pub open: bool,
     /// Whether it is on its way out.
     pub leaving: bool,
     /// Whether it is on probation after failures.
@@ -131,6 +135,22 @@
     pub attempt: Attempt,
 }
 
+/// An order to keep room for a workload. Reservations are honoured in the order of `seniority` at every
+/// holder, so that two gangs can't each hold a part of what the other needs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReserveOrder {
+    /// Where.
+    pub worker: WorkerId,
+    /// For whom.
+    pub workload: WorkloadId,
+    /// How much.
+    pub resources: Resources,
+    /// Lower goes first: priority, then time of acceptance.
+    pub seniority: u64,
+    /// Patient attempts to stop for it.
+    pub victims: Vec<(Id, Attempt)>,
+}
+
 /// What a holder says to a start order. Anything but `Accepted` means that it surely was not started.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartAnswer {
@@ -201,6 +221,15 @@
         /// The orders.
         orders: Vec<StartOrder>,
     },
+    /// Keep room that becomes free on workers for one workload, for a short time.
+    Reserve {
+        /// The partition.
+        partition: Partition,
+        /// Epoch of the claim.
+        epoch: Epoch,
+        /// Where and how much.
+        orders: Vec<ReserveOrder>,
+    },
     /// Stop attempts of one partition.
     Stop {
         /// The partition.
@@ -244,7 +273,7 @@
     Epochs(Vec<(Partition, Epoch)>),
     /// To `Start`, in the order of the orders.
     Started(Vec<StartAnswer>),
-    /// To `Stop`, `Acknowledge` and `Wake`.
+    /// To `Reserve`, `Stop`, `Acknowledge` and `Wake`.
     Done,
     /// To `Show`: rows of cells.
     Rows(Vec<Vec<String>>),
--- a/components/worker/src/protocol.rs
+++ b/components/worker/src/protocol.rs
@@ -20,7 +20,12 @@
 pub struct Batch {
     /// Epoch of the hold.
     pub epoch: Epoch,
-    /// Lease of all tasks from now on, in milliseconds.
+    /// Grows with each batch under one epoch; a worker refuses one that was overtaken by a later one.
+    pub sequence: u64,
+    /// Stamp of the last report that the holder received. Leases count from it, by the worker's own clock, so
+    /// that a batch that was held up on its way prolongs nothing beyond what its sender reckons with.
+    pub stamp_ms: u64,
+    /// Lease of all tasks from the stamp on, in milliseconds.
     pub lease_ms: u64,
     /// Carried out in order.
     pub commands: Vec<Command>,
@@ -42,8 +47,11 @@
         run: String,
         /// Whether it answers callers; the worker then reports its address.
         service: bool,
+        /// Whether it may be stopped for urgent work; kept, so that the next holder knows it.
+        patient: bool,
     },
-    /// Stop an attempt; it may finish what it has in flight.
+    /// Stop an attempt; it may finish what it has in flight. One that is not known is recorded as stopped, so
+    /// that it can't start afterwards.
     Stop {
         /// What.
         task: Id,
@@ -102,6 +110,8 @@
     pub attempt: Attempt,
     /// Its committed size.
     pub resources: Resources,
+    /// Whether it may be stopped for urgent work.
+    pub patient: bool,
     /// How it is.
     pub run: Run,
     /// Late usage: what it was seen to use, when that is known.
@@ -113,6 +123,8 @@
 pub struct Report {
     /// The worker's life; a new one starts empty.
     pub incarnation: Incarnation,
+    /// The worker's monotonic clock, in milliseconds, when it made this report.
+    pub stamp_ms: u64,
     /// All that the worker offers.
     pub capacity: Resources,
     /// Whether it is on its way out.
