--- /dev/null
+++ b/components/jobs/src/book.rs
@@ -0,0 +1,437 @@
+//! All shares of one partition under one claim.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use model::task::{Attempt, End, Id};
+use model::workload::{Kind, Progress, Versioned};
+use model::{DataCentreId, Epoch, Reason, WorkerId, WorkloadId};
+use wire::{StartOrder, StopOrder, TaskFact, TaskState};
+
+use crate::failure::Verdict;
+use crate::job::Job;
+use crate::task::{Phase, Task};
+
+/// An order whose answer was lost is sent again after so long.
+const ORDER_AGAIN: Duration = Duration::from_millis(500);
+
+/// Work that waits and may start now.
+#[derive(Clone, Debug)]
+pub struct Claimant {
+    /// Its workload.
+    pub workload: WorkloadId,
+    /// Positions to start; for a gang all or none.
+    pub positions: Vec<u32>,
+    /// Since when the longest-waiting one waits.
+    pub since: Instant,
+}
+
+/// Something worth a log line or a metric.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Note {
+    /// A task began to run after this wait.
+    Started(Id, Duration),
+    /// An attempt ended.
+    Ended(Id, Attempt, End),
+    /// A workload was parked.
+    Parked(WorkloadId, Reason),
+}
+
+/// The shares of one partition, as its owner follows them.
+#[derive(Debug)]
+pub struct Book {
+    epoch: Epoch,
+    data_centre: DataCentreId,
+    jobs: BTreeMap<WorkloadId, Job>,
+    last_number: u32,
+    /// Whether every worker that an earlier owner may have used is accounted for.
+    accounted: bool,
+    acknowledge: Vec<StopOrder>,
+    stray: BTreeMap<(Id, Attempt), StopOrder>,
+    /// Ends that wait until the platform has them.
+    undurable: BTreeMap<WorkloadId, Vec<StopOrder>>,
+    notes: Vec<Note>,
+    workers: usize,
+}
+
+impl Book {
+    /// Opens the book of a partition that was just claimed with `epoch`.
+    pub fn new(epoch: Epoch, data_centre: DataCentreId) -> Book {
+        Book {
+            epoch,
+            data_centre,
+            jobs: BTreeMap::new(),
+            last_number: 0,
+            accounted: false,
+            acknowledge: Vec::new(),
+            stray: BTreeMap::new(),
+            undurable: BTreeMap::new(),
+            notes: Vec::new(),
+            workers: 0,
+        }
+    }
+
+    /// Epoch of the claim.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// The shares, by name.
+    pub fn jobs(&self) -> &BTreeMap<WorkloadId, Job> {
+        &self.jobs
+    }
+
+    /// States how many workers the data centre has.
+    pub fn workers(&mut self, count: usize) {
+        self.workers = count;
+    }
+
+    /// Follows a record. `fresh` states that no earlier owner can have started its tasks: it was accepted
+    /// after this claim.
+    pub fn apply(&mut self, versioned: Versioned, progress: Option<&Progress>, fresh: bool, now: Instant) {
+        let name = versioned.record.workload.name.clone();
+        let known = self.jobs.get(&name).map(|job| (job.versioned.revision, job.versioned.record.life));
+        if known.is_some_and(|(revision, _)| revision >= versioned.revision) {
+            return;
+        }
+        let same_life = known.is_some_and(|(_, life)| life == versioned.record.life);
+        if !same_life {
+            self.abandon(&name);
+            let mut job = Job::new(versioned, self.data_centre.clone());
+            if let Some(progress) = progress {
+                job.restore(progress, now);
+            }
+            self.jobs.insert(name.clone(), job);
+        } else if let Some(job) = self.jobs.get_mut(&name) {
+            job.versioned = versioned;
+            // An operator's change is a new chance for a workload that failed.
+            job.failures.succeeded();
+        }
+        let phase = if fresh || self.accounted { Phase::Waiting } else { Phase::Unknown };
+        if let Some(job) = self.jobs.get_mut(&name) {
+            job.resize(phase, now);
+        }
+    }
+
+    /// Forgets a workload whose record was removed; attempts that still live are stopped as strays.
+    pub fn abandon(&mut self, workload: &str) {
+        let Some(job) = self.jobs.remove(workload) else { return };
+        self.undurable.remove(workload);
+        for (index, task) in &job.tasks {
+            let Some(worker) = task.worker() else { continue };
+            let order = StopOrder { worker: worker.clone(), task: job.id(*index), attempt: task.attempt };
+            self.stray.insert((order.task.clone(), order.attempt), order);
+        }
+    }
+
+    /// Takes in what the holder of a worker says of an attempt.
+    pub fn observe(&mut self, task: &Id, attempt: Attempt, fact: &TaskFact, on_probation: bool, now: Instant) {
+        let order = StopOrder { worker: fact.worker.clone(), task: task.clone(), attempt };
+        let known = self.jobs.get_mut(&task.workload).filter(|job| job.versioned.record.life == task.life);
+        let Some(job) = known else {
+            self.observe_stray(order, &fact.state);
+            return;
+        };
+        let worker = fact.worker.clone();
+        match &fact.state {
+            TaskState::Ended(end) => self.observe_end(order, end, on_probation, now),
+            TaskState::Starting => Self::observe_live(job, &mut self.stray, order, Phase::Starting { worker }, now),
+            TaskState::Stopping => Self::observe_live(job, &mut self.stray, order, Phase::Stopping { worker }, now),
+            TaskState::Running(address) => {
+                let waited = job.tasks.get(&task.index).filter(|known| starts_now(known, attempt));
+                let waited = waited.map(|known| now.duration_since(known.waiting_since));
+                let phase = Phase::Running { worker, since: now, address: *address };
+                Self::observe_live(job, &mut self.stray, order, phase, now);
+                self.notes.extend(waited.map(|waited| Note::Started(task.clone(), waited)));
+            }
+        }
+    }
+
+    fn observe_stray(&mut self, order: StopOrder, state: &TaskState) {
+        let key = (order.task.clone(), order.attempt);
+        if matches!(state, TaskState::Ended(_)) {
+            self.stray.remove(&key);
+            self.acknowledge.push(order);
+        } else {
+            self.stray.insert(key, order);
+        }
+    }
+
+    fn observe_live(
+        job: &mut Job,
+        stray: &mut BTreeMap<(Id, Attempt), StopOrder>,
+        order: StopOrder,
+        phase: Phase,
+        now: Instant,
+    ) {
+        if !job.found(order.task.index, order.attempt, phase, now) {
+            stray.insert((order.task.clone(), order.attempt), order);
+        }
+    }
+
+    fn observe_end(&mut self, order: StopOrder, end: &End, on_probation: bool, now: Instant) {
+        self.stray.remove(&(order.task.clone(), order.attempt));
+        let Some(job) = self.jobs.get_mut(&order.task.workload) else { return };
+        let index = order.task.index;
+        let task = job.tasks.get(&index);
+        let finished = task.is_some_and(|task| task.phase == Phase::Finished && task.attempt == order.attempt);
+        if finished {
+            // Its end is on its way to the platform; acknowledged when it is there.
+            let waits = self.undurable.get(&order.task.workload).is_some_and(|ends| ends.contains(&order));
+            if !waits {
+                self.acknowledge.push(order);
+            }
+            return;
+        }
+        let current = task.map_or(Attempt::default(), |task| task.attempt);
+        let unseen = order.attempt > current;
+        let live = task.is_none_or(|task| task.may_live());
+        if order.attempt < current || (!unseen && !live) {
+            self.acknowledge.push(order);
+            return;
+        }
+        if unseen {
+            job.found(index, order.attempt, Phase::Starting { worker: order.worker.clone() }, now);
+        }
+        let parked = job.ended(index, end, on_probation, self.workers, now);
+        if parked {
+            self.notes.push(Note::Parked(order.task.workload.clone(), job.reason(index, now)));
+        }
+        self.notes.push(Note::Ended(order.task.clone(), order.attempt, end.clone()));
+        let must_last = *end == End::Finished && job.workload().kind != Kind::Service;
+        if must_last {
+            self.undurable.entry(order.task.workload.clone()).or_default().push(order);
+        } else {
+            self.acknowledge.push(order);
+        }
+    }
+
+    /// Takes in that the holder of the worker, which has the worker's whole inventory, does not know the
+    /// latest attempt at a task: it has surely ended.
+    pub fn vanished(&mut self, task: &Id, attempt: Attempt, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&task.workload) else { return };
+        let current = job.tasks.get(&task.index).is_some_and(|known| known.attempt == attempt && known.may_live());
+        if job.versioned.record.life == task.life && current {
+            job.ended(task.index, &End::Lost, false, self.workers, now);
+            self.notes.push(Note::Ended(task.clone(), attempt, End::Lost));
+        }
+        self.stray.remove(&(task.clone(), attempt));
+    }
+
+    /// Takes in that a worker is gone for good, and that every lease on it has lapsed.
+    pub fn worker_gone(&mut self, worker: &str, now: Instant) {
+        let mut gone: Vec<(Id, Attempt)> = Vec::new();
+        for job in self.jobs.values() {
+            let there = job.tasks.iter().filter(|(_, task)| task.worker().is_some_and(|on| on == worker));
+            gone.extend(there.map(|(index, task)| (job.id(*index), task.attempt)));
+        }
+        for (task, attempt) in gone {
+            self.vanished(&task, attempt, now);
+        }
+        self.stray.retain(|_, order| order.worker != worker);
+    }
+
+    /// States that every worker that an earlier owner may have used is accounted for: what was not found
+    /// surely does not run.
+    pub fn all_accounted(&mut self, now: Instant) {
+        if std::mem::replace(&mut self.accounted, true) {
+            return;
+        }
+        for job in self.jobs.values_mut() {
+            let unknown: Vec<u32> =
+                job.tasks.iter().filter(|(_, task)| task.phase == Phase::Unknown).map(|(index, _)| *index).collect();
+            for index in unknown {
+                job.set(index, Phase::Waiting, now);
+            }
+            job.resize(Phase::Waiting, now);
+        }
+    }
+
+    /// Whether [`Book::all_accounted`] was stated.
+    pub fn accounted(&self) -> bool {
+        self.accounted
+    }
+
+    /// States what the recovery waits for, as the reason of all tasks that are not known yet.
+    pub fn recovering(&mut self, waiting_for: &str) {
+        for job in self.jobs.values_mut() {
+            for task in job.tasks.values_mut().filter(|task| task.phase == Phase::Unknown) {
+                task.reason = Reason::Recovering { waiting_for: waiting_for.to_owned() };
+            }
+        }
+    }
+
+    /// Work that may start now, in the order of the names.
+    pub fn claimants(&self, now: Instant) -> Vec<Claimant> {
+        let mut claimants = Vec::new();
+        for (name, job) in &self.jobs {
+            if job.waiting().is_empty() || job.cancelled() || job.verdict(now) != Verdict::Ready {
+                continue;
+            }
+            let positions = job.startable();
+            let since = positions.iter().map(|index| job.tasks[index].waiting_since).min();
+            let Some(since) = since else { continue };
+            claimants.push(Claimant { workload: name.clone(), positions, since });
+        }
+        claimants
+    }
+
+    /// Numbers the next attempt at a waiting task and makes the order for it; `None` when it may not start.
+    pub fn order(&mut self, workload: &str, index: u32, worker: &WorkerId, now: Instant) -> Option<StartOrder> {
+        let job = self.jobs.get_mut(workload)?;
+        if job.cancelled() || job.tasks.get(&index)?.phase != Phase::Waiting {
+            return None;
+        }
+        self.last_number += 1;
+        let attempt = Attempt { epoch: self.epoch, number: self.last_number };
+        if let Some(task) = job.tasks.get_mut(&index) {
+            task.attempt = attempt;
+        }
+        job.set(index, Phase::Ordered { worker: worker.clone(), sent_at: now }, now);
+        Some(start_order(job, index, worker, attempt))
+    }
+
+    /// Orders whose answer is overdue, to be sent again just as they were.
+    pub fn overdue_orders(&mut self, now: Instant) -> Vec<StartOrder> {
+        let mut overdue = Vec::new();
+        for job in self.jobs.values_mut() {
+            let mut again = Vec::new();
+            for (index, task) in &job.tasks {
+                let Phase::Ordered { worker, sent_at } = &task.phase else { continue };
+                if now.duration_since(*sent_at) >= ORDER_AGAIN {
+                    again.push((*index, worker.clone(), task.attempt));
+                }
+            }
+            for (index, worker, attempt) in again {
+                overdue.push(start_order(job, index, &worker, attempt));
+                job.set(index, Phase::Ordered { worker, sent_at: now }, now);
+            }
+        }
+        overdue
+    }
+
+    /// Takes in that the holder committed an attempt.
+    pub fn committed(&mut self, task: &Id, attempt: Attempt, now: Instant) {
+        self.after_order(task, attempt, |worker| Phase::Starting { worker }, None, now);
+    }
+
+    /// Takes in that an ordered attempt surely was not started, with the reason.
+    pub fn refused(&mut self, task: &Id, attempt: Attempt, reason: Reason, now: Instant) {
+        self.after_order(task, attempt, |_| Phase::Waiting, Some(reason), now);
+    }
+
+    fn after_order(
+        &mut self,
+        task: &Id,
+        attempt: Attempt,
+        phase: impl Fn(WorkerId) -> Phase,
+        reason: Option<Reason>,
+        now: Instant,
+    ) {
+        let Some(job) = self.jobs.get_mut(&task.workload) else { return };
+        let Some(known) = job.tasks.get_mut(&task.index) else { return };
+        let Phase::Ordered { worker, .. } = &known.phase else { return };
+        if known.attempt != attempt || job.versioned.record.life != task.life {
+            return;
+        }
+        let since = known.waiting_since;
+        let phase = phase(worker.clone());
+        if let Some(reason) = reason {
+            known.reason = reason;
+        }
+        job.set(task.index, phase, now);
+        // A refused order is no new wait.
+        if let Some(known) = job.tasks.get_mut(&task.index) {
+            known.waiting_since = since;
+        }
+        job.resize(Phase::Waiting, now);
+    }
+
+    /// States why the waiting tasks of a workload wait.
+    pub fn explain(&mut self, workload: &str, reason: &Reason) {
+        let Some(job) = self.jobs.get_mut(workload) else { return };
+        let waiting: Vec<u32> = job.waiting().iter().copied().collect();
+        for index in waiting {
+            if let Some(task) = job.tasks.get_mut(&index)
+                && task.reason != *reason
+            {
+                task.reason = reason.clone();
+            }
+        }
+    }
+
+    /// Attempts to stop, again and again until they have ended.
+    pub fn stops(&mut self, now: Instant) -> Vec<StopOrder> {
+        let mut orders: Vec<StopOrder> = self.stray.values().cloned().collect();
+        for job in self.jobs.values_mut() {
+            let unwanted = job.unwanted(now);
+            for order in &unwanted {
+                job.set(order.task.index, Phase::Stopping { worker: order.worker.clone() }, now);
+            }
+            orders.extend(unwanted);
+        }
+        orders
+    }
+
+    /// Empties leaving workers.
+    pub fn evacuate(&mut self, worker: &WorkerId, now: Instant) -> Vec<StopOrder> {
+        self.jobs.values_mut().flat_map(|job| job.evacuate(worker, now)).collect()
+    }
+
+    /// Ended attempts that their workers may forget; handed out once.
+    pub fn take_acknowledgements(&mut self) -> Vec<StopOrder> {
+        std::mem::take(&mut self.acknowledge)
+    }
+
+    /// What is worth a log line; handed out once.
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
+    /// Finished tasks that the platform does not have yet: what to write, and the ends that it covers.
+    pub fn undurable(&self) -> Vec<(WorkloadId, Progress, Vec<StopOrder>)> {
+        let mut writes = Vec::new();
+        for (name, ends) in &self.undurable {
+            let Some(job) = self.jobs.get(name) else { continue };
+            writes.push((name.clone(), job.progress(), ends.clone()));
+        }
+        writes
+    }
+
+    /// Takes in that the platform has the ends of these attempts.
+    pub fn durable(&mut self, workload: &str, ends: &[StopOrder]) {
+        let Some(waiting) = self.undurable.get_mut(workload) else { return };
+        waiting.retain(|order| !ends.contains(order));
+        if waiting.is_empty() {
+            self.undurable.remove(workload);
+        }
+        self.acknowledge.extend_from_slice(ends);
+    }
+
+    /// Attempts that may live on a worker, with their names, for a comparison with its holder's facts.
+    pub fn may_live(&self) -> impl Iterator<Item = (Id, Attempt, &WorkerId)> + '_ {
+        self.jobs.values().flat_map(|job| {
+            job.tasks.iter().filter_map(|(index, task)| {
+                let settled = !matches!(task.phase, Phase::Ordered { .. });
+                task.worker().filter(|_| settled).map(|worker| (job.id(*index), task.attempt, worker))
+            })
+        })
+    }
+}
+
+fn starts_now(known: &Task, attempt: Attempt) -> bool {
+    known.attempt == attempt && matches!(known.phase, Phase::Ordered { .. } | Phase::Starting { .. })
+}
+
+fn start_order(job: &Job, index: u32, worker: &WorkerId, attempt: Attempt) -> StartOrder {
+    let workload = job.workload();
+    StartOrder {
+        worker: worker.clone(),
+        task: job.id(index),
+        attempt,
+        resources: workload.each,
+        run: workload.run.clone(),
+        service: workload.kind == Kind::Service,
+        patient: workload.priority == model::workload::Priority::Patient,
+    }
+}
--- /dev/null
+++ b/components/jobs/src/failure.rs
@@ -0,0 +1,84 @@
+//! Whether a workload is to blame for its failures: it is, when it fails on different workers and succeeds on
+//! none. Then it pauses longer and longer, and is parked in the end with the reason.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use model::{Reason, WorkerId};
+
+/// Failures in a row, on different workers, after which a workload is parked.
+pub const PARK_AFTER: u32 = 6;
+/// Different workers that must have failed it, unless there are fewer.
+const DIFFERENT: usize = 3;
+const FIRST_PAUSE: Duration = Duration::from_secs(1);
+const LONGEST_PAUSE: Duration = Duration::from_secs(300);
+/// A worker that just failed a workload gets no task of it for so long.
+const AVOID: Duration = Duration::from_secs(120);
+
+/// Whether a workload may be tried.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// Try it.
+    Ready,
+    /// Not before the pause is over.
+    Pause(Reason),
+    /// Not until an operator changes it.
+    Parked(Reason),
+}
+
+/// The failures of one workload since its last success.
+#[derive(Clone, Debug, Default)]
+pub struct Failures {
+    count: u32,
+    workers: BTreeSet<WorkerId>,
+    avoid: Vec<(WorkerId, Instant)>,
+    not_before: Option<Instant>,
+    last: String,
+    parked: bool,
+}
+
+impl Failures {
+    /// Notes a success: the workload can run.
+    pub fn succeeded(&mut self) {
+        self.count = 0;
+        self.workers.clear();
+        self.not_before = None;
+        self.parked = false;
+    }
+
+    /// Notes a failure. One on a worker that is on probation counts against the worker alone. `workers` is the
+    /// number of workers that there are. Tells whether the workload is parked by it.
+    pub fn failed(&mut self, worker: &str, message: &str, on_probation: bool, workers: usize, now: Instant) -> bool {
+        self.avoid.retain(|(_, until)| *until > now);
+        self.avoid.push((worker.to_owned(), now + AVOID));
+        if on_probation {
+            return false;
+        }
+        self.count += 1;
+        self.workers.insert(worker.to_owned());
+        self.last = message.to_owned();
+        let doublings = self.count.saturating_sub(1).min(16);
+        self.not_before = Some(now + (FIRST_PAUSE * 2u32.pow(doublings)).min(LONGEST_PAUSE));
+        let enough = self.workers.len() >= DIFFERENT.min(workers.max(1));
+        let parks = enough && self.count >= PARK_AFTER && !self.parked;
+        self.parked |= parks;
+        parks
+    }
+
+    /// Whether the workload may be tried now.
+    pub fn verdict(&self, now: Instant) -> Verdict {
+        if self.parked {
+            let workers = self.workers.len() as u32;
+            return Verdict::Parked(Reason::Parked { failures: self.count, workers, last: self.last.clone() });
+        }
+        match self.not_before {
+            Some(until) if until > now => Verdict::Pause(Reason::BackOff { failures: self.count, wait: until - now }),
+            _ => Verdict::Ready,
+        }
+    }
+
+    /// Workers that failed the workload lately.
+    pub fn avoided(&self, now: Instant) -> impl Iterator<Item = &WorkerId> + '_ {
+        self.avoid.iter().filter(move |(_, until)| *until > now).map(|(worker, _)| worker)
+    }
+}
--- a/components/ledger/src/book.rs
+++ b/components/ledger/src/book.rs
@@ -183,8 +183,9 @@
         }
     }
 
-    /// Keeps room for a workload and stops the patient attempts that stand in its way.
-    pub fn reserve(&mut self, order: &ReserveOrder, now: Instant) {
+    /// Keeps room for a workload and stops the patient attempts that stand in its way. Tells whether all the
+    /// room is there now.
+    pub fn reserve(&mut self, order: &ReserveOrder, now: Instant) -> bool {
         self.reservations.put(order.workload.clone(), order.resources, order.seniority, now);
         for (task, attempt) in &order.victims {
             let patient = self.entries.get(&(task.clone(), *attempt)).is_some_and(|entry| entry.patient);
@@ -192,6 +193,8 @@
                 self.stop(task, *attempt);
             }
         }
+        let free = self.free_for(Some(&order.workload), now);
+        self.open_for_work(now) && order.resources.fits_in(&free)
     }
 
     /// Asks for the stop of an attempt. One that was never sent to the worker ends at once.
--- a/components/ledger/tests/ledger.rs
+++ b/components/ledger/tests/ledger.rs
@@ -13,7 +13,7 @@
 const LIMITS: Limits = Limits { lease: Duration::from_secs(15), margin: Duration::from_secs(1) };
 
 fn task(workload: &str, index: u32) -> Id {
-    Id { workload: workload.to_owned(), data_centre: "gt-1".to_owned(), index }
+    Id { workload: workload.to_owned(), life: 1, data_centre: "gt-1".to_owned(), index }
 }
 
 fn attempt(number: u32) -> Attempt {
--- a/components/model/src/task.rs
+++ b/components/model/src/task.rs
@@ -6,11 +6,16 @@
 
 use crate::{DataCentreId, Epoch, WorkloadId};
 
+/// Life of a workload whose name was not used before.
+pub const FIRST_LIFE: u32 = 1;
+
 /// Names a task in the cell.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Id {
     /// The workload that it belongs to.
     pub workload: WorkloadId,
+    /// Tells the workload from an earlier one with the same name; from 1.
+    pub life: u32,
     /// The data centre that its share was given to.
     pub data_centre: DataCentreId,
     /// Position in that share, from 0.
@@ -19,7 +24,10 @@
 
 impl fmt::Display for Id {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(out, "{}.{}.{}", self.workload, self.data_centre, self.index)
+        if self.life == FIRST_LIFE {
+            return write!(out, "{}.{}.{}", self.workload, self.data_centre, self.index);
+        }
+        write!(out, "{}~{}.{}.{}", self.workload, self.life, self.data_centre, self.index)
     }
 }
 
@@ -30,8 +38,12 @@
         let mut parts = text.rsplitn(3, '.');
         let index = parts.next().and_then(|part| part.parse().ok()).ok_or(ParseFault)?;
         let data_centre = parts.next().ok_or(ParseFault)?.to_owned();
-        let workload = parts.next().ok_or(ParseFault)?.to_owned();
-        Ok(Id { workload, data_centre, index })
+        let named = parts.next().ok_or(ParseFault)?;
+        let (workload, life) = match named.split_once('~') {
+            Some((workload, life)) => (workload.to_owned(), life.parse().map_err(|_| ParseFault)?),
+            None => (named.to_owned(), FIRST_LIFE),
+        };
+        Ok(Id { workload, life, data_centre, index })
     }
 }
 
--- a/components/model/src/workload.rs
+++ b/components/model/src/workload.rs
@@ -71,14 +71,42 @@
     pub intent: Intent,
     /// The command that last changed the record; settles a lost answer by reading back.
     pub command: CommandId,
-    /// Tells this workload from an earlier one with the same name.
-    pub born: CommandId,
+    /// Tells this workload from an earlier one with the same name; from 1.
+    pub life: u32,
     /// Tasks of each data centre; decided once, at acceptance or by a change.
     pub shares: BTreeMap<DataCentreId, u32>,
     /// When it was accepted, by the clock of the host that accepted it.
     pub accepted_at: SystemTime,
 }
 
+/// Which tasks of a share have finished, as it is kept in the platform's key-value service.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Progress {
+    /// Life of the workload that this is about.
+    pub life: u32,
+    /// Finished tasks, as ranges of their positions, both ends included.
+    pub finished: Vec<(u32, u32)>,
+}
+
+impl Progress {
+    /// Collects positions, in growing order, into ranges.
+    pub fn new(life: u32, positions: impl IntoIterator<Item = u32>) -> Progress {
+        let mut finished: Vec<(u32, u32)> = Vec::new();
+        for position in positions {
+            match finished.last_mut() {
+                Some((_, last)) if *last + 1 == position => *last = position,
+                _ => finished.push((position, position)),
+            }
+        }
+        Progress { life, finished }
+    }
+
+    /// The positions, in growing order.
+    pub fn positions(&self) -> impl Iterator<Item = u32> + '_ {
+        self.finished.iter().flat_map(|(first, last)| *first..=*last)
+    }
+}
+
 /// A record together with the platform's revision of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Versioned {
--- a/components/place/tests/place.rs
+++ b/components/place/tests/place.rs
@@ -74,7 +74,7 @@
 #[test]
 fn the_cheapest_victims_on_one_worker_make_room() {
     let victim = |workload: &str, cores: u32, unsaved: u64| Victim {
-        task: Id { workload: workload.to_owned(), data_centre: "gt-1".to_owned(), index: 0 },
+        task: Id { workload: workload.to_owned(), life: 1, data_centre: "gt-1".to_owned(), index: 0 },
         attempt: Attempt { epoch: 1, number: 1 },
         resources: Resources::new(cores, 1024, 0),
         unsaved: Duration::from_secs(unsaved),
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -271,9 +271,11 @@
     Inventory(InventoryAnswer),
     /// To `Epochs`.
     Epochs(Vec<(Partition, Epoch)>),
-    /// To `Start`, in the order of the orders.
-    Started(Vec<StartAnswer>),
-    /// To `Reserve`, `Stop`, `Acknowledge` and `Wake`.
+    /// To `Start`, in the order of the orders, with the version of the holder's facts that shows them.
+    Started(Vec<StartAnswer>, Version),
+    /// To `Reserve`, in the order of the orders: whether all the room is there now.
+    Reserved(Vec<bool>),
+    /// To `Stop`, `Acknowledge` and `Wake`.
     Done,
     /// To `Show`: rows of cells.
     Rows(Vec<Vec<String>>),
