Add the decisions about callers' requests

Classes, admission with worked-out Retry-After, slots dealt to hosts by rendezvous, easing off, retry budget, and the home of unrepeatable keys with the history of views. A share gained by a change of hosts is used only after the others can have seen it; a lost one is dropped at once, so that no instance is given more than its slots.

--- /dev/null
+++ b/components/request/src/home.rs
@@ -0,0 +1,99 @@
+//! Which host remembers an unrepeatable key, and whether it has remembered it for all of the key's life.
+
+use std::collections::VecDeque;
+use std::time::{Duration, SystemTime};
+
+use member::winner;
+use model::HostId;
+
+/// Views of the live hosts older than a key can be are forgotten; this many are kept at the most.
+const MOST_VIEWS: usize = 256;
+
+/// Whether this host may run the request of a key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It is the key's home, and was for all of the key's life.
+    Mine,
+    /// Another host is.
+    Other(HostId),
+    /// It is the key's home now, but another one may have run the request before.
+    TooYoung,
+    /// It has no authority now: its peers may have replaced it.
+    Uncertain,
+}
+
+/// The homes of keys within one data centre, as one host sees them over time.
+#[derive(Clone, Debug)]
+pub struct Home {
+    own: HostId,
+    /// How far the clocks and views of two hosts may differ.
+    skew: Duration,
+    /// Views with their beginnings, the newest last.
+    views: VecDeque<(SystemTime, Vec<HostId>)>,
+    /// Since when this host has had its memory without a gap.
+    since: SystemTime,
+    certain: bool,
+}
+
+impl Home {
+    /// A host that begins to remember at `now`.
+    pub fn new(own: HostId, skew: Duration, now: SystemTime) -> Home {
+        Home { own, skew, views: VecDeque::new(), since: now, certain: false }
+    }
+
+    /// Takes in the live hosts of the data centre. Tells whether they changed.
+    pub fn view(&mut self, hosts: Vec<HostId>, now: SystemTime) -> bool {
+        if self.views.back().is_some_and(|(_, known)| *known == hosts) {
+            return false;
+        }
+        self.views.push_back((now, hosts));
+        if self.views.len() > MOST_VIEWS {
+            // What the forgotten view said is not known any more, so the memory counts from its end.
+            self.views.pop_front();
+            self.since = self.since.max(self.views[0].0);
+        }
+        true
+    }
+
+    /// Takes in whether all peers have heard this host lately. While they have not, another host may take its
+    /// place, so that afterwards the memory counts as new. Tells whether that changed.
+    pub fn certain(&mut self, certain: bool, now: SystemTime) -> bool {
+        let changed = self.certain != certain;
+        if changed && certain {
+            self.since = now;
+        }
+        self.certain = certain;
+        changed
+    }
+
+    /// The standing of this host for a key that was made at `created`.
+    pub fn standing(&self, key: &str, created: SystemTime) -> Standing {
+        let Some((_, hosts)) = self.views.back() else { return Standing::Uncertain };
+        match home(key, hosts) {
+            Some(host) if host == self.own => {}
+            Some(host) => return Standing::Other(host.to_owned()),
+            None => return Standing::Uncertain,
+        }
+        if !self.certain {
+            return Standing::Uncertain;
+        }
+        // Another host's clock or view may lag by the skew.
+        let from = created.checked_sub(self.skew).unwrap_or(SystemTime::UNIX_EPOCH);
+        if from < self.since {
+            return Standing::TooYoung;
+        }
+        let mine_throughout = self.views_since(from).all(|hosts| home(key, hosts) == Some(&self.own));
+        if mine_throughout { Standing::Mine } else { Standing::TooYoung }
+    }
+
+    /// Views that were in force at `from` or later.
+    fn views_since(&self, from: SystemTime) -> impl Iterator<Item = &Vec<HostId>> + '_ {
+        let ends = self.views.iter().skip(1).map(|(began, _)| Some(*began)).chain([None]);
+        let in_force = self.views.iter().zip(ends).filter(move |(_, end)| end.is_none_or(|end| end >= from));
+        in_force.map(|((_, hosts), _)| hosts)
+    }
+}
+
+fn home<'a>(key: &str, hosts: &'a [HostId]) -> Option<&'a str> {
+    winner(key, hosts.iter().map(String::as_str))
+}
--- /dev/null
+++ b/components/request/src/keys.rs
@@ -0,0 +1,153 @@
+//! The memory of unrepeatable keys at their home.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use uuid::Uuid;
+
+/// The key of an unrepeatable request: a UUID of version 7, which carries the time it was made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Key {
+    id: Uuid,
+    created: SystemTime,
+}
+
+/// Why a text is not a key that can be accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum KeyFault {
+    /// Not a UUID of version 7.
+    #[error("Idempotency-Key must be a UUID of version 7")]
+    Shape,
+    /// Made later than now.
+    #[error("Idempotency-Key was made in the future; check the caller's clock")]
+    Future,
+}
+
+impl Key {
+    /// Reads a key; `skew` is how far the caller's clock may be ahead.
+    pub fn parse(text: &str, skew: Duration, now: SystemTime) -> Result<Key, KeyFault> {
+        let id = Uuid::parse_str(text.trim()).map_err(|_| KeyFault::Shape)?;
+        if id.get_version_num() != 7 {
+            return Err(KeyFault::Shape);
+        }
+        let (seconds, nanos) = id.get_timestamp().ok_or(KeyFault::Shape)?.to_unix();
+        let created = UNIX_EPOCH + Duration::new(seconds, nanos);
+        if created > now + skew {
+            return Err(KeyFault::Future);
+        }
+        Ok(Key { id, created })
+    }
+
+    /// The key in its usual spelling, whatever the caller's was.
+    pub fn text(&self) -> String {
+        self.id.to_string()
+    }
+
+    /// When it was made, by the caller's clock.
+    pub fn created(&self) -> SystemTime {
+        self.created
+    }
+}
+
+/// What to do with a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Begin<A> {
+    /// It is the first: run it, then say how it ended.
+    First,
+    /// The first one runs still: wait for its end.
+    Running,
+    /// The first one was answered so.
+    Answered(A),
+    /// Nobody can say any more whether it ran.
+    Unknown,
+    /// There is no room to remember it, so it must not run.
+    Full,
+}
+
+#[derive(Clone, Debug)]
+enum Entry<A> {
+    Running,
+    Answered(A),
+    Unknown,
+}
+
+/// Keys and the answers to them, bounded in number and in time.
+#[derive(Debug)]
+pub struct Memory<A> {
+    window: Duration,
+    most: usize,
+    entries: HashMap<Uuid, Entry<A>>,
+    by_age: BTreeMap<(SystemTime, Uuid), ()>,
+}
+
+impl<A: Clone> Memory<A> {
+    /// Remembers keys until `window` after they were made, at most `most` of them.
+    pub fn new(window: Duration, most: usize) -> Memory<A> {
+        Memory { window, most, entries: HashMap::new(), by_age: BTreeMap::new() }
+    }
+
+    /// Takes a request in. A key older than the window is `Unknown`: its memory may be gone.
+    pub fn begin(&mut self, key: &Key, now: SystemTime) -> Begin<A> {
+        self.expire(now);
+        match self.entries.get(&key.id) {
+            Some(Entry::Running) => return Begin::Running,
+            Some(Entry::Answered(answer)) => return Begin::Answered(answer.clone()),
+            Some(Entry::Unknown) => return Begin::Unknown,
+            None => {}
+        }
+        if key.created + self.window <= now {
+            return Begin::Unknown;
+        }
+        if self.entries.len() >= self.most {
+            return Begin::Full;
+        }
+        self.entries.insert(key.id, Entry::Running);
+        self.by_age.insert((key.created, key.id), ());
+        Begin::First
+    }
+
+    /// The request was answered.
+    pub fn answered(&mut self, key: &Key, answer: A) {
+        self.set(key, Entry::Answered(answer));
+    }
+
+    /// Whether the request ran can't be said.
+    pub fn unknown(&mut self, key: &Key) {
+        self.set(key, Entry::Unknown);
+    }
+
+    /// The request surely did not run: a later one with the key may.
+    pub fn not_run(&mut self, key: &Key) {
+        self.entries.remove(&key.id);
+        self.by_age.remove(&(key.created, key.id));
+    }
+
+    fn set(&mut self, key: &Key, entry: Entry<A>) {
+        if let Some(known) = self.entries.get_mut(&key.id) {
+            *known = entry;
+        }
+    }
+
+    /// Forgets keys whose window has ended, except those that run still.
+    fn expire(&mut self, now: SystemTime) {
+        let Some(limit) = now.checked_sub(self.window) else { return };
+        let old: Vec<(SystemTime, Uuid)> = self.by_age.range(..(limit, Uuid::nil())).map(|(age, ())| *age).collect();
+        for age in old {
+            if matches!(self.entries.get(&age.1), Some(Entry::Running)) {
+                continue;
+            }
+            self.by_age.remove(&age);
+            self.entries.remove(&age.1);
+        }
+    }
+
+    /// Number of keys remembered.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no key is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
--- /dev/null
+++ b/components/request/src/queue.rs
@@ -0,0 +1,225 @@
+//! Admission to one service: what can be done in time waits its turn, what can't is refused at once.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use model::TeamId;
+use model::workload::Priority;
+
+/// Names a waiting request.
+pub type Ticket = u64;
+
+/// Shortest time that a refused caller is asked to stay away.
+const SOONEST_RETRY: Duration = Duration::from_millis(100);
+/// Longest time that a refused caller is asked to stay away.
+const LATEST_RETRY: Duration = Duration::from_secs(60);
+/// Assumed time of an answer before the first was seen.
+const UNSEEN: Duration = Duration::from_millis(20);
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// It would not be answered before its deadline.
+    TooLate,
+    /// The queue is full.
+    Full,
+    /// The service has no live instance.
+    NoInstance,
+}
+
+impl Why {
+    /// For the caller.
+    pub fn text(self) -> &'static str {
+        match self {
+            Why::TooLate => "can't be answered before its deadline",
+            Why::Full => "too many requests wait already",
+            Why::NoInstance => "no instance of the service is live",
+        }
+    }
+}
+
+/// A refusal, before anything was sent to a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub why: Why,
+    /// When to come back, worked out from what waits now.
+    pub retry_after: Duration,
+}
+
+/// What becomes of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// Take a slot now.
+    Run,
+    /// Wait; [`Queue::next`] will name the ticket.
+    Wait(Ticket),
+    /// No.
+    Refused(Refusal),
+}
+
+#[derive(Debug)]
+struct Waiting {
+    ticket: Ticket,
+    deadline: Instant,
+}
+
+/// One priority's requests, by team, served in turn.
+#[derive(Debug, Default)]
+struct Tier {
+    teams: HashMap<TeamId, VecDeque<Waiting>>,
+    turn: VecDeque<TeamId>,
+    count: usize,
+}
+
+impl Tier {
+    fn push(&mut self, team: &TeamId, waiting: Waiting) {
+        let line = self.teams.entry(team.clone()).or_default();
+        if line.is_empty() {
+            self.turn.push_back(team.clone());
+        }
+        line.push_back(waiting);
+        self.count += 1;
+    }
+
+    /// The next request of the team whose turn it is; the team goes to the end.
+    fn pop(&mut self) -> Option<Waiting> {
+        let team = self.turn.pop_front()?;
+        let line = self.teams.get_mut(&team)?;
+        let waiting = line.pop_front();
+        if line.is_empty() {
+            self.teams.remove(&team);
+        } else {
+            self.turn.push_back(team);
+        }
+        self.count -= usize::from(waiting.is_some());
+        waiting
+    }
+
+    fn remove(&mut self, team: &TeamId, ticket: Ticket) -> bool {
+        let Some(line) = self.teams.get_mut(team) else { return false };
+        let before = line.len();
+        line.retain(|waiting| waiting.ticket != ticket);
+        let removed = before - line.len();
+        self.count -= removed;
+        if line.is_empty() {
+            self.teams.remove(team);
+            self.turn.retain(|name| name != team);
+        }
+        removed > 0
+    }
+
+    /// Requests that go before a new one of this team: as many of each other team's as the team has itself.
+    fn ahead(&self, team: &TeamId) -> usize {
+        let own = self.teams.get(team).map_or(0, VecDeque::len);
+        let others = self.teams.iter().filter(|(name, _)| *name != team);
+        own + others.map(|(_, line)| line.len().min(own + 1)).sum::<usize>()
+    }
+}
+
+/// The queue of one service at one entry host.
+#[derive(Debug)]
+pub struct Queue {
+    most: usize,
+    tiers: BTreeMap<Priority, Tier>,
+    last: Ticket,
+}
+
+impl Queue {
+    /// An empty queue for at most `most` requests.
+    pub fn new(most: usize) -> Queue {
+        Queue { most, tiers: BTreeMap::new(), last: 0 }
+    }
+
+    /// Requests that wait.
+    pub fn len(&self) -> usize {
+        self.tiers.values().map(|tier| tier.count).sum()
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Offers a request. `slots` is how many run at once at this host, `free` whether one is free now, and
+    /// `answer` the usual time of an answer.
+    #[allow(clippy::too_many_arguments)]
+    pub fn offer(
+        &mut self,
+        team: &TeamId,
+        priority: Priority,
+        deadline: Instant,
+        slots: u32,
+        free: bool,
+        answer: Option<Duration>,
+        now: Instant,
+    ) -> Offer {
+        let answer = answer.unwrap_or(UNSEEN);
+        let ahead = self.ahead(team, priority);
+        if free && ahead == 0 {
+            return self.run(deadline, answer, now);
+        }
+        let drain = wait(self.len() + 1, slots, answer);
+        if slots == 0 {
+            return refuse(Why::NoInstance, Duration::from_secs(1));
+        }
+        if self.len() >= self.most {
+            return refuse(Why::Full, drain);
+        }
+        let expected = wait(ahead + 1, slots, answer) + answer;
+        if now + expected > deadline {
+            return refuse(Why::TooLate, drain);
+        }
+        self.last += 1;
+        let waiting = Waiting { ticket: self.last, deadline };
+        self.tiers.entry(priority).or_default().push(team, waiting);
+        Offer::Wait(self.last)
+    }
+
+    fn run(&self, deadline: Instant, answer: Duration, now: Instant) -> Offer {
+        if now >= deadline {
+            return refuse(Why::TooLate, answer);
+        }
+        Offer::Run
+    }
+
+    fn ahead(&self, team: &TeamId, priority: Priority) -> usize {
+        let before = self.tiers.range(..priority).map(|(_, tier)| tier.count).sum::<usize>();
+        before + self.tiers.get(&priority).map_or(0, |tier| tier.ahead(team))
+    }
+
+    /// The request that gets the slot that just became free, and those whose deadline came first: they are to
+    /// be refused now.
+    pub fn next(&mut self, now: Instant) -> (Option<Ticket>, Vec<Ticket>) {
+        let mut late = Vec::new();
+        for tier in self.tiers.values_mut() {
+            while let Some(waiting) = tier.pop() {
+                if waiting.deadline > now {
+                    return (Some(waiting.ticket), late);
+                }
+                late.push(waiting.ticket);
+            }
+        }
+        (None, late)
+    }
+
+    /// Takes a request out whose caller went away or whose deadline came. Tells whether it still waited.
+    pub fn leave(&mut self, team: &TeamId, priority: Priority, ticket: Ticket) -> bool {
+        self.tiers.get_mut(&priority).is_some_and(|tier| tier.remove(team, ticket))
+    }
+
+    /// When a caller that is refused now should come back.
+    pub fn retry_after(&self, slots: u32, answer: Option<Duration>) -> Duration {
+        wait(self.len() + 1, slots, answer.unwrap_or(UNSEEN)).clamp(SOONEST_RETRY, LATEST_RETRY)
+    }
+}
+
+/// Time until the last of `requests` gets one of the slots.
+fn wait(requests: usize, slots: u32, answer: Duration) -> Duration {
+    let rounds = requests as f64 / f64::from(slots.max(1));
+    answer.mul_f64(rounds)
+}
+
+fn refuse(why: Why, retry_after: Duration) -> Offer {
+    Offer::Refused(Refusal { why, retry_after: retry_after.clamp(SOONEST_RETRY, LATEST_RETRY) })
+}
--- /dev/null
+++ b/components/request/tests/request.rs
@@ -0,0 +1,316 @@
+//! Decisions about requests, replayed with stated times.
+
+use std::time::{Duration, Instant, SystemTime};
+
+use model::workload::Priority;
+use proptest::prelude::*;
+use request::{
+    Begin, Budget, Classes, Home, Instance, Key, KeyFault, Memory, Offer, Pool, Queue, Standing, Why, allot,
+};
+use uuid::{NoContext, Timestamp, Uuid};
+
+const SECOND: Duration = Duration::from_secs(1);
+const MILLI: Duration = Duration::from_millis(1);
+
+fn hosts(count: usize) -> Vec<String> {
+    (0..count).map(|at| format!("entry-{at}")).collect()
+}
+
+fn key_made(at: SystemTime) -> String {
+    let since = at.duration_since(SystemTime::UNIX_EPOCH).unwrap();
+    Uuid::new_v7(Timestamp::from_unix(NoContext, since.as_secs(), since.subsec_nanos())).to_string()
+}
+
+fn parsed(at: SystemTime) -> Key {
+    Key::parse(&key_made(at), SECOND, at).unwrap()
+}
+
+#[test]
+fn the_longest_path_decides_and_only_whole_segments_match() {
+    let classes = Classes::new(["/", "/slots", "/slots/book"]);
+    assert_eq!(classes.find("/slots/book/7"), Some(2));
+    assert_eq!(classes.find("/slots/9"), Some(1));
+    assert_eq!(classes.find("/slotsandmore"), Some(0));
+    assert_eq!(Classes::new(["/slots"]).find("/other"), None);
+}
+
+#[test]
+fn a_request_that_cannot_be_answered_in_time_is_refused_at_once_with_a_worked_out_time() {
+    let now = Instant::now();
+    let mut queue = Queue::new(100);
+    let mut offer = |deadline: Duration| {
+        queue.offer(&"rail".to_owned(), Priority::Urgent, now + deadline, 2, false, Some(100 * MILLI), now)
+    };
+    for _ in 0..4 {
+        assert!(matches!(offer(SECOND), Offer::Wait(_)));
+    }
+    let Offer::Refused(refusal) = offer(300 * MILLI) else { panic!("five ahead on two slots take 250 ms and more") };
+    assert_eq!(refusal.why, Why::TooLate);
+    assert_eq!(refusal.retry_after, 250 * MILLI);
+}
+
+#[test]
+fn patient_requests_never_delay_urgent_ones() {
+    let now = Instant::now();
+    let mut queue = Queue::new(100);
+    let mut offer = |priority, deadline| {
+        queue.offer(&"rail".to_owned(), priority, now + deadline, 1, false, Some(100 * MILLI), now)
+    };
+    for _ in 0..50 {
+        assert!(matches!(offer(Priority::Patient, 60 * SECOND), Offer::Wait(_)));
+    }
+    let Offer::Wait(urgent) = offer(Priority::Urgent, 250 * MILLI) else { panic!("nothing urgent is ahead of it") };
+    assert_eq!(queue.next(now).0, Some(urgent));
+}
+
+#[test]
+fn a_flood_by_one_team_does_not_delay_another() {
+    let now = Instant::now();
+    let mut queue = Queue::new(1000);
+    let mut offer = |team: &str| {
+        queue.offer(&team.to_owned(), Priority::Normal, now + 100 * SECOND, 1, false, Some(100 * MILLI), now)
+    };
+    for _ in 0..500 {
+        offer("flood");
+    }
+    let Offer::Wait(quiet) = offer("quiet") else { panic!("two ahead at the most") };
+    assert!((0..2).any(|_| queue.next(now).0 == Some(quiet)));
+}
+
+#[test]
+fn a_request_whose_deadline_came_while_it_waited_is_not_run() {
+    let now = Instant::now();
+    let mut queue = Queue::new(10);
+    let team = "rail".to_owned();
+    let Offer::Wait(late) = queue.offer(&team, Priority::Normal, now + SECOND, 1, false, None, now) else { panic!() };
+    assert_eq!(queue.next(now + 2 * SECOND), (None, vec![late]));
+}
+
+#[test]
+fn the_shares_of_all_hosts_are_the_slots_of_the_instance() {
+    for count in 1..=9 {
+        let hosts = hosts(count);
+        for instance in 0..50 {
+            let shares = hosts.iter().map(|own| allot(&format!("planner-{instance}"), &hosts, own, 8));
+            assert_eq!(shares.sum::<u32>(), 8);
+        }
+    }
+}
+
+fn instance(name: &str) -> Instance {
+    Instance { name: name.to_owned(), address: "127.0.0.1:1".parse().unwrap() }
+}
+
+#[test]
+fn a_lost_share_is_lost_at_once_and_a_gained_one_is_used_later() {
+    let start = Instant::now();
+    let mut pool = Pool::new("entry-0".to_owned(), 8, 3 * SECOND);
+    pool.update(&[instance("planner-0")], &hosts(2), start);
+    assert_eq!(pool.capacity().0, 0, "the others may not have seen this host yet");
+    pool.update(&[instance("planner-0")], &hosts(2), start + 3 * SECOND);
+    assert_eq!(pool.capacity().0, 4);
+    pool.update(&[instance("planner-0")], &hosts(8), start + 4 * SECOND);
+    assert_eq!(pool.capacity().0, 1);
+    pool.update(&[instance("planner-0")], &hosts(1), start + 5 * SECOND);
+    assert_eq!(pool.capacity().0, 1);
+    assert!(pool.pick(None, start + 9 * SECOND).is_some());
+    assert_eq!(pool.capacity().0, 8);
+}
+
+fn pool_of(instances: usize, start: Instant) -> Pool {
+    let mut pool = Pool::new("entry-0".to_owned(), 8, Duration::ZERO);
+    let instances: Vec<Instance> = (0..instances).map(|at| instance(&format!("planner-{at}"))).collect();
+    pool.update(&instances, &hosts(1), start);
+    pool
+}
+
+#[test]
+fn a_failing_instance_is_eased_off_but_never_more_than_half() {
+    let now = Instant::now();
+    let mut pool = pool_of(4, now);
+    for _ in 0..100 {
+        let Some(pick) = pool.pick(None, now) else { break };
+        pool.done(&pick, None, now);
+    }
+    let mut open = std::collections::BTreeSet::new();
+    for _ in 0..32 {
+        open.extend(pool.pick(None, now).map(|pick| pick.name));
+    }
+    assert_eq!(open.len(), 2);
+}
+
+#[test]
+fn a_leaving_instance_gets_nothing_new_and_keeps_what_it_has() {
+    let now = Instant::now();
+    let mut pool = pool_of(1, now);
+    let pick = pool.pick(None, now).unwrap();
+    pool.update(&[], &hosts(1), now);
+    assert!(pool.pick(None, now).is_none());
+    pool.done(&pick, Some(MILLI), now);
+    assert_eq!(pool.instances(), 0);
+}
+
+#[test]
+fn retries_are_a_share_of_successes() {
+    let mut budget = Budget::default();
+    let saved = (0..1000).filter(|_| budget.take()).count();
+    assert_eq!(saved, 20);
+    let made = (0..1000)
+        .filter(|_| {
+            budget.succeeded();
+            budget.take()
+        })
+        .count();
+    assert!((95..=100).contains(&made), "{made} for 1000 successes");
+}
+
+#[test]
+fn keys_are_version_seven_and_not_from_the_future() {
+    let now = SystemTime::now();
+    assert_eq!(Key::parse("booking-1", SECOND, now), Err(KeyFault::Shape));
+    assert_eq!(Key::parse(&Uuid::new_v4().to_string(), SECOND, now), Err(KeyFault::Shape));
+    assert_eq!(Key::parse(&key_made(now + 5 * SECOND), SECOND, now), Err(KeyFault::Future));
+    assert!(Key::parse(&key_made(now), SECOND, now).is_ok());
+}
+
+#[test]
+fn a_duplicate_waits_then_gets_the_first_answer() {
+    let now = SystemTime::now();
+    let mut memory = Memory::new(60 * SECOND, 10);
+    let key = parsed(now);
+    assert_eq!(memory.begin(&key, now), Begin::First);
+    assert_eq!(memory.begin(&key, now), Begin::Running);
+    memory.answered(&key, "booked");
+    assert_eq!(memory.begin(&key, now), Begin::Answered("booked"));
+}
+
+#[test]
+fn what_surely_did_not_run_may_run_later_and_what_is_unknown_never_does() {
+    let now = SystemTime::now();
+    let mut memory: Memory<()> = Memory::new(60 * SECOND, 10);
+    let key = parsed(now);
+    memory.begin(&key, now);
+    memory.not_run(&key);
+    assert_eq!(memory.begin(&key, now), Begin::First);
+    memory.unknown(&key);
+    assert_eq!(memory.begin(&key, now), Begin::Unknown);
+}
+
+#[test]
+fn beyond_the_window_a_key_is_unknown_and_the_memory_is_bounded() {
+    let now = SystemTime::now();
+    let mut memory = Memory::new(60 * SECOND, 2);
+    let old = parsed(now);
+    memory.begin(&old, now);
+    memory.answered(&old, ());
+    memory.begin(&parsed(now), now);
+    assert_eq!(memory.begin(&parsed(now), now), Begin::Full);
+    let later = now + 61 * SECOND;
+    assert_eq!(memory.begin(&old, later), Begin::Unknown);
+    assert_eq!(memory.begin(&parsed(later), later), Begin::First);
+}
+
+fn settled_home(own: &str, count: usize, now: SystemTime) -> Home {
+    let mut home = Home::new(own.to_owned(), SECOND, now);
+    home.view(hosts(count), now);
+    home.certain(true, now);
+    home
+}
+
+/// A key made at `at` whose home among `count` hosts is `own`.
+fn key_of(own: &str, count: usize, at: SystemTime) -> Key {
+    let view = settled_home(own, count, SystemTime::UNIX_EPOCH);
+    loop {
+        let key = parsed(at);
+        if view.standing(&key.text(), at) == Standing::Mine {
+            return key;
+        }
+    }
+}
+
+#[test]
+fn a_home_answers_only_for_keys_made_after_its_memory_began() {
+    let now = SystemTime::now();
+    let home = settled_home("entry-0", 3, now);
+    let stands = |created| home.standing(&key_of("entry-0", 3, created).text(), created);
+    assert_eq!(stands(now - SECOND), Standing::TooYoung);
+    assert_eq!(stands(now + 2 * SECOND), Standing::Mine);
+}
+
+#[test]
+fn a_key_whose_home_moved_here_in_its_lifetime_is_not_run() {
+    let start = SystemTime::now();
+    let mut home = settled_home("entry-0", 3, start);
+    home.view(hosts(2), start + 10 * SECOND);
+    let moved = |created: SystemTime| loop {
+        let key = parsed(created);
+        let three = settled_home("entry-0", 3, SystemTime::UNIX_EPOCH);
+        let two = settled_home("entry-0", 2, SystemTime::UNIX_EPOCH);
+        let was_other = matches!(three.standing(&key.text(), created), Standing::Other(_));
+        if was_other && two.standing(&key.text(), created) == Standing::Mine {
+            return key.text();
+        }
+    };
+    let before = start + 5 * SECOND;
+    assert_eq!(home.standing(&moved(before), before), Standing::TooYoung);
+    let after = start + 12 * SECOND;
+    assert_eq!(home.standing(&moved(after), after), Standing::Mine);
+}
+
+#[test]
+fn a_home_out_of_touch_runs_nothing_and_begins_anew_afterwards() {
+    let start = SystemTime::now();
+    let mut home = settled_home("entry-0", 3, start);
+    let created = start + 5 * SECOND;
+    let key = key_of("entry-0", 3, created).text();
+    assert_eq!(home.standing(&key, created), Standing::Mine);
+    home.certain(false, start + 6 * SECOND);
+    assert_eq!(home.standing(&key, created), Standing::Uncertain);
+    home.certain(true, start + 20 * SECOND);
+    assert_eq!(home.standing(&key, created), Standing::TooYoung, "another may have run it in the meantime");
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Offer(u8, u8, u64),
+    Next(u64),
+}
+
+proptest! {
+    #[test]
+    fn every_waiting_request_is_handed_out_once_and_in_time(
+        steps in prop::collection::vec(prop_oneof![
+            (0u8..3, 0u8..4, 1u64..500).prop_map(|(tier, team, deadline)| Step::Offer(tier, team, deadline)),
+            (0u64..50).prop_map(Step::Next),
+        ], 1..200),
+    ) {
+        let start = Instant::now();
+        let mut now = start;
+        let mut queue = Queue::new(50);
+        let mut waiting = std::collections::HashMap::new();
+        for step in steps {
+            match step {
+                Step::Offer(tier, team, deadline) => {
+                    let priority = [Priority::Urgent, Priority::Normal, Priority::Patient][tier as usize];
+                    let deadline = now + deadline as u32 * MILLI;
+                    let offer = queue.offer(&team.to_string(), priority, deadline, 2, false, Some(MILLI), now);
+                    if let Offer::Wait(ticket) = offer {
+                        waiting.insert(ticket, deadline);
+                    }
+                    prop_assert!(queue.len() <= 50);
+                }
+                Step::Next(pause) => {
+                    now += pause as u32 * MILLI;
+                    let (next, late) = queue.next(now);
+                    if let Some(ticket) = next {
+                        prop_assert!(waiting.remove(&ticket).expect("it waited") > now);
+                    }
+                    for ticket in late {
+                        prop_assert!(waiting.remove(&ticket).expect("it waited") <= now);
+                    }
+                }
+            }
+            prop_assert_eq!(queue.len(), waiting.len());
+        }
+    }
+}
