--- a/components/jobs/tests/two_places.rs
+++ b/components/jobs/tests/two_places.rs
@@ -65,7 +65,7 @@
     }
 
     fn batch(&mut self, answered: bool, now: Instant) {
-        let commands = self.ledger.commands();
+        let commands = self.ledger.commands(now);
         self.carry_out(&commands);
         if answered {
             self.ledger.batch_answered(&commands, report(&self.tasks, self.incarnation), now);
@@ -193,7 +193,7 @@
         }
         for order in self.book.stops(self.now) {
             let at = self.position(&order.worker);
-            self.workers[at].ledger.stop(&order.task, order.attempt);
+            self.workers[at].ledger.stop(&order.task, order.attempt, self.now);
         }
     }
 
@@ -258,7 +258,7 @@
                 Step::Order(task, at, answered) => world.order(task, at, answered),
                 Step::Resend => world.resend(),
                 Step::Batch(at, answered) => { let now = world.now; world.workers[at].batch(answered, now) }
-                Step::BatchLost(at) => { world.workers[at].ledger.commands(); }
+                Step::BatchLost(at) => { world.workers[at].ledger.commands(world.now); }
                 Step::Observe => world.observe(),
                 Step::Settle => world.settle(),
                 Step::Finish(task, at) => {
--- a/components/ledger/src/book.rs
+++ b/components/ledger/src/book.rs
@@ -51,15 +51,28 @@
     start: Option<Command>,
     /// Whether the start may have reached the worker.
     offered: bool,
-    /// Whether a stop has been asked for.
-    stop: bool,
+    /// Since when a stop has been asked for.
+    stop: Option<Instant>,
+    /// Whether the worker was told to stop it.
+    stop_sent: bool,
+    /// Whether it answers callers: then they are led elsewhere before it is stopped.
+    service: bool,
     /// Whether its end is durable, so that the worker may forget it.
     acknowledged: bool,
     /// Started while the worker was on probation.
     trial: bool,
 }
 
+/// A service instance is stopped so long after it was taken out of every entry host's choice.
+pub const DRAIN: Duration = Duration::from_secs(2);
+
 impl Entry {
+    /// Whether the worker is to be told to stop it now.
+    fn stops(&self, now: Instant) -> bool {
+        let drain = if self.service { DRAIN } else { Duration::ZERO };
+        !self.ended() && self.stop.is_some_and(|since| now >= since + drain)
+    }
+
     fn ended(&self) -> bool {
         matches!(self.state, TaskState::Ended(_))
     }
@@ -177,7 +190,9 @@
             state: TaskState::Starting,
             start: Some(start),
             offered: false,
-            stop: false,
+            stop: None,
+            stop_sent: false,
+            service: order.service,
             acknowledged: false,
             trial: self.trust.on_probation(),
         }
@@ -190,7 +205,7 @@
         for (task, attempt) in &order.victims {
             let patient = self.entries.get(&(task.clone(), *attempt)).is_some_and(|entry| entry.patient);
             if patient {
-                self.stop(task, *attempt);
+                self.stop(task, *attempt, now);
             }
         }
         let free = self.free_for(Some(&order.workload), now);
@@ -198,13 +213,13 @@
     }
 
     /// Asks for the stop of an attempt. One that was never sent to the worker ends at once.
-    pub fn stop(&mut self, task: &Id, attempt: Attempt) {
+    pub fn stop(&mut self, task: &Id, attempt: Attempt, now: Instant) {
         let Some(entry) = self.entries.get_mut(&(task.clone(), attempt)) else { return };
         if entry.ended() {
             return;
         }
         entry.start = None;
-        entry.stop = true;
+        entry.stop.get_or_insert(now);
         entry.state = if entry.offered { TaskState::Stopping } else { TaskState::Ended(End::Stopped) };
     }
 
@@ -221,12 +236,13 @@
     }
 
     /// The commands of the next batch. Each is repeated until a report shows its effect.
-    pub fn commands(&mut self) -> Vec<Command> {
+    pub fn commands(&mut self, now: Instant) -> Vec<Command> {
         let mut commands = Vec::new();
         for ((task, attempt), entry) in &mut self.entries {
             entry.offered = true;
             commands.extend(entry.start.clone());
-            if entry.stop && !entry.ended() {
+            if entry.stops(now) {
+                entry.stop_sent = true;
                 commands.push(Command::Checkpoint { task: task.clone(), attempt: *attempt });
                 commands.push(Command::Stop { task: task.clone(), attempt: *attempt });
             }
@@ -238,8 +254,10 @@
     }
 
     /// Whether a batch should be sent without waiting for the next renewal.
-    pub fn urgent(&self) -> bool {
-        self.entries.values().any(|entry| entry.start.is_some() || entry.acknowledged || (entry.stop && !entry.ended()))
+    pub fn urgent(&self, now: Instant) -> bool {
+        self.entries
+            .values()
+            .any(|entry| entry.start.is_some() || entry.acknowledged || (entry.stops(now) && !entry.stop_sent))
     }
 
     /// Takes in the report that answers a batch made of `sent`, received `now`.
@@ -284,7 +302,7 @@
     fn missing(&mut self, found: &BTreeMap<Key, worker::Task>) -> Vec<Ended> {
         let mut ended = Vec::new();
         for (key, entry) in &mut self.entries {
-            let unsent = entry.start.is_some() || entry.stop;
+            let unsent = entry.start.is_some() || entry.stop.is_some();
             if found.contains_key(key) || entry.ended() || unsent {
                 continue;
             }
@@ -301,7 +319,9 @@
             state: TaskState::Starting,
             start: None,
             offered: true,
-            stop: false,
+            stop: None,
+            stop_sent: false,
+            service: matches!(task.run, Run::Running { address: Some(_) }),
             acknowledged: false,
             trial: false,
         });
@@ -310,7 +330,7 @@
             return None;
         }
         match task.run {
-            Run::Running { address } if !entry.stop => entry.state = TaskState::Running(address),
+            Run::Running { address } if entry.stop.is_none() => entry.state = TaskState::Running(address),
             Run::Running { .. } | Run::Stopping => entry.state = TaskState::Stopping,
             Run::Ended { end } => {
                 entry.state = TaskState::Ended(end.clone());
--- a/components/ledger/src/lib.rs
+++ b/components/ledger/src/lib.rs
@@ -8,6 +8,6 @@
 mod reserve;
 mod trust;
 
-pub use book::{Commit, Ended, Ledger, Limits};
+pub use book::{Commit, DRAIN, Ended, Ledger, Limits};
 pub use reserve::Reservation;
 pub use trust::Trust;
--- a/components/ledger/tests/ledger.rs
+++ b/components/ledger/tests/ledger.rs
@@ -86,12 +86,12 @@
     let now = Instant::now();
     let mut ledger = open(Vec::new(), now);
     ledger.commit(&order("a", 0, 1, 1), now);
-    let first = ledger.commands();
+    let first = ledger.commands(now);
     ledger.silent();
-    assert_eq!(ledger.commands(), first, "the answer was lost");
+    assert_eq!(ledger.commands(now), first, "the answer was lost");
     ledger.batch_answered(&first, report(vec![found("a", 0, 1, 1, running())]), now);
     assert_eq!(state(&ledger, "a"), Some(TaskState::Running(None)));
-    assert!(ledger.commands().is_empty());
+    assert!(ledger.commands(now).is_empty());
 }
 
 #[test]
@@ -99,9 +99,9 @@
     let now = Instant::now();
     let mut ledger = open(Vec::new(), now);
     ledger.commit(&order("a", 0, 1, 1), now);
-    ledger.stop(&task("a", 0), attempt(1));
+    ledger.stop(&task("a", 0), attempt(1), now);
     assert_eq!(state(&ledger, "a"), Some(TaskState::Ended(End::Stopped)));
-    assert!(ledger.commands().is_empty());
+    assert!(ledger.commands(now).is_empty());
     assert_eq!(ledger.free(), Resources::new(16, 65536, 0));
 }
 
@@ -110,9 +110,9 @@
     let now = Instant::now();
     let mut ledger = open(Vec::new(), now);
     ledger.commit(&order("a", 0, 1, 4), now);
-    ledger.commands();
-    ledger.stop(&task("a", 0), attempt(1));
-    assert!(!ledger.commands().iter().any(|command| matches!(command, Command::Start { .. })));
+    ledger.commands(now);
+    ledger.stop(&task("a", 0), attempt(1), now);
+    assert!(!ledger.commands(now).iter().any(|command| matches!(command, Command::Start { .. })));
     assert_eq!(ledger.free().cpu_milli, 12_000, "it may be running: its room stays committed");
 }
 
@@ -126,7 +126,7 @@
     assert_eq!(ledger.free().cpu_milli, 16_000);
     assert_eq!(state(&ledger, "a"), Some(TaskState::Ended(End::Finished)));
     ledger.acknowledge(&task("a", 0), attempt(1));
-    let commands = ledger.commands();
+    let commands = ledger.commands(now);
     assert_eq!(commands, [Command::Acknowledge { task: task("a", 0), attempt: attempt(1) }]);
     ledger.batch_answered(&commands, report(Vec::new()), now);
     assert_eq!(state(&ledger, "a"), None);
@@ -168,7 +168,7 @@
     assert_eq!(ledger.commit(&order("d", 0, 1, 1), later), Commit::Accepted);
     assert_eq!(ledger.commit(&order("e", 0, 1, 1), later), Commit::Closed, "one trial at a time");
     let good = report(vec![found("d", 0, 1, 1, Run::Ended { end: End::Finished })]);
-    let commands = ledger.commands();
+    let commands = ledger.commands(later);
     ledger.batch_answered(&commands, good, later);
     assert!(!ledger.on_probation(), "it passed its trial");
     assert_eq!(ledger.commit(&order("e", 0, 1, 1), later), Commit::Accepted);
@@ -212,6 +212,20 @@
     assert_eq!(state(&ledger, "menus"), Some(TaskState::Stopping));
 }
 
+#[test]
+fn a_service_instance_is_stopped_only_after_callers_were_led_elsewhere() {
+    let now = Instant::now();
+    let address = Some("127.0.0.1:1".parse().unwrap());
+    let mut ledger = open(vec![found("planner", 0, 1, 1, Run::Running { address })], now);
+    ledger.stop(&task("planner", 0), attempt(1), now);
+    assert_eq!(state(&ledger, "planner"), Some(TaskState::Stopping), "told to the peers at once");
+    assert!(ledger.commands(now).is_empty());
+    let drained = now + ledger::DRAIN;
+    assert!(ledger.urgent(drained));
+    assert!(ledger.commands(drained).iter().any(|command| matches!(command, Command::Stop { .. })));
+    assert!(!ledger.urgent(drained), "sent; repeated with the renewals");
+}
+
 /// A worker reduced to what the ledger can see of it.
 #[derive(Default)]
 struct Double {
@@ -295,16 +309,16 @@
         for step in steps {
             match step {
                 Step::Start(index, cores) => { ledger.commit(&order("a", index, 1, cores), now); }
-                Step::Stop(index) => ledger.stop(&task("a", index), attempt(1)),
+                Step::Stop(index) => ledger.stop(&task("a", index), attempt(1), now),
                 Step::Finish(index) => double.end(&(task("a", index), attempt(1)), End::Finished),
                 Step::Acknowledge(index) => ledger.acknowledge(&task("a", index), attempt(1)),
                 Step::Batch => {
-                    let commands = ledger.commands();
+                    let commands = ledger.commands(now);
                     double.carry_out(&commands);
                     ledger.batch_answered(&commands, double.report(), now);
                 }
-                Step::BatchAnswerLost => double.carry_out(&ledger.commands()),
-                Step::BatchLost => { ledger.commands(); }
+                Step::BatchAnswerLost => double.carry_out(&ledger.commands(now)),
+                Step::BatchLost => { ledger.commands(now); }
                 Step::Takeover => ledger = Ledger::open("w".to_owned(), ledger.epoch() + 1, double.report(), LIMITS, now),
             }
             prop_assert!(double.committed().fits_in(&capacity));
--- /dev/null
+++ b/components/node/src/answer.rs
@@ -0,0 +1,45 @@
+//! What this host answers to the requests of its peers.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use wire::{Answer, Request};
+
+use crate::shared::Shared;
+use crate::{holds, show};
+
+pub(crate) async fn answer(shared: &Arc<Shared>, request: Request) -> Answer {
+    match request {
+        Request::Configuration { since } => Answer::Configuration(shared.configuration.delta(since)),
+        Request::Facts { since } => Answer::Facts(shared.facts.own_delta(since)),
+        Request::List => {
+            let (version, hosts) = shared.listing.whole();
+            Answer::List(version, hosts)
+        }
+        Request::Announce { partition, epoch } => Answer::Inventory(holds::announce(shared, partition, epoch)),
+        Request::Epochs => Answer::Epochs(shared.holds.epochs()),
+        Request::Start { partition, epoch, orders } => {
+            let (answers, version) = holds::start(shared, partition, epoch, &orders, Instant::now());
+            Answer::Started(answers, version)
+        }
+        Request::Reserve { partition, epoch, orders } => {
+            Answer::Reserved(holds::reserve(shared, partition, epoch, &orders, Instant::now()))
+        }
+        Request::Stop { partition, epoch, orders } => {
+            holds::stop(shared, partition, epoch, &orders);
+            Answer::Done
+        }
+        Request::Acknowledge { ends } => {
+            holds::acknowledge(shared, &ends);
+            Answer::Done
+        }
+        Request::Show { statement } => match show::local(shared, &statement) {
+            Ok(rows) => Answer::Rows(rows),
+            Err(why) => Answer::Refused(why),
+        },
+        Request::Wake { .. } => {
+            shared.look_again.notify_one();
+            Answer::Done
+        }
+    }
+}
--- /dev/null
+++ b/components/node/src/configuration.rs
@@ -0,0 +1,320 @@
+//! The configuration in force: every record below the cell's prefix, under one revision that only grows.
+//!
+//! One host of each data centre watches the platform; the others pull from their peers what they lack, also
+//! from other data centres, so that a host that can't reach the platform still converges.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use board::{Board, Delta};
+use claim::Claim;
+use model::workload::{Progress, Record, Versioned};
+use model::{DataCentreId, Partition, Revision, WorkerId, WorkloadId};
+use parking_lot::Mutex;
+use platform::{Changes, Use};
+use rand::Rng;
+use tokio::sync::{Notify, watch};
+use wire::{Answer, Entry, EntryKey, Request};
+
+use crate::keys::{self, Place, Team};
+use crate::shared::Shared;
+
+/// Pause after a failed call to the platform, doubled each time up to the longest.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_secs(5);
+/// Two rounds of pulls keep at least this distance.
+const SPACING: Duration = Duration::from_millis(50);
+/// A watch that says nothing for so long, not even how far it has come, is opened anew.
+const SILENCE: Duration = Duration::from_secs(20);
+/// How often the duty to watch is looked at.
+const DUTY: Duration = Duration::from_millis(500);
+
+/// The parsed records.
+#[derive(Default)]
+struct Records {
+    workloads: BTreeMap<WorkloadId, Arc<Versioned>>,
+    progress: BTreeMap<(DataCentreId, WorkloadId), Progress>,
+    claims: BTreeMap<(DataCentreId, Partition), (Claim, Revision)>,
+    teams: BTreeMap<String, (Team, Revision)>,
+    drains: BTreeSet<WorkerId>,
+}
+
+#[derive(Default)]
+struct State {
+    board: Board<EntryKey, Entry>,
+    records: Records,
+}
+
+/// The configuration in force at this host.
+pub(crate) struct Configuration {
+    state: Mutex<State>,
+    revision: watch::Sender<Revision>,
+    /// Set when a peer has a higher revision.
+    pub(crate) behind: Notify,
+}
+
+impl Configuration {
+    pub(crate) fn new() -> Configuration {
+        Configuration { state: Mutex::default(), revision: watch::Sender::new(0), behind: Notify::new() }
+    }
+
+    /// The revision in force; 0 before the first.
+    pub(crate) fn revision(&self) -> Revision {
+        *self.revision.borrow()
+    }
+
+    /// Waits until a revision is in force here; false when it took longer than `patience`.
+    pub(crate) async fn reached(&self, revision: Revision, patience: Duration) -> bool {
+        let mut watched = self.revision.subscribe();
+        let reached = watched.wait_for(|current| *current >= revision);
+        matches!(tokio::time::timeout(patience, reached).await, Ok(Ok(_)))
+    }
+
+    pub(crate) fn delta(&self, since: Revision) -> Delta<EntryKey, Entry> {
+        self.state.lock().board.delta(since)
+    }
+
+    /// Takes in changes up to a revision, from the watch or from a peer. Returns the workloads that changed
+    /// and the unreadable keys; a lower revision changes nothing.
+    fn apply(&self, delta: Delta<EntryKey, Entry>) -> Option<Applied> {
+        let mut guard = self.state.lock();
+        let state = &mut *guard;
+        let whole = delta.since == 0;
+        let mut keys: BTreeSet<EntryKey> = delta.items.iter().map(|(key, _, _)| key.clone()).collect();
+        keys.extend(delta.removed.iter().map(|(key, _)| key.clone()));
+        if whole {
+            keys.extend(state.board.iter().map(|(key, _)| key.clone()));
+        }
+        if !state.board.apply(delta) {
+            return None;
+        }
+        let mut applied = Applied::default();
+        for key in keys {
+            read_record(state, &key, &mut applied);
+        }
+        self.revision.send_replace(state.board.version());
+        Some(applied)
+    }
+
+    pub(crate) fn workload(&self, name: &str) -> Option<Arc<Versioned>> {
+        self.state.lock().records.workloads.get(name).cloned()
+    }
+
+    pub(crate) fn workloads(&self) -> Vec<Arc<Versioned>> {
+        self.state.lock().records.workloads.values().cloned().collect()
+    }
+
+    pub(crate) fn progress(&self, data_centre: &DataCentreId, workload: &str) -> Option<Progress> {
+        self.state.lock().records.progress.get(&(data_centre.clone(), workload.to_owned())).cloned()
+    }
+
+    pub(crate) fn claim(&self, data_centre: &DataCentreId, partition: Partition) -> Option<(Claim, Revision)> {
+        self.state.lock().records.claims.get(&(data_centre.clone(), partition)).cloned()
+    }
+
+    pub(crate) fn team(&self, name: &str) -> Option<(Team, Revision)> {
+        self.state.lock().records.teams.get(name).cloned()
+    }
+
+    pub(crate) fn teams(&self) -> Vec<(String, Team, Revision)> {
+        let state = self.state.lock();
+        state.records.teams.iter().map(|(name, (team, revision))| (name.clone(), team.clone(), *revision)).collect()
+    }
+
+    pub(crate) fn is_drained(&self, worker: &str) -> bool {
+        self.state.lock().records.drains.contains(worker)
+    }
+
+    /// All keys with their revisions and sizes.
+    pub(crate) fn keys(&self) -> Vec<(EntryKey, Revision, usize)> {
+        let state = self.state.lock();
+        let sized = state.board.iter().map(|(key, value)| (key.clone(), value.len()));
+        sized.map(|(key, size)| (key.clone(), state.board.changed_at(&key).unwrap_or(0), size)).collect()
+    }
+}
+
+/// What a change touched.
+#[derive(Default)]
+struct Applied {
+    workloads: Vec<WorkloadId>,
+    drains: bool,
+    unreadable: Vec<(EntryKey, String)>,
+}
+
+/// Reads one key's record anew. One that can't be read leaves the last good one in force.
+fn read_record(state: &mut State, key: &EntryKey, applied: &mut Applied) {
+    let Some(place) = Place::parse(key) else { return };
+    let value = state.board.get(key);
+    let revision = state.board.changed_at(key).unwrap_or(0);
+    let records = &mut state.records;
+    let outcome = match place {
+        Place::Workload(name) => {
+            applied.workloads.push(name.clone());
+            let read = |record: Record| Arc::new(Versioned { record, revision });
+            put(&mut records.workloads, name, value, read)
+        }
+        Place::Progress(data_centre, name) => put(&mut records.progress, (data_centre, name), value, |progress| progress),
+        Place::Claim(data_centre, partition) => {
+            put(&mut records.claims, (data_centre, partition), value, |claim| (claim, revision))
+        }
+        Place::Team(name) => put(&mut records.teams, name, value, |team| (team, revision)),
+        Place::Drain(worker) => {
+            applied.drains = true;
+            if value.is_some() {
+                records.drains.insert(worker);
+            } else {
+                records.drains.remove(&worker);
+            }
+            Ok(())
+        }
+    };
+    if let Err(why) = outcome {
+        applied.unreadable.push((key.clone(), why));
+    }
+}
+
+fn put<K: Ord, R: serde::de::DeserializeOwned, V>(
+    map: &mut BTreeMap<K, V>,
+    key: K,
+    value: Option<&Entry>,
+    read: impl Fn(R) -> V,
+) -> Result<(), String> {
+    match value {
+        Some(bytes) => {
+            map.insert(key, read(keys::decode(bytes)?));
+        }
+        None => {
+            map.remove(&key);
+        }
+    }
+    Ok(())
+}
+
+/// Keeps the configuration up to date until the process ends.
+pub(crate) async fn follow(shared: Arc<Shared>) {
+    tokio::spawn(pull_from_peers(shared.clone()));
+    let mut pause = FIRST_PAUSE;
+    loop {
+        if !has_duty(&shared) {
+            tokio::time::sleep(DUTY).await;
+            continue;
+        }
+        let opened = watch_platform(&shared).await;
+        pause = if opened { FIRST_PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
+        // Spread, so that the watchers of all data centres don't return at once after an outage.
+        let spread = rand::rng().random_range(0.5..1.5);
+        tokio::time::sleep(pause.mul_f64(spread)).await;
+    }
+}
+
+/// The host that watches for its data centre; a host without any configuration watches too.
+fn has_duty(shared: &Shared) -> bool {
+    shared.configuration.revision() == 0 || shared.membership.is_responsible("configuration")
+}
+
+/// Watches until the watch ends or the duty passes on. Tells whether it was opened.
+async fn watch_platform(shared: &Arc<Shared>) -> bool {
+    let prefix = keys::prefix(&shared.settings.cell);
+    if shared.configuration.revision() == 0 && !read_whole(shared, &prefix).await {
+        return false;
+    }
+    let from = shared.configuration.revision() + 1;
+    let opened = shared.store.watch(Use::Configuration, &prefix, from).await;
+    shared.platform_said(&opened);
+    let Ok(mut changes) = opened else {
+        note_failure(shared, "watch", opened.err());
+        return false;
+    };
+    while has_duty(shared) {
+        match tokio::time::timeout(SILENCE, changes.recv()).await {
+            Ok(Some(Changes::Upto(events, revision))) => {
+                shared.platform_answers.store(true, std::sync::atomic::Ordering::Relaxed);
+                take_events(shared, &prefix, events, revision);
+            }
+            Ok(Some(Changes::Compacted)) => return read_whole(shared, &prefix).await,
+            Ok(None) | Err(_) => break,
+        }
+    }
+    events::emit!(shared.log, events::WATCH_ENDED, "revision" => shared.configuration.revision());
+    true
+}
+
+fn take_events(shared: &Arc<Shared>, prefix: &str, events: Vec<platform::Event>, revision: Revision) {
+    let since = shared.configuration.revision();
+    if revision <= since {
+        return;
+    }
+    let mut delta = Delta { since, version: revision, items: Vec::new(), removed: Vec::new() };
+    for event in events {
+        let Some(key) = event.key.strip_prefix(prefix).map(str::to_owned) else { continue };
+        match event.value {
+            Some(value) => delta.items.push((key, value, event.revision)),
+            None => delta.removed.push((key, event.revision)),
+        }
+    }
+    take(shared, delta);
+}
+
+async fn read_whole(shared: &Arc<Shared>, prefix: &str) -> bool {
+    let range = shared.store.range(Use::Configuration, prefix).await;
+    shared.platform_said(&range);
+    let Ok(range) = range else {
+        note_failure(shared, "range", range.err());
+        return false;
+    };
+    let mut items = Vec::with_capacity(range.entries.len());
+    for entry in range.entries {
+        if let Some(key) = entry.key.strip_prefix(prefix) {
+            items.push((key.to_owned(), entry.value, entry.mod_revision));
+        }
+    }
+    take(shared, Delta { since: 0, version: range.revision, items, removed: Vec::new() });
+    true
+}
+
+fn note_failure(shared: &Shared, call: &str, fault: Option<platform::Fault>) {
+    let why = fault.map(|fault| fault.to_string()).unwrap_or_default();
+    events::emit!(shared.log, events::PLATFORM_FAILED, "call" => call, "why" => why);
+}
+
+/// Puts changes in force.
+fn take(shared: &Arc<Shared>, delta: Delta<EntryKey, Entry>) {
+    let Some(applied) = shared.configuration.apply(delta) else { return };
+    for (key, why) in &applied.unreadable {
+        events::emit!(shared.log, events::RECORD_UNREADABLE, "key" => key, "why" => why);
+    }
+    events::emit!(shared.log, events::CONFIGURATION, "revision" => shared.configuration.revision());
+    crate::owner::records_changed(shared, &applied.workloads);
+    if applied.drains {
+        crate::holds::refresh_leaving(shared);
+    }
+    shared.membership.speak.notify_one();
+    shared.look_again.notify_one();
+}
+
+async fn pull_from_peers(shared: Arc<Shared>) {
+    loop {
+        shared.configuration.behind.notified().await;
+        pull(&shared).await;
+        tokio::time::sleep(SPACING).await;
+    }
+}
+
+/// Pulls from the peer with the highest revision, a neighbour before others.
+async fn pull(shared: &Arc<Shared>) {
+    let since = shared.configuration.revision();
+    let mut ahead = shared.membership.reachable();
+    ahead.retain(|member| member.configuration > since);
+    ahead.sort_by_key(|member| {
+        let far = member.peer.data_centre != *shared.data_centre();
+        (std::cmp::Reverse(member.configuration), far)
+    });
+    for member in ahead {
+        let answer = shared.links.call(member.peer.peers, &Request::Configuration { since }).await;
+        if let Ok(Answer::Configuration(delta)) = answer {
+            take(shared, delta);
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/components/node/src/listing.rs
@@ -0,0 +1,132 @@
+//! The platform's lagging list of hosts. One host of each data centre reads it; the others have it from that
+//! one.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use model::{HostId, WorkerId};
+use parking_lot::Mutex;
+use wire::{Answer, Listed, ListedKind, Request};
+
+use crate::shared::Shared;
+
+/// Time between two readings.
+const EVERY: Duration = Duration::from_secs(1);
+
+#[derive(Default)]
+struct State {
+    version: u64,
+    hosts: BTreeMap<HostId, Listed>,
+    /// When hosts were first missed, by this host's clock.
+    gone: HashMap<HostId, Instant>,
+}
+
+/// The list as last read.
+#[derive(Default)]
+pub(crate) struct Listing {
+    state: Mutex<State>,
+}
+
+impl Listing {
+    pub(crate) fn whole(&self) -> (u64, Vec<(HostId, Listed)>) {
+        let state = self.state.lock();
+        (state.version, state.hosts.iter().map(|(name, host)| (name.clone(), host.clone())).collect())
+    }
+
+    /// Takes in a list; an older one than the known changes nothing. Tells whether it was taken.
+    fn take(&self, version: u64, hosts: Vec<(HostId, Listed)>, now: Instant) -> bool {
+        let mut state = self.state.lock();
+        if version <= state.version {
+            return false;
+        }
+        let hosts: BTreeMap<HostId, Listed> = hosts.into_iter().collect();
+        let missed: Vec<HostId> = state.hosts.keys().filter(|name| !hosts.contains_key(*name)).cloned().collect();
+        for name in missed {
+            state.gone.entry(name).or_insert(now);
+        }
+        state.gone.retain(|name, _| !hosts.contains_key(name));
+        state.version = version;
+        state.hosts = hosts;
+        true
+    }
+
+    pub(crate) fn get(&self, name: &str) -> Option<Listed> {
+        self.state.lock().hosts.get(name).cloned()
+    }
+
+    /// Workers of a data centre.
+    pub(crate) fn workers(&self, data_centre: &str) -> Vec<(WorkerId, Listed)> {
+        let state = self.state.lock();
+        let workers = state.hosts.iter().filter(|(_, host)| {
+            host.kind == ListedKind::Worker && host.data_centre == data_centre
+        });
+        workers.map(|(name, host)| (name.clone(), host.clone())).collect()
+    }
+
+    /// Workers of all data centres.
+    pub(crate) fn all_workers(&self) -> Vec<(WorkerId, Listed)> {
+        let state = self.state.lock();
+        let workers = state.hosts.iter().filter(|(_, host)| host.kind == ListedKind::Worker);
+        workers.map(|(name, host)| (name.clone(), host.clone())).collect()
+    }
+
+    /// Whether a host has been off the list for longer than `time`.
+    pub(crate) fn gone_for(&self, name: &str, time: Duration, now: Instant) -> bool {
+        let state = self.state.lock();
+        state.gone.get(name).is_some_and(|since| now.saturating_duration_since(*since) > time)
+    }
+
+    /// Whether the list was ever read.
+    pub(crate) fn known(&self) -> bool {
+        self.state.lock().version > 0
+    }
+}
+
+/// Keeps the list up to date until the process ends.
+pub(crate) async fn follow(shared: Arc<Shared>) {
+    loop {
+        let taken = if !shared.listing.known() || shared.membership.is_responsible("list") {
+            read(&shared).await
+        } else {
+            ask(&shared).await
+        };
+        if taken {
+            events::emit!(shared.log, events::LIST_CHANGED, "hosts" => shared.listing.whole().1.len());
+            crate::holds::refresh_leaving(&shared);
+            shared.look_again.notify_one();
+        }
+        tokio::time::sleep(EVERY).await;
+    }
+}
+
+async fn read(shared: &Shared) -> bool {
+    let list = shared.lister.list().await;
+    shared.platform_said(&list);
+    let Ok(list) = list else { return false };
+    let hosts = list.hosts.into_iter().map(|host| (host.name.clone(), listed(host)));
+    shared.listing.take(list.version, hosts.collect(), Instant::now())
+}
+
+fn listed(host: platform::Host) -> Listed {
+    let kind = match host.kind {
+        platform::Kind::Worker => ListedKind::Worker,
+        platform::Kind::Entry => ListedKind::Entry,
+    };
+    Listed {
+        kind,
+        data_centre: host.data_centre,
+        rack: host.rack,
+        address: host.address,
+        capacity: host.capacity,
+        leaving: host.leaving,
+    }
+}
+
+async fn ask(shared: &Shared) -> bool {
+    let Some(reader) = shared.membership.responsible("list") else { return false };
+    let Some(member) = shared.membership.get(&reader) else { return false };
+    let answer = shared.links.call(member.peer.peers, &Request::List).await;
+    let Ok(Answer::List(version, hosts)) = answer else { return false };
+    shared.listing.take(version, hosts, Instant::now())
+}
--- /dev/null
+++ b/components/node/src/membership.rs
@@ -0,0 +1,265 @@
+//! Sends and hears digests over UDP, and keeps the table of entry hosts.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use member::{Digest, Limits, Member, Peer, Presence, State, Table};
+use model::{DataCentreId, HostId, Incarnation, Revision};
+use parking_lot::Mutex;
+use rand::seq::IndexedRandom;
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+
+use crate::shared::Shared;
+
+/// Hosts of each other data centre that a digest goes to each time.
+const FAR: usize = 2;
+/// Hosts named in a digest for newcomers.
+const NAMED: usize = 8;
+/// Digests that go out at once after a change keep at least this distance.
+const SPACING: Duration = Duration::from_millis(40);
+
+/// The other entry hosts, as this one sees them.
+pub(crate) struct Membership {
+    own: Peer,
+    own_incarnation: Incarnation,
+    table: Mutex<Table>,
+    /// Hosts that others named and that were not heard yet.
+    named: Mutex<HashMap<HostId, SocketAddr>>,
+    presence: Mutex<Presence>,
+    sequence: AtomicU64,
+    seen: Mutex<HashMap<HostId, State>>,
+    /// Set when a digest should go out before its time.
+    pub(crate) speak: Notify,
+    /// Set when the live hosts may have changed.
+    pub(crate) changed: Notify,
+}
+
+impl Membership {
+    pub(crate) fn new(own: Peer, incarnation: Incarnation, dead_after: Duration) -> Membership {
+        let limits = Limits { dead_after, echo_within: dead_after / 2, ..Limits::default() };
+        Membership {
+            table: Mutex::new(Table::new(own.clone(), incarnation, limits)),
+            own,
+            own_incarnation: incarnation,
+            named: Mutex::default(),
+            presence: Mutex::new(Presence::Serving),
+            sequence: AtomicU64::new(0),
+            seen: Mutex::default(),
+            speak: Notify::new(),
+            changed: Notify::new(),
+        }
+    }
+
+    pub(crate) fn presence(&self) -> Presence {
+        *self.presence.lock()
+    }
+
+    pub(crate) fn set_presence(&self, presence: Presence) {
+        *self.presence.lock() = presence;
+        self.speak.notify_one();
+    }
+
+    /// Live hosts of a data centre, this one too while it serves.
+    pub(crate) fn live_in(&self, data_centre: &DataCentreId) -> Vec<HostId> {
+        let serving = self.presence() == Presence::Serving;
+        self.table.lock().live_in(data_centre, serving, Instant::now())
+    }
+
+    /// The live host of the own data centre that is responsible for a key; `None` when there is none.
+    pub(crate) fn responsible(&self, key: &str) -> Option<HostId> {
+        let hosts = self.live_in(&self.own.data_centre);
+        member::winner(key, hosts.iter().map(String::as_str)).map(str::to_owned)
+    }
+
+    /// Whether this host is responsible for a key.
+    pub(crate) fn is_responsible(&self, key: &str) -> bool {
+        self.responsible(key).as_deref() == Some(self.own.host.as_str())
+    }
+
+    pub(crate) fn state(&self, host: &str) -> Option<State> {
+        self.table.lock().state(host, Instant::now())
+    }
+
+    pub(crate) fn get(&self, host: &str) -> Option<Member> {
+        self.table.lock().get(host).cloned()
+    }
+
+    /// Other hosts of the own data centre that are live or leaving.
+    pub(crate) fn neighbours(&self) -> Vec<Member> {
+        let mut reachable = self.reachable();
+        reachable.retain(|member| member.peer.data_centre == self.own.data_centre);
+        reachable
+    }
+
+    /// Other hosts that are live or leaving.
+    pub(crate) fn reachable(&self) -> Vec<Member> {
+        self.table.lock().reachable(Instant::now()).into_iter().cloned().collect()
+    }
+
+    /// All other hosts heard of, dead ones too.
+    pub(crate) fn all(&self) -> Vec<Member> {
+        self.table.lock().iter().cloned().collect()
+    }
+
+    /// Whether all neighbours have heard this host lately.
+    pub(crate) fn echoed(&self) -> bool {
+        self.table.lock().echoed(Instant::now())
+    }
+
+    fn digest(&self, cell: &str, configuration: Revision, facts: u64, now: Instant) -> Digest {
+        let mut table = self.table.lock();
+        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
+        table.sending(sequence, now);
+        let reachable = table.reachable(now);
+        let named = reachable.choose_multiple(&mut rand::rng(), NAMED);
+        Digest {
+            cell: cell.to_owned(),
+            from: self.own.clone(),
+            incarnation: self.own_incarnation,
+            sequence,
+            presence: self.presence(),
+            configuration,
+            facts,
+            heard: table.heard(now),
+            known: named.map(|member| member.peer.clone()).collect(),
+        }
+    }
+
+    /// Where the next digest goes: all neighbours, a few hosts of each other data centre, and, so that hosts
+    /// find each other (again), the seeds, those named by others and one dead host.
+    fn targets(&self, seeds: &[SocketAddr], now: Instant) -> Vec<SocketAddr> {
+        let table = self.table.lock();
+        let mut far: HashMap<&DataCentreId, Vec<SocketAddr>> = HashMap::new();
+        let mut targets = Vec::new();
+        let mut known = Vec::new();
+        for member in table.reachable(now) {
+            known.push(member.peer.peers);
+            if member.peer.data_centre == self.own.data_centre {
+                targets.push(member.peer.peers);
+            } else {
+                far.entry(&member.peer.data_centre).or_default().push(member.peer.peers);
+            }
+        }
+        let mut rng = rand::rng();
+        for addresses in far.values() {
+            targets.extend(addresses.choose_multiple(&mut rng, FAR));
+        }
+        let dead: Vec<SocketAddr> = table
+            .iter()
+            .filter(|member| table.state(&member.peer.host, now) == Some(State::Dead))
+            .map(|member| member.peer.peers)
+            .collect();
+        targets.extend(dead.choose(&mut rng));
+        let named = self.named.lock();
+        let strangers = seeds.iter().chain(named.values()).filter(|address| !known.contains(address));
+        targets.extend(strangers.filter(|address| **address != self.own.peers));
+        targets
+    }
+
+    fn hear(&self, digest: &Digest, now: Instant) -> bool {
+        let changed = self.table.lock().hear(digest, now);
+        let mut named = self.named.lock();
+        named.remove(&digest.from.host);
+        let table = self.table.lock();
+        for peer in &digest.known {
+            if peer.host != self.own.host && table.get(&peer.host).is_none() {
+                named.insert(peer.host.clone(), peer.peers);
+            }
+        }
+        changed
+    }
+
+    /// Hosts whose state is not what it was at the last call.
+    fn news(&self, now: Instant) -> Vec<(HostId, State)> {
+        let mut table = self.table.lock();
+        table.forget(now);
+        let mut seen = self.seen.lock();
+        let mut news = Vec::new();
+        for member in table.iter() {
+            let host = &member.peer.host;
+            let Some(state) = table.state(host, now) else { continue };
+            if seen.insert(host.clone(), state) != Some(state) {
+                news.push((host.clone(), state));
+            }
+        }
+        news
+    }
+}
+
+/// Sends digests until the process ends.
+pub(crate) async fn speak(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    let mut heartbeat = tokio::time::interval(shared.settings.membership.heartbeat);
+    heartbeat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = heartbeat.tick() => {}
+            () = shared.membership.speak.notified() => tokio::time::sleep(SPACING).await,
+        }
+        say(&shared, &socket).await;
+        note_news(&shared);
+    }
+}
+
+async fn say(shared: &Shared, socket: &UdpSocket) {
+    let now = Instant::now();
+    let (configuration, facts) = (shared.configuration.revision(), shared.facts.own_version());
+    let digest = shared.membership.digest(&shared.settings.cell, configuration, facts, now);
+    let Ok(bytes) = wire::seal(shared.links.key(), &digest) else { return };
+    for target in shared.membership.targets(&shared.settings.seeds, now) {
+        // A lost digest is made up for by the next one.
+        let _ = socket.send_to(&bytes, target).await;
+        shared.metrics.control("digest_sent", bytes.len());
+    }
+}
+
+fn note_news(shared: &Shared) {
+    let news = shared.membership.news(Instant::now());
+    if news.is_empty() {
+        return;
+    }
+    for (host, state) in news {
+        match state {
+            State::Live => events::emit!(shared.log, events::HOST_LIVE, "peer" => host),
+            State::Leaving => events::emit!(shared.log, events::HOST_LEAVING, "peer" => host),
+            State::Dead => events::emit!(shared.log, events::HOST_DEAD, "peer" => host),
+        }
+    }
+    shared.membership.changed.notify_waiters();
+    shared.look_again.notify_one();
+}
+
+/// Hears digests until the process ends.
+pub(crate) async fn hear(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    let mut buffer = vec![0; wire::MAX_DATAGRAM];
+    loop {
+        let Ok((length, peer)) = socket.recv_from(&mut buffer).await else { continue };
+        shared.metrics.control("digest_received", length);
+        match wire::open::<Digest>(shared.links.key(), &buffer[..length]) {
+            Ok(digest) if digest.cell == shared.settings.cell => heard(&shared, &digest),
+            Ok(_) => {}
+            Err(fault) => {
+                events::emit!(shared.log, events::MESSAGE_REFUSED, "peer" => peer.to_string(), "why" => fault.to_string());
+            }
+        }
+    }
+}
+
+fn heard(shared: &Shared, digest: &Digest) {
+    let changed = shared.membership.hear(digest, Instant::now());
+    if changed {
+        note_news(shared);
+        // A newcomer hears back at once instead of after a heartbeat.
+        shared.membership.speak.notify_one();
+    }
+    if digest.configuration > shared.configuration.revision() {
+        shared.configuration.behind.notify_one();
+    }
+    let near = digest.from.data_centre == *shared.data_centre();
+    if near && shared.facts.is_behind(&digest.from.host, digest.incarnation, digest.facts) {
+        shared.facts.behind.notify_one();
+    }
+}
