--- /dev/null
+++ b/bins/walkhook/src/cli.rs
@@ -0,0 +1,58 @@
+//! The arguments of `walkhook`.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+
+use argh::FromArgs;
+
+/// How outcomes are printed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Tables for a person.
+    Table,
+    /// One JSON object a statement.
+    Json,
+}
+
+impl FromStr for Output {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Output, String> {
+        match text {
+            "table" => Ok(Output::Table),
+            "json" => Ok(Output::Json),
+            other => Err(format!("`{other}` is neither table nor json")),
+        }
+    }
+}
+
+/// Ask and command a walkhook cell. Statements are separated by `;`, for example: show tasks where team = rail
+///
+/// Exit codes: 0 done, 1 not done, 2 a mistake in the arguments or statements (nothing was sent), 3 unknown.
+#[derive(FromArgs, Debug)]
+pub struct Cli {
+    /// operators' address of an entry host; repeat it to name others that are tried when one is gone
+    #[argh(option)]
+    pub entry: Vec<SocketAddr>,
+
+    /// file with the cell's shared key; without it the key is taken from WALKHOOK_KEY
+    #[argh(option)]
+    pub key: Option<PathBuf>,
+
+    /// table (default) or json
+    #[argh(option, default = "Output::Table")]
+    pub output: Output,
+
+    /// read statements from this file, `-` for standard input
+    #[argh(option)]
+    pub file: Option<PathBuf>,
+
+    /// after a submit, show progress until the work runs (services) or has finished (other work)
+    #[argh(switch)]
+    pub wait: bool,
+
+    /// the statements
+    #[argh(positional)]
+    pub statement: Vec<String>,
+}
--- /dev/null
+++ b/bins/walkhook/src/print.rs
@@ -0,0 +1,48 @@
+//! Prints outcomes.
+
+use api::{Outcome, Rows, Status};
+use tabled::builder::Builder;
+use tabled::settings::Style;
+
+use crate::cli::Output;
+
+pub(crate) fn outcome(outcome: &Outcome, output: Output) {
+    match output {
+        Output::Json => println!("{}", serde_json::to_string(outcome).unwrap_or_default()),
+        Output::Table => person(outcome),
+    }
+}
+
+fn person(outcome: &Outcome) {
+    if let Some(table) = &outcome.table {
+        println!("{}", shown(table));
+    }
+    let words = match outcome.status {
+        Status::Done if outcome.table.is_some() => return,
+        Status::Done => "done",
+        Status::NotDone => "not done",
+        Status::Unknown => "unknown",
+    };
+    let revision = outcome.revision.map(|revision| format!(" (revision {revision})")).unwrap_or_default();
+    let line = format!("{words}: {}{revision}", outcome.message);
+    if outcome.status == Status::Done {
+        println!("{line}");
+    } else {
+        eprintln!("{line}");
+    }
+    if let Some(after) = outcome.retry_after_ms {
+        eprintln!("try again in {after} ms");
+    }
+}
+
+fn shown(table: &Rows) -> String {
+    if table.rows.is_empty() {
+        return format!("no rows ({})", table.columns.join(", "));
+    }
+    let mut builder = Builder::new();
+    builder.push_record(table.columns.clone());
+    for row in &table.rows {
+        builder.push_record(row.clone());
+    }
+    builder.build().with(Style::blank()).to_string()
+}
--- a/components/fakes/src/platform.rs
+++ b/components/fakes/src/platform.rs
@@ -119,10 +119,7 @@
 
     /// Adds a host to the list, or replaces it.
     pub fn list(&self, host: Host) {
-        let mut state = self.shared.state.lock();
-        state.list.hosts.retain(|known| known.name != host.name);
-        state.list.hosts.push(host);
-        state.list.version += 1;
+        add_to_list(&self.shared, host);
     }
 
     /// Takes a host off the list.
@@ -144,6 +141,13 @@
     }
 }
 
+fn add_to_list(shared: &Shared, host: Host) {
+    let mut state = shared.state.lock();
+    state.list.hosts.retain(|known| known.name != host.name);
+    state.list.hosts.push(host);
+    state.list.version += 1;
+}
+
 fn apply_control(shared: &Shared, control: Control) {
     let mut state = shared.state.lock();
     if control.lapse_leases {
@@ -189,7 +193,7 @@
 
 async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
     let path = request.uri().path().to_owned();
-    let operator = path == "/control" || path == "/counts";
+    let operator = matches!(path.as_str(), "/control" | "/counts" | "/list");
     let (down, delay) = {
         let mut state = shared.state.lock();
         if !operator {
--- /dev/null
+++ b/components/gateway/src/service.rs
@@ -0,0 +1,221 @@
+//! One service at one entry host: its queue, its instances and the requests that wait, under one lock.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use model::workload::Priority;
+use model::{HostId, TeamId};
+use parking_lot::Mutex;
+use request::{Budget, Instance, Offer, Pick, Pool, Queue, Refusal, Ticket, Why};
+use tokio::sync::oneshot;
+
+use crate::link::Links;
+
+type Grant = Result<Pick, Refusal>;
+
+struct State {
+    pool: Pool,
+    queue: Queue,
+    waiters: HashMap<Ticket, oneshot::Sender<Grant>>,
+    budget: Budget,
+}
+
+/// A service that classes of requests lead to.
+pub(crate) struct Service {
+    state: Mutex<State>,
+    pub(crate) links: Links,
+}
+
+/// Who asks for a slot, and until when it is of use.
+#[derive(Clone, Debug)]
+pub(crate) struct Ask {
+    pub(crate) team: TeamId,
+    pub(crate) priority: Priority,
+    pub(crate) deadline: Instant,
+}
+
+impl Service {
+    pub(crate) fn new(own: HostId, limits: &settings::Requests, gain_after: Duration) -> Service {
+        let state = State {
+            pool: Pool::new(own, limits.slots, gain_after),
+            queue: Queue::new(limits.queue as usize),
+            waiters: HashMap::new(),
+            budget: Budget::default(),
+        };
+        Service { state: Mutex::new(state), links: Links::default() }
+    }
+
+    pub(crate) fn update(&self, instances: &[Instance], hosts: &[HostId], now: Instant) {
+        let mut state = self.state.lock();
+        state.pool.update(instances, hosts, now);
+        self.links.retain(instances);
+        state.grant_waiting(now);
+    }
+
+    /// Waiting requests, and the slots that may be used and are.
+    pub(crate) fn load(&self) -> (usize, (u32, u32)) {
+        let state = self.state.lock();
+        (state.queue.len(), state.pool.capacity())
+    }
+
+    /// Whether any instance is live in this data centre.
+    pub(crate) fn has_instances(&self) -> bool {
+        self.state.lock().pool.instances() > 0
+    }
+
+    /// Takes a slot, at once or after waiting, or is refused.
+    pub(crate) async fn slot(self: &Arc<Self>, ask: &Ask) -> Result<Slot, Refusal> {
+        let now = Instant::now();
+        let receiver = {
+            let mut state = self.state.lock();
+            let free = state.pool.has_free(now);
+            let slots = state.pool.capacity().0;
+            let mean = state.pool.mean_seconds().map(Duration::from_secs_f64);
+            match state.queue.offer(&ask.team, ask.priority, ask.deadline, slots, free, mean, now) {
+                Offer::Refused(refusal) => return Err(refusal),
+                Offer::Run => return state.take(now).map(|pick| self.clone().guard(pick)),
+                Offer::Wait(ticket) => {
+                    let (sender, receiver) = oneshot::channel();
+                    state.waiters.insert(ticket, sender);
+                    Waiter { service: self.clone(), ask: ask.clone(), ticket, receiver, settled: false }
+                }
+            }
+        };
+        receiver.granted().await.map(|pick| self.clone().guard(pick))
+    }
+
+    /// Takes another slot for a request that surely did not run on `failed`; `None` when the budget for
+    /// retries is spent or there is no other slot now.
+    pub(crate) fn another(self: &Arc<Self>, failed: &str) -> Option<Slot> {
+        let now = Instant::now();
+        let mut state = self.state.lock();
+        let pick = state.pool.pick(Some(failed), now)?;
+        if !state.budget.take() {
+            state.pool.cancel(&pick);
+            return None;
+        }
+        drop(state);
+        Some(self.clone().guard(pick))
+    }
+
+    /// When a refused caller should come back.
+    pub(crate) fn retry_after(&self) -> Duration {
+        let state = self.state.lock();
+        let mean = state.pool.mean_seconds().map(Duration::from_secs_f64);
+        state.queue.retry_after(state.pool.capacity().0, mean)
+    }
+
+    fn guard(self: Arc<Self>, pick: Pick) -> Slot {
+        Slot { service: self, pick, taken_at: Instant::now(), settled: false }
+    }
+
+    fn done(&self, pick: &Pick, took: Option<Duration>) {
+        let now = Instant::now();
+        let mut state = self.state.lock();
+        state.pool.done(pick, took, now);
+        if took.is_some() {
+            state.budget.succeeded();
+        }
+        state.grant_waiting(now);
+    }
+}
+
+impl State {
+    fn take(&mut self, now: Instant) -> Grant {
+        self.pool.pick(None, now).ok_or(Refusal { why: Why::NoInstance, retry_after: Duration::from_secs(1) })
+    }
+
+    /// Hands free slots to those that wait, and refuses those whose deadline came.
+    fn grant_waiting(&mut self, now: Instant) {
+        while !self.queue.is_empty() {
+            let Some(pick) = self.pool.pick(None, now) else { return };
+            let (next, late) = self.queue.next(now);
+            self.refuse(late);
+            let Some(sender) = next.and_then(|ticket| self.waiters.remove(&ticket)) else {
+                self.pool.cancel(&pick);
+                continue;
+            };
+            if let Err(Ok(pick)) = sender.send(Ok(pick)) {
+                self.pool.cancel(&pick);
+            }
+        }
+    }
+
+    fn refuse(&mut self, late: Vec<Ticket>) {
+        let mean = self.pool.mean_seconds().map(Duration::from_secs_f64);
+        let retry_after = self.queue.retry_after(self.pool.capacity().0, mean);
+        for ticket in late {
+            if let Some(sender) = self.waiters.remove(&ticket) {
+                let _ = sender.send(Err(Refusal { why: Why::TooLate, retry_after }));
+            }
+        }
+    }
+}
+
+/// A request that waits; leaves the queue when its caller goes away.
+struct Waiter {
+    service: Arc<Service>,
+    ask: Ask,
+    ticket: Ticket,
+    receiver: oneshot::Receiver<Grant>,
+    settled: bool,
+}
+
+impl Waiter {
+    async fn granted(mut self) -> Grant {
+        let deadline = tokio::time::Instant::from_std(self.ask.deadline);
+        let outcome = tokio::time::timeout_at(deadline, &mut self.receiver).await;
+        if let Ok(Ok(grant)) = outcome {
+            self.settled = true;
+            return grant;
+        }
+        let retry_after = self.service.retry_after();
+        Err(Refusal { why: Why::TooLate, retry_after })
+    }
+}
+
+impl Drop for Waiter {
+    fn drop(&mut self) {
+        if self.settled {
+            return;
+        }
+        let mut state = self.service.state.lock();
+        state.queue.leave(&self.ask.team, self.ask.priority, self.ticket);
+        state.waiters.remove(&self.ticket);
+        // A grant may have come at the last moment; its slot goes to the next.
+        if let Ok(Ok(pick)) = self.receiver.try_recv() {
+            state.pool.cancel(&pick);
+            state.grant_waiting(Instant::now());
+        }
+    }
+}
+
+/// A slot in use. Dropped without an end, it counts as a failure of the instance.
+pub(crate) struct Slot {
+    service: Arc<Service>,
+    pub(crate) pick: Pick,
+    taken_at: Instant,
+    settled: bool,
+}
+
+impl Slot {
+    /// The service that it belongs to.
+    pub(crate) fn service(&self) -> &Arc<Service> {
+        &self.service
+    }
+
+    /// The instance answered whole.
+    pub(crate) fn answered(mut self) {
+        self.settled = true;
+        self.service.done(&self.pick, Some(self.taken_at.elapsed()));
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        if !self.settled {
+            self.service.done(&self.pick, None);
+        }
+    }
+}
--- a/components/jobs/src/book.rs
+++ b/components/jobs/src/book.rs
@@ -1,6 +1,6 @@
 //! All shares of one partition under one claim.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use model::task::{Attempt, End, Id};
@@ -408,6 +408,11 @@
         self.acknowledge.extend_from_slice(ends);
     }
 
+    /// Workers that have, or may have, an attempt of this partition.
+    pub fn workers_in_use(&self) -> BTreeSet<WorkerId> {
+        self.jobs.values().flat_map(|job| job.tasks.values().filter_map(|task| task.worker().cloned())).collect()
+    }
+
     /// Attempts that may live on a worker, with their names, for a comparison with its holder's facts.
     pub fn may_live(&self) -> impl Iterator<Item = (Id, Attempt, &WorkerId)> + '_ {
         self.jobs.values().flat_map(|job| {
--- a/components/jobs/tests/book.rs
+++ b/components/jobs/tests/book.rs
@@ -80,7 +80,7 @@
     let mut book = book(now, Kind::Batch, 1);
     let order = book.order("plan", 0, &"w1".to_owned(), now).unwrap();
     assert!(book.overdue_orders(now).is_empty());
-    assert_eq!(book.overdue_orders(now + Duration::from_secs(1)), [order.clone()]);
+    assert_eq!(book.overdue_orders(now + Duration::from_secs(1)), std::slice::from_ref(&order));
     book.refused(&order.task, order.attempt, Reason::NoWorkers, now);
     assert_eq!(phase(&book, 0), &Phase::Waiting);
 }
--- a/components/node/src/configuration.rs
+++ b/components/node/src/configuration.rs
@@ -154,7 +154,9 @@
             let read = |record: Record| Arc::new(Versioned { record, revision });
             put(&mut records.workloads, name, value, read)
         }
-        Place::Progress(data_centre, name) => put(&mut records.progress, (data_centre, name), value, |progress| progress),
+        Place::Progress(data_centre, name) => {
+            put(&mut records.progress, (data_centre, name), value, |progress| progress)
+        }
         Place::Claim(data_centre, partition) => {
             put(&mut records.claims, (data_centre, partition), value, |claim| (claim, revision))
         }
--- a/components/node/src/facts.rs
+++ b/components/node/src/facts.rs
@@ -44,7 +44,7 @@
 /// A fact that changed, and that its host is the worker's holder.
 pub(crate) enum Change {
     /// A worker's state.
-    Worker(WorkerId, WorkerFact),
+    Worker,
     /// An attempt's state, and whether its worker is on probation.
     Task(Id, Attempt, TaskFact, bool),
 }
@@ -75,8 +75,8 @@
         let mut changed = Vec::new();
         note_holder(&mut state.holders, worker, fact.epoch, &self.own_host);
         let probation = fact.probation;
-        if state.own.set(FactKey::Worker(worker.clone()), Fact::Worker(fact.clone())) {
-            changed.push(Change::Worker(worker.clone(), fact));
+        if state.own.set(FactKey::Worker(worker.clone()), Fact::Worker(fact)) {
+            changed.push(Change::Worker);
         }
         for (key, value) in tasks {
             if !state.own.set(key.clone(), value.clone()) {
@@ -131,9 +131,8 @@
         for (key, fact, _) in items {
             match (key, fact) {
                 (FactKey::Worker(worker), Fact::Worker(fact)) => {
-                    if note_holder(&mut state.holders, &worker, fact.epoch, host) {
-                        changed.push(Change::Worker(worker, fact));
-                    }
+                    note_holder(&mut state.holders, &worker, fact.epoch, host);
+                    changed.push(Change::Worker);
                 }
                 (FactKey::Task(task, attempt), Fact::Task(fact)) => {
                     let Some(held) = worker_in(&view.board, &fact.worker) else { continue };
@@ -239,18 +238,12 @@
     }
 }
 
-/// Tells whether the host is the holder, by the highest epoch.
-fn note_holder(
-    holders: &mut HashMap<WorkerId, (Epoch, HostId)>,
-    worker: &WorkerId,
-    epoch: Epoch,
-    host: &HostId,
-) -> bool {
+/// The holder is the host with the highest epoch.
+fn note_holder(holders: &mut HashMap<WorkerId, (Epoch, HostId)>, worker: &WorkerId, epoch: Epoch, host: &HostId) {
     let holder = holders.entry(worker.clone()).or_insert_with(|| (epoch, host.clone()));
     if epoch > holder.0 {
         *holder = (epoch, host.clone());
     }
-    *holder == (epoch, host.clone())
 }
 
 fn is_holder(holders: &HashMap<WorkerId, (Epoch, HostId)>, worker: &WorkerId, epoch: Epoch, host: &HostId) -> bool {
@@ -261,9 +254,11 @@
 pub(crate) async fn follow(shared: Arc<Shared>) {
     loop {
         shared.facts.behind.notified().await;
-        let behind = shared.membership.neighbours().into_iter().filter(|member| {
-            shared.facts.is_behind(&member.peer.host, member.incarnation, member.facts)
-        });
+        let behind = shared
+            .membership
+            .neighbours()
+            .into_iter()
+            .filter(|member| shared.facts.is_behind(&member.peer.host, member.incarnation, member.facts));
         join_all(behind.map(|member| pull(&shared, member))).await;
         tokio::time::sleep(SPACING).await;
     }
--- a/components/node/src/holds.rs
+++ b/components/node/src/holds.rs
@@ -2,7 +2,6 @@
 //! owners ask of the ledgers.
 
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -13,7 +12,7 @@
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 use wire::{
-    Answer, Fact, FactKey, InventoryAnswer, Inventoried, Listed, ListedKind, Request, ReserveOrder, StartAnswer,
+    Answer, Fact, FactKey, Inventoried, InventoryAnswer, Listed, ListedKind, Request, ReserveOrder, StartAnswer,
     StartOrder, StopOrder,
 };
 use worker::{Batch, Client, Fault, Hold, Worker};
@@ -267,7 +266,8 @@
     });
     !unheard.any(|member| {
         let listed = shared.listing.get(&member.peer.host);
-        listed.is_none_or(|listed| listed.kind == ListedKind::Entry) && !shared.listing.gone_for(&member.peer.host, limits.lease, now)
+        listed.is_none_or(|listed| listed.kind == ListedKind::Entry)
+            && !shared.listing.gone_for(&member.peer.host, limits.lease, now)
     })
 }
 
--- a/components/node/src/keys.rs
+++ b/components/node/src/keys.rs
@@ -18,9 +18,11 @@
     pub(crate) command: CommandId,
 }
 
-/// What is kept of a command that was carried out, so that a lost answer can be asked after.
+/// What is kept of a command that was settled, so that a lost answer can be asked after.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Receipt {
+    /// False when the command can never be carried out any more.
+    pub(crate) done: bool,
     pub(crate) message: String,
 }
 
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -1,1 +1,29 @@
-//! Empty.
+//! An entry host: all of its parts put together, each a loop with its own state.
+//!
+//! Facts come in by [`membership`], [`configuration`], [`listing`] and [`facts`]; [`owner`] and [`schedule`]
+//! decide about work, [`holds`] carries the decisions out at the workers, [`commit`] makes them durable where
+//! they must last, [`commands`] and [`show`] answer operators, and [`services`] tells the gateway where
+//! callers' requests can go.
+
+mod answer;
+mod commands;
+mod commit;
+mod configuration;
+mod facts;
+mod holds;
+mod keys;
+mod listing;
+mod membership;
+mod operators;
+mod owner;
+mod peers;
+mod schedule;
+mod send;
+mod services;
+mod shared;
+mod show;
+mod start;
+mod stop;
+mod usage;
+
+pub use start::{Fault, run};
--- a/components/node/src/listing.rs
+++ b/components/node/src/listing.rs
@@ -58,9 +58,8 @@
     /// Workers of a data centre.
     pub(crate) fn workers(&self, data_centre: &str) -> Vec<(WorkerId, Listed)> {
         let state = self.state.lock();
-        let workers = state.hosts.iter().filter(|(_, host)| {
-            host.kind == ListedKind::Worker && host.data_centre == data_centre
-        });
+        let workers =
+            state.hosts.iter().filter(|(_, host)| host.kind == ListedKind::Worker && host.data_centre == data_centre);
         workers.map(|(name, host)| (name.clone(), host.clone())).collect()
     }
 
--- /dev/null
+++ b/components/node/src/operators.rs
@@ -0,0 +1,54 @@
+//! What stands behind the operators' interface.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use api::{Command, Health, Operators, Outcome};
+use async_trait::async_trait;
+use member::Presence;
+use model::CommandId;
+use prometheus_client::registry::Registry;
+
+use crate::commands;
+use crate::shared::Shared;
+
+pub(crate) struct Desk {
+    shared: Arc<Shared>,
+    registry: Registry,
+}
+
+impl Desk {
+    pub(crate) fn new(shared: Arc<Shared>) -> Desk {
+        let registry = shared.metrics.registry();
+        Desk { shared, registry }
+    }
+}
+
+#[async_trait]
+impl Operators for Desk {
+    async fn execute(&self, command: Command) -> Outcome {
+        commands::execute(&self.shared, command).await
+    }
+
+    async fn outcome(&self, command: CommandId) -> Outcome {
+        commands::outcome(&self.shared, command).await
+    }
+
+    fn health(&self) -> Health {
+        Health {
+            host: self.shared.own.host.clone(),
+            data_centre: self.shared.own.data_centre.clone(),
+            serving: self.shared.membership.presence() == Presence::Serving,
+            revision: self.shared.configuration.revision(),
+            platform: self.shared.platform_answers.load(Ordering::Relaxed),
+        }
+    }
+
+    fn metrics(&self) -> String {
+        metrics::encode(&self.registry)
+    }
+
+    fn shared_key(&self) -> &str {
+        &self.shared.settings.shared_key
+    }
+}
--- /dev/null
+++ b/components/node/src/schedule.rs
@@ -0,0 +1,410 @@
+//! Lets waiting work start: one pass over all partitions owned here, urgent work first, fair between teams.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::{Duration, Instant, UNIX_EPOCH};
+
+use jobs::Claimant;
+use model::task::{Attempt, Id};
+use model::workload::{Kind, Priority, Workload};
+use model::{Epoch, Partition, Reason, Resources, TeamId, WorkerId, WorkloadId};
+use place::{Candidate, Cell, Choice, Demand, Policy, Siblings, Usage, Victim, Worker};
+use wire::{ReserveOrder, StartOrder, TaskFact, TaskState};
+
+use crate::shared::Shared;
+use crate::{owner, send};
+
+/// Waiting work is looked at this often even when nothing changed.
+const LOOK: Duration = Duration::from_millis(500);
+/// Two passes keep at least this distance.
+const SPACING: Duration = Duration::from_millis(5);
+/// Batch work that has waited for so long gets room kept for it as it becomes free.
+const RESERVE_AFTER: Duration = Duration::from_secs(30);
+/// Urgent work that finds no room stops patient work after so long.
+const PREEMPT_AFTER: Duration = Duration::from_millis(200);
+/// Tasks of one workload ordered in one pass, so that no pass gets long.
+const MOST_ORDERS: usize = 512;
+/// The first of these many priorities in the seniority of a reservation.
+const SENIORITY_BITS: u32 = 60;
+
+/// Work of one workload that waits, with what the decision needs.
+struct Waiting {
+    partition: Partition,
+    epoch: Epoch,
+    claimant: Claimant,
+    workload: Workload,
+    avoided: Vec<WorkerId>,
+    accepted_ms: u64,
+}
+
+/// Orders made in one pass.
+#[derive(Default)]
+struct Orders {
+    starts: BTreeMap<(Partition, Epoch), Vec<StartOrder>>,
+    reservations: BTreeMap<(Partition, Epoch), Vec<ReserveOrder>>,
+}
+
+/// The view that one pass decides on.
+struct Pass {
+    now: Instant,
+    cell: Cell,
+    usage: HashMap<TeamId, Usage>,
+    tasks: Vec<(Id, Attempt, TaskFact)>,
+    total: Resources,
+    /// Sizes that found no room in this pass: the same or larger ones need not look.
+    full: Vec<(Resources, Choice)>,
+}
+
+/// Looks at waiting work until the process ends.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    loop {
+        let _ = tokio::time::timeout(LOOK, shared.look_again.notified()).await;
+        if !shared.is_stopping() {
+            pass(&shared).await;
+        }
+        tokio::time::sleep(SPACING).await;
+    }
+}
+
+async fn pass(shared: &Arc<Shared>) {
+    let now = Instant::now();
+    let waiting = waiting(shared, now).await;
+    if waiting.is_empty() {
+        return;
+    }
+    let mut pass = Pass::new(shared, now);
+    let mut orders = Orders::default();
+    for at in pass.order(&waiting) {
+        place_one(shared, &mut pass, &waiting[at], &mut orders).await;
+    }
+    for ((partition, epoch), starts) in orders.starts {
+        // Each partition's orders go out on their own: a slow holder must not hold up the next pass.
+        let shared = shared.clone();
+        tokio::spawn(async move { send::starts(&shared, partition, epoch, starts).await });
+    }
+    for ((partition, epoch), reservations) in orders.reservations {
+        send::reservations(shared, partition, epoch, reservations).await;
+    }
+}
+
+async fn waiting(shared: &Arc<Shared>, now: Instant) -> Vec<Waiting> {
+    let mut waiting = Vec::new();
+    for partition in shared.partitions.owned_here() {
+        if !owner::may_act(shared, partition).await {
+            continue;
+        }
+        let found = shared.partitions.with(partition, |owned| {
+            let epoch = owned.book.epoch();
+            let claimants = owned.book.claimants(now).into_iter();
+            let with_job = claimants.filter_map(|claimant| {
+                let job = owned.book.jobs().get(&claimant.workload)?;
+                let accepted = job.versioned.record.accepted_at.duration_since(UNIX_EPOCH).unwrap_or_default();
+                Some(Waiting {
+                    partition,
+                    epoch,
+                    workload: job.workload().clone(),
+                    avoided: job.failures.avoided(now).cloned().collect(),
+                    accepted_ms: accepted.as_millis() as u64,
+                    claimant,
+                })
+            });
+            with_job.collect::<Vec<_>>()
+        });
+        waiting.extend(found.unwrap_or_default());
+    }
+    waiting
+}
+
+impl Pass {
+    fn new(shared: &Shared, now: Instant) -> Pass {
+        let workers = shared.facts.workers();
+        let mut total = Resources::ZERO;
+        let mut cell = Cell::default();
+        for (id, _, fact) in workers {
+            let Some(listed) = shared.listing.get(&id) else { continue };
+            total = total.checked_add(&fact.capacity).unwrap_or(total);
+            cell.put(Worker { id, rack: listed.rack, capacity: fact.capacity, free: fact.free, open: fact.open });
+        }
+        let tasks = shared.facts.tasks();
+        let usage = usage(shared, &tasks);
+        Pass { now, cell, usage, tasks, total, full: Vec::new() }
+    }
+
+    fn order(&self, waiting: &[Waiting]) -> Vec<usize> {
+        let claimants: Vec<place::Claimant> = waiting
+            .iter()
+            .map(|one| place::Claimant {
+                workload: one.workload.name.clone(),
+                team: one.workload.team.clone(),
+                priority: one.workload.priority,
+                waited: self.now.saturating_duration_since(one.claimant.since),
+            })
+            .collect();
+        place::order(&claimants, &self.usage, &self.total)
+    }
+
+    /// How many more tasks of this size the team may have.
+    fn allowance(&self, team: &TeamId, each: &Resources, wanted: usize) -> usize {
+        let Some(usage) = self.usage.get(team) else { return wanted };
+        let mut sum = usage.used;
+        let Some(quota) = usage.quota else { return wanted };
+        for count in 0..wanted {
+            match sum.checked_add(each) {
+                Some(next) if next.fits_in(&quota) => sum = next,
+                _ => return count,
+            }
+        }
+        wanted
+    }
+
+    fn spend(&mut self, team: &TeamId, each: &Resources) {
+        let usage = self.usage.entry(team.clone()).or_default();
+        usage.used = usage.used.checked_add(each).unwrap_or(usage.used);
+    }
+
+    fn known_full(&self, each: &Resources) -> Option<&Choice> {
+        self.full.iter().find(|(size, _)| size.fits_in(each)).map(|(_, choice)| choice)
+    }
+}
+
+/// What each team has committed in this data centre, with its quota.
+pub(crate) fn usage(shared: &Shared, tasks: &[(Id, Attempt, TaskFact)]) -> HashMap<TeamId, Usage> {
+    let mut teams: HashMap<WorkloadId, Option<TeamId>> = HashMap::new();
+    let mut usage: HashMap<TeamId, Usage> = HashMap::new();
+    for (name, team, _) in shared.configuration.teams() {
+        usage.entry(name).or_default().quota = team.quota;
+    }
+    for (task, _, fact) in tasks {
+        if matches!(fact.state, TaskState::Ended(_)) {
+            continue;
+        }
+        let team = teams.entry(task.workload.clone()).or_insert_with(|| {
+            shared.configuration.workload(&task.workload).map(|versioned| versioned.record.workload.team.clone())
+        });
+        let Some(team) = team else { continue };
+        let usage = usage.entry(team.clone()).or_default();
+        usage.used = usage.used.checked_add(&fact.resources).unwrap_or(usage.used);
+    }
+    usage
+}
+
+async fn place_one(shared: &Arc<Shared>, pass: &mut Pass, one: &Waiting, orders: &mut Orders) {
+    let closed = close(pass, &one.avoided);
+    let refused = match one.workload.kind {
+        Kind::Gang => place_gang(shared, pass, one, orders).await,
+        Kind::Service | Kind::Batch => place_each(shared, pass, one, orders),
+    };
+    for at in closed {
+        pass.cell.set_open(at, true);
+    }
+    let Some(choice) = refused else { return };
+    let reason = match &choice {
+        Choice::Waiting(reason) | Choice::Impossible(reason) => reason.clone(),
+        Choice::Placed(_) => return,
+    };
+    shared.partitions.with(one.partition, |owned| owned.book.explain(&one.workload.name, &reason));
+    if let Choice::Waiting(Reason::NoRoom { .. } | Reason::GangIncomplete { .. }) = choice {
+        make_room(pass, one, orders);
+    }
+}
+
+/// Closes workers that failed the workload lately, unless there would be none left. Returns those closed.
+fn close(pass: &mut Pass, avoided: &[WorkerId]) -> Vec<usize> {
+    if avoided.len() >= pass.cell.len() {
+        return Vec::new();
+    }
+    let mut closed = Vec::new();
+    for worker in avoided {
+        let Some(at) = pass.cell.find(worker) else { continue };
+        if pass.cell.is_open(at) {
+            pass.cell.set_open(at, false);
+            closed.push(at);
+        }
+    }
+    closed
+}
+
+fn demand(workload: &Workload) -> Demand {
+    Demand { each: workload.each, kind: workload.kind, policy: Policy::BestFit }
+}
+
+/// Places tasks one by one; returns why the first that stays behind does.
+fn place_each(shared: &Shared, pass: &mut Pass, one: &Waiting, orders: &mut Orders) -> Option<Choice> {
+    let workload = &one.workload;
+    let positions = &one.claimant.positions[..one.claimant.positions.len().min(MOST_ORDERS)];
+    let allowed = pass.allowance(&workload.team, &workload.each, positions.len());
+    let demand = demand(workload);
+    let mut siblings = siblings(pass, workload);
+    for position in &positions[..allowed] {
+        if workload.kind == Kind::Batch
+            && one.avoided.is_empty()
+            && let Some(choice) = pass.known_full(&workload.each)
+        {
+            return Some(choice.clone());
+        }
+        let began = Instant::now();
+        let choice = place::choose(&pass.cell, &demand, &siblings);
+        shared.metrics.decision_seconds.observe(began.elapsed().as_secs_f64());
+        let Choice::Placed(at) = choice else {
+            pass.full.push((workload.each, choice.clone()));
+            return Some(choice);
+        };
+        if !order_one(shared, pass, one, *position, at, orders) {
+            return None;
+        }
+        siblings.add(&pass.cell, at);
+    }
+    if allowed < positions.len() {
+        let quota = pass.usage.get(&workload.team).and_then(|usage| usage.quota).unwrap_or_default();
+        return Some(Choice::Waiting(Reason::OverQuota { team: workload.team.clone(), quota }));
+    }
+    None
+}
+
+fn siblings(pass: &Pass, workload: &Workload) -> Siblings {
+    let mut siblings = Siblings::default();
+    if workload.kind != Kind::Service {
+        return siblings;
+    }
+    for (task, _, fact) in &pass.tasks {
+        let lives = !matches!(fact.state, TaskState::Ended(_) | TaskState::Stopping);
+        if task.workload == workload.name
+            && lives
+            && let Some(at) = pass.cell.find(&fact.worker)
+        {
+            siblings.add(&pass.cell, at);
+        }
+    }
+    siblings
+}
+
+/// Orders one task and takes its room in this pass's view.
+fn order_one(shared: &Shared, pass: &mut Pass, one: &Waiting, position: u32, at: usize, orders: &mut Orders) -> bool {
+    let worker = pass.cell.id(at).clone();
+    let now = Instant::now();
+    let order = shared.partitions.with(one.partition, |owned| {
+        let current = owned.book.epoch() == one.epoch && owned.authority.check(now);
+        current.then(|| owned.book.order(&one.workload.name, position, &worker, now)).flatten()
+    });
+    let Some(order) = order.flatten() else { return false };
+    pass.cell.take(at, &one.workload.each);
+    pass.spend(&one.workload.team, &one.workload.each);
+    orders.starts.entry((one.partition, one.epoch)).or_default().push(order);
+    true
+}
+
+/// Places all tasks of a gang or none. Its room is kept at every holder before the first task is ordered, so
+/// that none starts without the others.
+async fn place_gang(shared: &Arc<Shared>, pass: &mut Pass, one: &Waiting, orders: &mut Orders) -> Option<Choice> {
+    let workload = &one.workload;
+    let count = one.claimant.positions.len();
+    if pass.allowance(&workload.team, &workload.each, count) < count {
+        let quota = pass.usage.get(&workload.team).and_then(|usage| usage.quota).unwrap_or_default();
+        return Some(Choice::Waiting(Reason::OverQuota { team: workload.team.clone(), quota }));
+    }
+    let began = Instant::now();
+    let placed = place::gang(&mut pass.cell, &demand(workload), count as u32);
+    shared.metrics.decision_seconds.observe(began.elapsed().as_secs_f64());
+    let places = match placed {
+        Ok(places) => places,
+        Err(choice) => return Some(choice),
+    };
+    for at in &places {
+        pass.cell.give(*at, &workload.each);
+    }
+    let reservations = keep(pass, one, &places);
+    if !send::reservations(shared, one.partition, one.epoch, reservations).await {
+        return Some(Choice::Waiting(Reason::GangIncomplete { fitting: 0, needed: count as u32 }));
+    }
+    for (position, at) in one.claimant.positions.iter().zip(places) {
+        if !order_one(shared, pass, one, *position, at, orders) {
+            return None;
+        }
+    }
+    None
+}
+
+/// One reservation for each worker that gets tasks.
+fn keep(pass: &Pass, one: &Waiting, places: &[usize]) -> Vec<ReserveOrder> {
+    let mut sums: BTreeMap<usize, Resources> = BTreeMap::new();
+    for at in places {
+        let sum = sums.entry(*at).or_default();
+        *sum = sum.checked_add(&one.workload.each).unwrap_or(*sum);
+    }
+    let order = |(at, resources)| reservation(one, pass.cell.id(at).clone(), resources, Vec::new());
+    sums.into_iter().map(order).collect()
+}
+
+fn reservation(one: &Waiting, worker: WorkerId, resources: Resources, victims: Vec<(Id, Attempt)>) -> ReserveOrder {
+    ReserveOrder { worker, workload: one.workload.name.clone(), resources, seniority: seniority(one), victims }
+}
+
+/// Lower is more senior: by priority, then by time of acceptance. The same at every host.
+fn seniority(one: &Waiting) -> u64 {
+    let tier = match one.workload.priority {
+        Priority::Urgent => 0,
+        Priority::Normal => 1,
+        Priority::Patient => 2,
+    };
+    (tier << SENIORITY_BITS) | (one.accepted_ms & ((1 << SENIORITY_BITS) - 1))
+}
+
+/// For work that found no room: stops patient work for urgent work, and keeps room for what waits long.
+fn make_room(pass: &mut Pass, one: &Waiting, orders: &mut Orders) {
+    let waited = pass.now.saturating_duration_since(one.claimant.since);
+    let urgent = one.workload.priority == Priority::Urgent && waited >= PREEMPT_AFTER;
+    if !urgent && waited < RESERVE_AFTER {
+        return;
+    }
+    let mut candidates = candidates(pass, urgent);
+    let mut reserved = Vec::new();
+    for _ in &one.claimant.positions[..one.claimant.positions.len().min(MOST_ORDERS)] {
+        let Some(preemption) = place::preempt(&candidates, &one.workload.each) else { break };
+        let victims: BTreeSet<(Id, Attempt)> =
+            preemption.victims.iter().map(|victim| (victim.task.clone(), victim.attempt)).collect();
+        for candidate in candidates.iter_mut().filter(|candidate| candidate.worker == preemption.worker) {
+            use_up(candidate, &victims, &one.workload.each);
+        }
+        let stopped: Vec<(Id, Attempt)> = if urgent { victims.into_iter().collect() } else { Vec::new() };
+        reserved.push((preemption.worker, stopped));
+    }
+    let mut by_worker: BTreeMap<WorkerId, (Resources, Vec<(Id, Attempt)>)> = BTreeMap::new();
+    for (worker, victims) in reserved {
+        let entry = by_worker.entry(worker).or_default();
+        entry.0 = entry.0.checked_add(&one.workload.each).unwrap_or(entry.0);
+        entry.1.extend(victims);
+    }
+    let new = by_worker.into_iter().map(|(worker, (size, victims))| reservation(one, worker, size, victims));
+    orders.reservations.entry((one.partition, one.epoch)).or_default().extend(new);
+}
+
+/// Workers with what could make room there: for urgent work the patient tasks that may be stopped; for work
+/// that only waits long all tasks that will end by themselves.
+fn candidates(pass: &Pass, urgent: bool) -> Vec<Candidate> {
+    let mut by_worker: HashMap<&WorkerId, Vec<Victim>> = HashMap::new();
+    for (task, attempt, fact) in &pass.tasks {
+        let ends = matches!(fact.state, TaskState::Running(None) | TaskState::Starting);
+        let patient = fact.patient && matches!(fact.state, TaskState::Running(_) | TaskState::Starting);
+        if (urgent && patient) || (!urgent && ends) {
+            let victim =
+                Victim { task: task.clone(), attempt: *attempt, resources: fact.resources, unsaved: Duration::ZERO };
+            by_worker.entry(&fact.worker).or_default().push(victim);
+        }
+    }
+    (0..pass.cell.len())
+        .filter(|at| pass.cell.is_open(*at))
+        .map(|at| {
+            let worker = pass.cell.id(at).clone();
+            let patient = by_worker.remove(&worker).unwrap_or_default();
+            Candidate { worker, free: pass.cell.free(at), patient }
+        })
+        .collect()
+}
+
+fn use_up(candidate: &mut Candidate, victims: &BTreeSet<(Id, Attempt)>, size: &Resources) {
+    for victim in candidate.patient.iter().filter(|victim| victims.contains(&(victim.task.clone(), victim.attempt))) {
+        candidate.free = candidate.free.checked_add(&victim.resources).unwrap_or(candidate.free);
+    }
+    candidate.patient.retain(|victim| !victims.contains(&(victim.task.clone(), victim.attempt)));
+    candidate.free = candidate.free.saturating_sub(size);
+}
--- /dev/null
+++ b/components/node/src/services.rs
@@ -0,0 +1,49 @@
+//! Tells the gateway where the instances of each service answer, and which hosts share them.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gateway::{Neighbour, Topology};
+use model::WorkloadId;
+use request::Instance;
+use wire::TaskState;
+
+use crate::shared::Shared;
+
+/// Two refreshes keep at least this distance.
+const SPACING: Duration = Duration::from_millis(20);
+/// The gateway is told anew this often even when nothing changed.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Notes that instances may have changed.
+pub(crate) fn refresh(shared: &Shared) {
+    shared.services_changed.notify_one();
+}
+
+/// Keeps the gateway up to date until the process ends.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    loop {
+        let _ = tokio::time::timeout(LOOK, shared.services_changed.notified()).await;
+        tell(&shared);
+        tokio::time::sleep(SPACING).await;
+    }
+}
+
+fn tell(shared: &Shared) {
+    let mut services: BTreeMap<WorkloadId, Vec<Instance>> = BTreeMap::new();
+    for (task, attempt, fact) in shared.facts.tasks() {
+        let TaskState::Running(Some(address)) = fact.state else { continue };
+        let instance = Instance { name: format!("{task} {attempt}"), address };
+        services.entry(task.workload).or_default().push(instance);
+    }
+    let hosts = shared.membership.live_in(shared.data_centre());
+    let neighbours = shared.membership.reachable().into_iter().map(|member| Neighbour {
+        host: member.peer.host.clone(),
+        data_centre: member.peer.data_centre.clone(),
+        relay: member.peer.relay,
+        live: shared.membership.state(&member.peer.host) == Some(member::State::Live),
+    });
+    let topology = Topology { hosts, neighbours: neighbours.collect(), certain: shared.membership.echoed() };
+    shared.gateway.update(services, topology);
+}
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -46,6 +46,8 @@
     pub(crate) gateway: Arc<Gateway>,
     /// Set when something may let waiting work start.
     pub(crate) look_again: Notify,
+    /// Set when service instances may have changed.
+    pub(crate) services_changed: Notify,
     pub(crate) stopping: watch::Sender<bool>,
 }
 
--- /dev/null
+++ b/components/node/src/start.rs
@@ -0,0 +1,174 @@
+//! Starts an entry host and runs it until it is told to stop.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::{Duration, Instant};
+
+use claim::Owner;
+use gateway::Gateway;
+use member::Peer;
+use metrics::Metrics;
+use platform::{Budget, Client, ListClient};
+use settings::Settings;
+use slog::Logger;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::{Notify, watch};
+
+use crate::commit::Committer;
+use crate::configuration::Configuration;
+use crate::facts::Facts;
+use crate::holds::Holds;
+use crate::listing::Listing;
+use crate::membership::Membership;
+use crate::operators::Desk;
+use crate::owner::Partitions;
+use crate::peers::Links;
+use crate::shared::{Shared, incarnation};
+use crate::{commit, configuration, facts, holds, listing, membership, owner, peers, schedule, services, stop, usage};
+
+/// Why an entry host could not be started.
+#[derive(Debug)]
+pub enum Fault {
+    /// An own address can't be listened on.
+    Listen {
+        /// The field of the settings.
+        field: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        why: String,
+    },
+}
+
+impl std::fmt::Display for Fault {
+    fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Fault::Listen { field, address, why } => write!(out, "{field}: can't listen on {address}: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for Fault {}
+
+/// Connections that peers may relay requests over.
+const RELAY_CONNECTIONS: usize = 4096;
+
+struct Sockets {
+    callers: TcpListener,
+    relay: TcpListener,
+    peers: TcpListener,
+    digests: UdpSocket,
+}
+
+/// Runs an entry host until `told` completes and the planned stop has ended.
+pub async fn run(settings: Settings, log: Logger, told: impl Future<Output = ()>) -> Result<(), Fault> {
+    let sockets = listen(&settings).await?;
+    let shared = assemble(settings, log);
+    let operators =
+        api::start(shared.settings.listen.operators, Arc::new(Desk::new(shared.clone())), &events::silent()).map_err(
+            |why| Fault::Listen { field: "listen.operators", address: shared.settings.listen.operators, why },
+        )?;
+    let (stop_serving, servers) = serve(&shared, sockets);
+    events::emit!(shared.log, events::STARTED, "incarnation" => shared.owner.incarnation);
+    told.await;
+    stop::leave(&shared).await;
+    stop_serving.send_replace(true);
+    for server in servers {
+        let _ = server.await;
+    }
+    let _ = tokio::time::timeout(Duration::from_secs(2), operators.close()).await;
+    stop::gone(&shared).await;
+    Ok(())
+}
+
+async fn listen(settings: &Settings) -> Result<Sockets, Fault> {
+    let addresses = &settings.listen;
+    let fault = |field: &'static str, address: SocketAddr| {
+        move |why: io::Error| Fault::Listen { field, address, why: why.to_string() }
+    };
+    Ok(Sockets {
+        callers: TcpListener::bind(addresses.callers).await.map_err(fault("listen.callers", addresses.callers))?,
+        relay: TcpListener::bind(addresses.relay).await.map_err(fault("listen.relay", addresses.relay))?,
+        peers: TcpListener::bind(addresses.peers).await.map_err(fault("listen.peers", addresses.peers))?,
+        digests: UdpSocket::bind(addresses.peers).await.map_err(fault("listen.peers", addresses.peers))?,
+    })
+}
+
+fn assemble(settings: Settings, log: Logger) -> Arc<Shared> {
+    let now = Instant::now();
+    let own = Peer {
+        host: settings.host.clone(),
+        data_centre: settings.data_centre.clone(),
+        peers: settings.listen.peers,
+        relay: settings.listen.relay,
+    };
+    let owner = Owner { host: own.host.clone(), incarnation: incarnation() };
+    let metrics = Metrics::default();
+    let budget = Arc::new(Budget::new(f64::from(settings.platform.calls_per_second), now));
+    let (address, timeout) = (settings.platform.address, settings.platform.timeout);
+    Arc::new(Shared {
+        store: Arc::new(Client::new(address, timeout, budget.clone())),
+        lister: Arc::new(ListClient::new(address, timeout, budget.clone())),
+        budget,
+        platform_answers: AtomicBool::new(false),
+        links: Links::new(wire::Key::new(&settings.shared_key), metrics.clone()),
+        membership: Membership::new(own.clone(), owner.incarnation, settings.membership.dead_after),
+        configuration: Configuration::new(),
+        listing: Listing::default(),
+        facts: Facts::new(own.host.clone()),
+        holds: Holds::default(),
+        partitions: Partitions::new(settings.tasks.partitions, now),
+        committer: Committer::new(),
+        gateway: Gateway::new(&settings, metrics.clone(), log.clone()),
+        look_again: Notify::new(),
+        services_changed: Notify::new(),
+        stopping: watch::Sender::new(false),
+        metrics,
+        own,
+        owner,
+        log,
+        settings,
+    })
+}
+
+type Servers = Vec<tokio::task::JoinHandle<()>>;
+
+/// Starts all loops and servers. The callers' and relay servers end after the returned signal.
+fn serve(shared: &Arc<Shared>, sockets: Sockets) -> (watch::Sender<bool>, Servers) {
+    let digests = Arc::new(sockets.digests);
+    tokio::spawn(membership::hear(shared.clone(), digests.clone()));
+    tokio::spawn(membership::speak(shared.clone(), digests));
+    tokio::spawn(peers::serve(shared.clone(), sockets.peers));
+    tokio::spawn(configuration::follow(shared.clone()));
+    tokio::spawn(listing::follow(shared.clone()));
+    tokio::spawn(facts::follow(shared.clone()));
+    tokio::spawn(holds::run(shared.clone()));
+    tokio::spawn(owner::run(shared.clone()));
+    tokio::spawn(schedule::run(shared.clone()));
+    tokio::spawn(commit::run(shared.clone()));
+    tokio::spawn(services::run(shared.clone()));
+    tokio::spawn(usage::run(shared.clone()));
+
+    let stop_serving = watch::Sender::new(false);
+    let grace = shared.settings.stop_within;
+    let connections = shared.settings.requests.connections as usize;
+    let gateway = shared.gateway.clone();
+    let callers = move |request, _| gateway.clone().from_caller(request);
+    let gateway = shared.gateway.clone();
+    let hosts = move |request, _| gateway.clone().from_host(request);
+    let servers = vec![
+        tokio::spawn(web::serve(sockets.callers, connections, stopped(&stop_serving), grace, callers)),
+        tokio::spawn(web::serve(sockets.relay, RELAY_CONNECTIONS, stopped(&stop_serving), grace, hosts)),
+    ];
+    (stop_serving, servers)
+}
+
+fn stopped(signal: &watch::Sender<bool>) -> impl Future<Output = ()> + use<> {
+    let mut receiver = signal.subscribe();
+    async move {
+        let _ = receiver.wait_for(|stop| *stop).await;
+    }
+}
--- /dev/null
+++ b/components/node/src/usage.rs
@@ -0,0 +1,49 @@
+//! What this process itself costs: processor time and memory, for the metrics.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use platform::Use;
+
+use crate::shared::Shared;
+
+const EVERY: Duration = Duration::from_secs(2);
+/// Clock ticks a second in `/proc`, fixed on Linux.
+const TICKS: u64 = 100;
+const PAGE: u64 = 4096;
+
+/// Measures until the process ends.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    let mut counted = [0; Use::ALL.len()];
+    loop {
+        tokio::time::sleep(EVERY).await;
+        if let Some(milliseconds) = cpu_milliseconds() {
+            shared.metrics.cpu_milliseconds.set(milliseconds as i64);
+        }
+        if let Some(bytes) = resident_bytes() {
+            shared.metrics.resident_bytes.set(bytes as i64);
+        }
+        let counts = shared.budget.counts();
+        for (at, usage) in Use::ALL.into_iter().enumerate() {
+            let label = metrics::Usage { usage: usage.name() };
+            shared.metrics.platform_calls.get_or_create(&label).inc_by(counts[at] - counted[at]);
+        }
+        counted = counts;
+    }
+}
+
+/// User and system time, fields 14 and 15 of `/proc/self/stat`, counted after the name in brackets.
+fn cpu_milliseconds() -> Option<u64> {
+    let stat = std::fs::read_to_string("/proc/self/stat").ok()?;
+    let (_, fields) = stat.rsplit_once(')')?;
+    let mut fields = fields.split_whitespace().skip(11);
+    let user: u64 = fields.next()?.parse().ok()?;
+    let system: u64 = fields.next()?.parse().ok()?;
+    Some((user + system) * 1000 / TICKS)
+}
+
+fn resident_bytes() -> Option<u64> {
+    let statm = std::fs::read_to_string("/proc/self/statm").ok()?;
+    let pages: u64 = statm.split_whitespace().nth(1)?.parse().ok()?;
+    Some(pages * PAGE)
+}
--- a/components/place/src/cell.rs
+++ b/components/place/src/cell.rs
@@ -119,6 +119,11 @@
         };
     }
 
+    /// Whether a worker takes new tasks.
+    pub fn is_open(&self, at: WorkerIndex) -> bool {
+        self.slots[at].open
+    }
+
     /// Opens a worker for new tasks, or closes it.
     pub fn set_open(&mut self, at: WorkerIndex, open: bool) {
         self.slots[at].open = open;
--- a/components/request/src/keys.rs
+++ b/components/request/src/keys.rs
@@ -106,6 +106,14 @@
         Begin::First
     }
 
+    /// The answer to a key, when it is remembered.
+    pub fn get(&self, key: &Key) -> Option<A> {
+        match self.entries.get(&key.id) {
+            Some(Entry::Answered(answer)) => Some(answer.clone()),
+            _ => None,
+        }
+    }
+
     /// The request was answered.
     pub fn answered(&mut self, key: &Key, answer: A) {
         self.set(key, Entry::Answered(answer));
--- a/components/request/src/pool.rs
+++ b/components/request/src/pool.rs
@@ -152,6 +152,19 @@
         }
     }
 
+    /// Whether [`Pool::pick`] would find a slot.
+    pub fn has_free(&mut self, now: Instant) -> bool {
+        self.use_gains(now);
+        self.members.values().any(|member| member.open(now))
+    }
+
+    /// Gives a slot back that was not used.
+    pub fn cancel(&mut self, pick: &Pick) {
+        if let Some(member) = self.members.get_mut(&pick.name) {
+            member.in_use = member.in_use.saturating_sub(1);
+        }
+    }
+
     /// Gives a slot back, with the time that the answer took; `None` when the instance failed.
     pub fn done(&mut self, pick: &Pick, took: Option<Duration>, now: Instant) {
         let median = self.median_seconds();
--- a/components/web/src/client.rs
+++ b/components/web/src/client.rs
@@ -43,6 +43,7 @@
     pool: Pool<HttpConnector, Full<Bytes>>,
     timeout: Duration,
     limit: usize,
+    bearer: Option<http::HeaderValue>,
 }
 
 impl Client {
@@ -53,7 +54,13 @@
         connector.set_nodelay(true);
         let pool =
             Pool::builder(TokioExecutor::new()).pool_timer(TokioTimer::new()).pool_idle_timeout(IDLE).build(connector);
-        Client { pool, timeout, limit }
+        Client { pool, timeout, limit, bearer: None }
+    }
+
+    /// Shows a key as a bearer token with each call. A key that can't stand in a header is left out.
+    pub fn with_bearer(mut self, key: &str) -> Client {
+        self.bearer = http::HeaderValue::from_str(&format!("Bearer {key}")).ok();
+        self
     }
 
     /// Sends `body` by POST and reads the JSON answer.
@@ -68,7 +75,10 @@
     }
 
     async fn call<A: DeserializeOwned>(&self, method: Method, url: &str, body: Bytes) -> Result<A, Fault> {
-        let request = request(method, url, body)?;
+        let mut request = request(method, url, body)?;
+        if let Some(bearer) = &self.bearer {
+            request.headers_mut().insert(http::header::AUTHORIZATION, bearer.clone());
+        }
         let exchange = self.exchange(request);
         let bytes = tokio::time::timeout(self.timeout, exchange)
             .await
