Run the whole path as separate processes: the example cell

Cause of a stuck first run: ends of tasks never reached owners at other hosts. Ruled out: a deadlock (no thread waited for a lock of ours), lost wake-ups (timers and digests went on). postcard can't read enums that are tagged within their fields, and the pull dropped the fault silently. Also found: two locks of the membership table taken in two orders; now one lock.

--- /dev/null
+++ b/bins/walkhookd/examples/cell/main.rs
@@ -0,0 +1,69 @@
+//! A whole cell on this machine, each part its own process: a stand-in platform, two data centres with two
+//! entry hosts each, stand-in workers, and the backend servers that the placed service instances become.
+//!
+//! `cargo run --release --example cell` submits `plan.yaml`, sends requests through two entry hosts, prints
+//! what runs where and why and every answer, and stops everything cleanly. With `-- --stay` it stays up and
+//! prints the commands to try.
+
+mod callers;
+mod processes;
+mod roles;
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use anyhow::{Result, ensure};
+use processes::Cell;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    if let Some((first, rest)) = arguments.split_first()
+        && first == "--role"
+    {
+        return roles::run(rest);
+    }
+    let stay = arguments.iter().any(|argument| argument == "--stay");
+    let runtime = tokio::runtime::Runtime::new().expect("threads for the example");
+    match runtime.block_on(show(stay)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("{fault:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn show(stay: bool) -> Result<()> {
+    let mut cell = Cell::start().await?;
+    println!("cell is up: 1 platform, {} entry hosts, {} workers", cell.hosts.len(), cell.workers);
+
+    let plan = include_str!("plan.yaml");
+    let outcome = cell.execute("submit plan.yaml", Some(plan)).await?;
+    println!("\n> submit plan.yaml\n{}", outcome.message);
+    cell.until("show tasks where state = running and kind = service", 8).await?;
+    cell.until("show tasks where state = finished", 10).await?;
+    for statement in [
+        "show workloads",
+        "show tasks",
+        "show workers",
+        "show hosts",
+        "why task planner.gt-1.0",
+        "why workload corridor-plan",
+    ] {
+        cell.print(statement).await?;
+    }
+
+    callers::send(&cell).await?;
+    cell.print("show requests").await?;
+    callers::compare(&cell).await?;
+    cell.print_costs();
+
+    if stay {
+        cell.print_commands();
+        tokio::signal::ctrl_c().await?;
+    }
+    let codes = cell.stop(Duration::from_secs(20)).await;
+    println!("\nstopped: exit codes of the entry hosts {codes:?}");
+    ensure!(codes.iter().all(|code| *code == Some(0)), "an entry host did not stop cleanly");
+    Ok(())
+}
--- /dev/null
+++ b/bins/walkhookd/examples/cell/processes.rs
@@ -0,0 +1,296 @@
+//! Starts and stops the processes of the cell, and speaks to its operators' interface.
+
+use std::fs::File;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, Result, bail, ensure};
+use api::{Outcome, Status};
+use model::Resources;
+use platform::{Host, Kind};
+use uuid::Uuid;
+
+const KEY: &str = "the shared key of the example cell";
+const DATA_CENTRES: [&str; 2] = ["gt-1", "gt-2"];
+const HOSTS_EACH: usize = 2;
+const WORKERS_EACH: usize = 3;
+const CORES: u32 = 16;
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Addresses of one entry host.
+#[derive(Clone, Debug)]
+pub(crate) struct Entry {
+    pub(crate) name: String,
+    data_centre: &'static str,
+    pub(crate) callers: SocketAddr,
+    pub(crate) operators: SocketAddr,
+    peers: SocketAddr,
+    relay: SocketAddr,
+}
+
+struct Part {
+    name: String,
+    process: Child,
+}
+
+/// The running cell.
+pub(crate) struct Cell {
+    folder: PathBuf,
+    parts: Vec<Part>,
+    pub(crate) hosts: Vec<Entry>,
+    pub(crate) workers: usize,
+    http: web::Client,
+}
+
+fn free_address() -> Result<SocketAddr> {
+    Ok(TcpListener::bind(("127.0.0.1", 0))?.local_addr()?)
+}
+
+fn free_addresses<const N: usize>() -> Result<[SocketAddr; N]> {
+    // All are taken at once, so that no two are the same.
+    let taken: Vec<TcpListener> =
+        (0..N).map(|_| TcpListener::bind(("127.0.0.1", 0))).collect::<std::io::Result<_>>()?;
+    let addresses: Vec<SocketAddr> = taken.iter().map(TcpListener::local_addr).collect::<std::io::Result<_>>()?;
+    addresses.try_into().map_err(|_| anyhow::anyhow!("too few addresses"))
+}
+
+impl Cell {
+    /// Starts all parts and waits until every entry host serves.
+    pub(crate) async fn start() -> Result<Cell> {
+        let folder = std::env::temp_dir().join(format!("walkhook-cell-{}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        let http = web::Client::new(Duration::from_secs(10), 16 * 1024 * 1024).with_bearer(KEY);
+        let mut cell = Cell { folder, parts: Vec::new(), hosts: Vec::new(), workers: 0, http };
+        let platform = free_address()?;
+        cell.spawn("platform", &["platform", &platform.to_string()])?;
+        cell.until_open(platform).await?;
+        cell.start_workers(platform).await?;
+        cell.start_hosts(platform)?;
+        for host in cell.hosts.clone() {
+            cell.until_open(host.operators).await?;
+        }
+        let hosts = cell.hosts.len();
+        cell.until("show hosts where state != dead", hosts).await?;
+        cell.until("show workers where state = live", cell.workers).await?;
+        for host in &cell.hosts {
+            cell.until_ready(host.callers).await?;
+        }
+        Ok(cell)
+    }
+
+    fn spawn(&mut self, name: &str, role: &[&str]) -> Result<()> {
+        let log = File::create(self.folder.join(format!("{name}.log")))?;
+        let process = Command::new(std::env::current_exe()?)
+            .arg("--role")
+            .args(role)
+            .stdin(Stdio::null())
+            .stderr(log.try_clone()?)
+            .stdout(log)
+            .spawn()
+            .with_context(|| format!("can't start {name}"))?;
+        self.parts.push(Part { name: name.to_owned(), process });
+        Ok(())
+    }
+
+    async fn start_workers(&mut self, platform: SocketAddr) -> Result<()> {
+        for data_centre in DATA_CENTRES {
+            for number in 0..WORKERS_EACH {
+                let (name, address) = (format!("{data_centre}-w{number}"), free_address()?);
+                self.spawn(&name, &["worker", &address.to_string(), &CORES.to_string()])?;
+                self.until_open(address).await?;
+                let host = Host {
+                    name,
+                    kind: Kind::Worker,
+                    data_centre: data_centre.to_owned(),
+                    rack: format!("rack-{}", number % 2),
+                    address,
+                    capacity: Resources::new(CORES, CORES * 4096, 0),
+                    leaving: false,
+                };
+                self.http.post::<_, ()>(&format!("http://{platform}/list"), &host).await?;
+                self.workers += 1;
+            }
+        }
+        Ok(())
+    }
+
+    fn start_hosts(&mut self, platform: SocketAddr) -> Result<()> {
+        for data_centre in DATA_CENTRES {
+            for number in 0..HOSTS_EACH {
+                let [callers, operators, peers, relay] = free_addresses()?;
+                let name = format!("{data_centre}-e{number}");
+                self.hosts.push(Entry { name, data_centre, callers, operators, peers, relay });
+            }
+        }
+        for host in self.hosts.clone() {
+            let file = self.folder.join(format!("{}.yaml", host.name));
+            std::fs::write(&file, settings(&host, &self.hosts[0], platform))?;
+            self.spawn(&host.name, &["walkhookd", &file.display().to_string()])?;
+        }
+        Ok(())
+    }
+
+    async fn until_open(&self, address: SocketAddr) -> Result<()> {
+        let began = Instant::now();
+        while tokio::net::TcpStream::connect(address).await.is_err() {
+            ensure!(began.elapsed() < PATIENCE, "nothing listens on {address}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        Ok(())
+    }
+
+    /// Waits, as the balancer does, until an entry host says that it takes callers' requests.
+    async fn until_ready(&self, callers: SocketAddr) -> Result<()> {
+        let began = Instant::now();
+        while self.http.get::<String>(&format!("http://{callers}/-/health")).await.is_err() {
+            ensure!(began.elapsed() < PATIENCE, "{callers} does not get ready");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        Ok(())
+    }
+
+    /// Carries a statement out at the first entry host that answers.
+    pub(crate) async fn execute(&self, statement: &str, plan: Option<&str>) -> Result<Outcome> {
+        let command =
+            api::Command { statement: statement.to_owned(), command: Uuid::new_v4(), plan: plan.map(str::to_owned) };
+        let url = format!("http://{}/v1/statements", self.hosts[0].operators);
+        let outcome: Outcome = self.http.post(&url, &command).await?;
+        ensure!(outcome.status == Status::Done, "{statement}: {}", outcome.message);
+        Ok(outcome)
+    }
+
+    /// Waits until a statement shows at least so many rows.
+    pub(crate) async fn until(&self, statement: &str, rows: usize) -> Result<()> {
+        let began = Instant::now();
+        loop {
+            let outcome = self.execute(statement, None).await?;
+            let found = outcome.table.map_or(0, |table| table.rows.len());
+            if found >= rows {
+                return Ok(());
+            }
+            if began.elapsed() > PATIENCE {
+                bail!("{statement}: {found} rows, expected {rows}; logs in {}", self.folder.display());
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    pub(crate) async fn print(&self, statement: &str) -> Result<()> {
+        let outcome = self.execute(statement, None).await?;
+        println!("\n> {statement}");
+        let Some(table) = outcome.table else { return Ok(()) };
+        let all = || std::iter::once(&table.columns).chain(&table.rows);
+        let width = |at: usize| all().map(|row| row.get(at).map_or(0, String::len)).max().unwrap_or(0);
+        for row in all() {
+            let cells = row.iter().enumerate().map(|(at, cell)| format!("{cell:<width$}", width = width(at)));
+            println!("{}", cells.collect::<Vec<_>>().join("  ").trim_end());
+        }
+        Ok(())
+    }
+
+    /// Processor time and memory of each process so far.
+    pub(crate) fn print_costs(&self) {
+        println!("\nprocess    cpu ms  resident KiB");
+        for part in &self.parts {
+            let (cpu, memory) = costs(part.process.id()).unwrap_or_default();
+            println!("{:<9} {cpu:>7} {memory:>13}", part.name);
+        }
+    }
+
+    pub(crate) fn print_commands(&self) {
+        println!("\nthe cell stays up; try, from another terminal:");
+        println!("  export WALKHOOK_KEY='{KEY}'");
+        println!("  cargo run --release --bin walkhook -- --entry {} show tasks", self.hosts[0].operators);
+        println!("  curl -i -H 'x-team: rail' http://{}/slots/7", self.hosts[0].callers);
+        println!("press Ctrl-C to stop it");
+    }
+
+    /// Stops the entry hosts by SIGTERM and waits for them; then ends the stand-ins.
+    pub(crate) async fn stop(&mut self, patience: Duration) -> Vec<Option<i32>> {
+        let names: Vec<&String> = self.hosts.iter().map(|host| &host.name).collect();
+        let (hosts, others): (Vec<Part>, Vec<Part>) =
+            std::mem::take(&mut self.parts).into_iter().partition(|part| names.contains(&&part.name));
+        for part in &hosts {
+            let _ = Command::new("kill").args(["-TERM", &part.process.id().to_string()]).status();
+        }
+        let mut codes = Vec::new();
+        for mut part in hosts {
+            codes.push(exit_code(&mut part.process, patience).await);
+        }
+        for mut part in others {
+            let _ = part.process.kill();
+            let _ = part.process.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+        codes
+    }
+}
+
+impl Drop for Cell {
+    fn drop(&mut self) {
+        for part in &mut self.parts {
+            let _ = part.process.kill();
+            let _ = part.process.wait();
+        }
+    }
+}
+
+async fn exit_code(process: &mut Child, patience: Duration) -> Option<i32> {
+    let began = Instant::now();
+    while began.elapsed() < patience {
+        if let Ok(Some(status)) = process.try_wait() {
+            return status.code();
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let _ = process.kill();
+    let _ = process.wait();
+    None
+}
+
+/// Processor milliseconds and resident KiB of a process.
+fn costs(id: u32) -> Option<(u64, u64)> {
+    let process = Path::new("/proc").join(id.to_string());
+    let stat = std::fs::read_to_string(process.join("stat")).ok()?;
+    let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+    let ticks: u64 = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+    let pages: u64 = std::fs::read_to_string(process.join("statm")).ok()?.split_whitespace().nth(1)?.parse().ok()?;
+    Some((ticks * 10, pages * 4))
+}
+
+fn settings(host: &Entry, seed: &Entry, platform: SocketAddr) -> String {
+    let Entry { name, data_centre, callers, operators, peers, relay } = host;
+    let all = DATA_CENTRES.join(", ");
+    format!(
+        "cell: example
+host: {name}
+data_centre: {data_centre}
+data_centres: [{all}]
+listen:
+  callers: {callers}
+  operators: {operators}
+  peers: {peers}
+  relay: {relay}
+seeds: [{seed}]
+platform:
+  address: {platform}
+shared_key: {KEY}
+log: debug
+classes:
+  - name: slot-check
+    path: /slots
+    service: planner
+    priority: urgent
+    deadline: 1s
+    repeatable: true
+  - name: slot-booking
+    path: /bookings
+    service: planner
+    priority: urgent
+    deadline: 2s
+",
+        seed = seed.peers
+    )
+}
--- /dev/null
+++ b/bins/walkhookd/examples/cell/roles.rs
@@ -0,0 +1,41 @@
+//! The parts of the cell, each run as a process of its own by this same program.
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use fakes::{Platform, Worker};
+use model::Resources;
+
+/// Runs the part that the words name: `platform ADDRESS`, `worker ADDRESS CORES`, `walkhookd SETTINGS`.
+pub(crate) fn run(words: &[String]) -> ExitCode {
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    match words.as_slice() {
+        ["platform", address] => {
+            let address = address.parse().expect("an address");
+            block_on(async move {
+                let _platform = Platform::start(address).await.expect("a free address");
+                std::future::pending::<()>().await;
+            })
+        }
+        ["worker", address, cores] => {
+            let address = address.parse().expect("an address");
+            let cores: u32 = cores.parse().expect("a number of cores");
+            block_on(async move {
+                let capacity = Resources::new(cores, cores * 4096, 0);
+                let _worker = Worker::start(address, capacity).await.expect("a free address");
+                std::future::pending::<()>().await;
+            })
+        }
+        ["walkhookd", settings] => {
+            let cli = walkhookd::cli::Cli::from_args(&["walkhookd"], &["--settings", settings]);
+            walkhookd::main(&cli.expect("good arguments"))
+        }
+        other => panic!("no such part: {other:?}"),
+    }
+}
+
+fn block_on(part: impl Future<Output = ()>) -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    runtime.expect("threads for the part").block_on(part);
+    ExitCode::SUCCESS
+}
--- a/components/fakes/src/platform.rs
+++ b/components/fakes/src/platform.rs
@@ -216,6 +216,13 @@
         "/v3/watch" => start_watch(shared, request).await,
         "/v1/hosts" => web::json(StatusCode::OK, &shared.state.lock().list),
         "/counts" => web::json(StatusCode::OK, &shared.state.lock().counts),
+        "/list" => {
+            with(request, |host| {
+                add_to_list(&shared, host);
+                web::json(StatusCode::OK, &())
+            })
+            .await
+        }
         "/control" => {
             with(request, |control| {
                 apply_control(&shared, control);
--- a/components/gateway/src/accept.rs
+++ b/components/gateway/src/accept.rs
@@ -78,6 +78,9 @@
     if gateway.is_leaving() {
         return web::json(StatusCode::SERVICE_UNAVAILABLE, &"leaving");
     }
+    if !gateway.is_ready() {
+        return web::json(StatusCode::SERVICE_UNAVAILABLE, &"starting");
+    }
     web::json(StatusCode::OK, &"serving")
 }
 
--- a/components/gateway/src/service.rs
+++ b/components/gateway/src/service.rs
@@ -69,6 +69,9 @@
         let now = Instant::now();
         let receiver = {
             let mut state = self.state.lock();
+            if state.pool.instances() == 0 {
+                return Err(Refusal { why: Why::NoInstance, retry_after: Duration::from_secs(1) });
+            }
             let free = state.pool.has_free(now);
             let slots = state.pool.capacity().0;
             let mean = state.pool.mean_seconds().map(Duration::from_secs_f64);
@@ -123,7 +126,7 @@
 
 impl State {
     fn take(&mut self, now: Instant) -> Grant {
-        self.pool.pick(None, now).ok_or(Refusal { why: Why::NoInstance, retry_after: Duration::from_secs(1) })
+        self.pool.pick(None, now).ok_or(Refusal { why: Why::NoShare, retry_after: Duration::from_secs(1) })
     }
 
     /// Hands free slots to those that wait, and refuses those whose deadline came.
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -93,6 +93,10 @@
     pub(crate) log: Logger,
     teams: Mutex<BTreeSet<TeamId>>,
     leaving: AtomicBool,
+    ready: AtomicBool,
+    /// Since when the live hosts of the data centre have been what they are.
+    settled: Mutex<(Vec<HostId>, Instant)>,
+    settle: Duration,
 }
 
 impl Gateway {
@@ -117,6 +121,9 @@
             log,
             teams: Mutex::default(),
             leaving: AtomicBool::new(false),
+            ready: AtomicBool::new(false),
+            settled: Mutex::new((Vec::new(), Instant::now())),
+            settle: gain_after,
         })
     }
 
@@ -135,9 +142,26 @@
                 events::emit!(self.log, events::KEYS_UNCERTAIN);
             }
         }
+        self.note_settled(&topology.hosts, now);
         *self.topology.write() = topology;
     }
 
+    /// A host that just started has no share of the slots until its neighbours can have seen it.
+    fn note_settled(&self, hosts: &[HostId], now: Instant) {
+        let mut settled = self.settled.lock();
+        if settled.0 != hosts {
+            *settled = (hosts.to_vec(), now);
+        }
+        if now.duration_since(settled.1) >= self.settle {
+            self.ready.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Whether the balancer may send requests here.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Relaxed)
+    }
+
     /// Tells the balancer that this host is on its way out. Requests are still served.
     pub fn leave(&self) {
         self.leaving.store(true, Ordering::Relaxed);
--- a/components/model/src/task.rs
+++ b/components/model/src/task.rs
@@ -68,8 +68,10 @@
 }
 
 /// How an attempt ended, as its worker tells it.
+///
+/// Travels in `postcard` too, which can't read enums that are tagged within their fields.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, schemars::JsonSchema)]
-#[serde(rename_all = "snake_case", tag = "how")]
+#[serde(rename_all = "snake_case")]
 pub enum End {
     /// It ran to its end.
     Finished,
--- a/components/node/src/membership.rs
+++ b/components/node/src/membership.rs
@@ -22,16 +22,22 @@
 /// Digests that go out at once after a change keep at least this distance.
 const SPACING: Duration = Duration::from_millis(40);
 
+/// All under one lock: there is no order of locks to get wrong.
+struct Hosts {
+    table: Table,
+    /// Hosts that others named and that were not heard yet.
+    named: HashMap<HostId, SocketAddr>,
+    /// The states that were last reported as news.
+    seen: HashMap<HostId, State>,
+}
+
 /// The other entry hosts, as this one sees them.
 pub(crate) struct Membership {
     own: Peer,
     own_incarnation: Incarnation,
-    table: Mutex<Table>,
-    /// Hosts that others named and that were not heard yet.
-    named: Mutex<HashMap<HostId, SocketAddr>>,
+    state: Mutex<Hosts>,
     presence: Mutex<Presence>,
     sequence: AtomicU64,
-    seen: Mutex<HashMap<HostId, State>>,
     /// Set when a digest should go out before its time.
     pub(crate) speak: Notify,
     /// Set when the live hosts may have changed.
@@ -42,13 +48,15 @@
     pub(crate) fn new(own: Peer, incarnation: Incarnation, dead_after: Duration) -> Membership {
         let limits = Limits { dead_after, echo_within: dead_after / 2, ..Limits::default() };
         Membership {
-            table: Mutex::new(Table::new(own.clone(), incarnation, limits)),
+            state: Mutex::new(Hosts {
+                table: Table::new(own.clone(), incarnation, limits),
+                named: HashMap::new(),
+                seen: HashMap::new(),
+            }),
             own,
             own_incarnation: incarnation,
-            named: Mutex::default(),
             presence: Mutex::new(Presence::Serving),
             sequence: AtomicU64::new(0),
-            seen: Mutex::default(),
             speak: Notify::new(),
             changed: Notify::new(),
         }
@@ -66,7 +74,7 @@
     /// Live hosts of a data centre, this one too while it serves.
     pub(crate) fn live_in(&self, data_centre: &DataCentreId) -> Vec<HostId> {
         let serving = self.presence() == Presence::Serving;
-        self.table.lock().live_in(data_centre, serving, Instant::now())
+        self.state.lock().table.live_in(data_centre, serving, Instant::now())
     }
 
     /// The live host of the own data centre that is responsible for a key; `None` when there is none.
@@ -81,11 +89,11 @@
     }
 
     pub(crate) fn state(&self, host: &str) -> Option<State> {
-        self.table.lock().state(host, Instant::now())
+        self.state.lock().table.state(host, Instant::now())
     }
 
     pub(crate) fn get(&self, host: &str) -> Option<Member> {
-        self.table.lock().get(host).cloned()
+        self.state.lock().table.get(host).cloned()
     }
 
     /// Other hosts of the own data centre that are live or leaving.
@@ -97,21 +105,21 @@
 
     /// Other hosts that are live or leaving.
     pub(crate) fn reachable(&self) -> Vec<Member> {
-        self.table.lock().reachable(Instant::now()).into_iter().cloned().collect()
+        self.state.lock().table.reachable(Instant::now()).into_iter().cloned().collect()
     }
 
     /// All other hosts heard of, dead ones too.
     pub(crate) fn all(&self) -> Vec<Member> {
-        self.table.lock().iter().cloned().collect()
+        self.state.lock().table.iter().cloned().collect()
     }
 
     /// Whether all neighbours have heard this host lately.
     pub(crate) fn echoed(&self) -> bool {
-        self.table.lock().echoed(Instant::now())
+        self.state.lock().table.echoed(Instant::now())
     }
 
     fn digest(&self, cell: &str, configuration: Revision, facts: u64, now: Instant) -> Digest {
-        let mut table = self.table.lock();
+        let table = &mut self.state.lock().table;
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
         table.sending(sequence, now);
         let reachable = table.reachable(now);
@@ -132,7 +140,7 @@
     /// Where the next digest goes: all neighbours, a few hosts of each other data centre, and, so that hosts
     /// find each other (again), the seeds, those named by others and one dead host.
     fn targets(&self, seeds: &[SocketAddr], now: Instant) -> Vec<SocketAddr> {
-        let table = self.table.lock();
+        let Hosts { table, named, .. } = &*self.state.lock();
         let mut far: HashMap<&DataCentreId, Vec<SocketAddr>> = HashMap::new();
         let mut targets = Vec::new();
         let mut known = Vec::new();
@@ -154,17 +162,15 @@
             .map(|member| member.peer.peers)
             .collect();
         targets.extend(dead.choose(&mut rng));
-        let named = self.named.lock();
         let strangers = seeds.iter().chain(named.values()).filter(|address| !known.contains(address));
         targets.extend(strangers.filter(|address| **address != self.own.peers));
         targets
     }
 
     fn hear(&self, digest: &Digest, now: Instant) -> bool {
-        let changed = self.table.lock().hear(digest, now);
-        let mut named = self.named.lock();
+        let Hosts { table, named, .. } = &mut *self.state.lock();
+        let changed = table.hear(digest, now);
         named.remove(&digest.from.host);
-        let table = self.table.lock();
         for peer in &digest.known {
             if peer.host != self.own.host && table.get(&peer.host).is_none() {
                 named.insert(peer.host.clone(), peer.peers);
@@ -175,9 +181,8 @@
 
     /// Hosts whose state is not what it was at the last call.
     fn news(&self, now: Instant) -> Vec<(HostId, State)> {
-        let mut table = self.table.lock();
+        let Hosts { table, seen, .. } = &mut *self.state.lock();
         table.forget(now);
-        let mut seen = self.seen.lock();
         let mut news = Vec::new();
         for member in table.iter() {
             let host = &member.peer.host;
--- a/components/node/src/peers.rs
+++ b/components/node/src/peers.rs
@@ -7,6 +7,7 @@
 
 use metrics::Metrics;
 use parking_lot::Mutex;
+use slog::Logger;
 use tokio::net::{TcpListener, TcpStream};
 use wire::{Answer, Key, Request};
 
@@ -35,12 +36,13 @@
 pub(crate) struct Links {
     key: Key,
     metrics: Metrics,
+    log: Logger,
     idle: Mutex<HashMap<SocketAddr, Vec<TcpStream>>>,
 }
 
 impl Links {
-    pub(crate) fn new(key: Key, metrics: Metrics) -> Links {
-        Links { key, metrics, idle: Mutex::default() }
+    pub(crate) fn new(key: Key, metrics: Metrics, log: Logger) -> Links {
+        Links { key, metrics, log, idle: Mutex::default() }
     }
 
     pub(crate) fn key(&self) -> &Key {
@@ -63,7 +65,13 @@
         // Every request may be repeated: orders carry their attempt, pulls change nothing.
         let mut stream = TcpStream::connect(address).await.map_err(|_| Fault::NotSent)?;
         let _ = stream.set_nodelay(true);
-        let answer = self.ask(&mut stream, request).await.map_err(|_| Fault::Unknown)?;
+        let answer = self.ask(&mut stream, request).await.map_err(|fault| {
+            if fault.kind() == std::io::ErrorKind::InvalidData {
+                let (peer, why) = (address.to_string(), fault.to_string());
+                events::emit!(self.log, events::MESSAGE_REFUSED, "peer" => peer, "why" => why);
+            }
+            Fault::Unknown
+        })?;
         self.keep(address, stream);
         Ok(answer)
     }
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -114,7 +114,7 @@
         lister: Arc::new(ListClient::new(address, timeout, budget.clone())),
         budget,
         platform_answers: AtomicBool::new(false),
-        links: Links::new(wire::Key::new(&settings.shared_key), metrics.clone()),
+        links: Links::new(wire::Key::new(&settings.shared_key), metrics.clone(), log.clone()),
         membership: Membership::new(own.clone(), owner.incarnation, settings.membership.dead_after),
         configuration: Configuration::new(),
         listing: Listing::default(),
--- a/components/node/src/stop.rs
+++ b/components/node/src/stop.rs
@@ -20,13 +20,17 @@
     shared.gateway.leave();
     shared.membership.set_presence(Presence::Leaving);
     shared.stopping.send_replace(true);
-    let has_heirs = !shared.membership.live_in(shared.data_centre()).is_empty();
-    while has_heirs && began.elapsed() < HANDOVER && holds_something(shared) {
+    while has_heirs(shared) && began.elapsed() < HANDOVER && holds_something(shared) {
         tokio::time::sleep(LOOK).await;
     }
     tokio::time::sleep(NOTICE.saturating_sub(began.elapsed())).await;
 }
 
+/// Whether another host of the data centre can take over. When all leave at once, nobody is waited for.
+fn has_heirs(shared: &Shared) -> bool {
+    !shared.membership.live_in(shared.data_centre()).is_empty()
+}
+
 fn holds_something(shared: &Shared) -> bool {
     shared.holds.len() > 0 || !shared.partitions.owned_here().is_empty()
 }
--- a/components/request/src/queue.rs
+++ b/components/request/src/queue.rs
@@ -25,6 +25,8 @@
     Full,
     /// The service has no live instance.
     NoInstance,
+    /// This entry host may not use a slot of any instance yet.
+    NoShare,
 }
 
 impl Why {
@@ -34,6 +36,7 @@
             Why::TooLate => "can't be answered before its deadline",
             Why::Full => "too many requests wait already",
             Why::NoInstance => "no instance of the service is live",
+            Why::NoShare => "this entry host has no share of the service's instances yet",
         }
     }
 }
@@ -161,7 +164,7 @@
         }
         let drain = wait(self.len() + 1, slots, answer);
         if slots == 0 {
-            return refuse(Why::NoInstance, Duration::from_secs(1));
+            return refuse(Why::NoShare, Duration::from_secs(1));
         }
         if self.len() >= self.most {
             return refuse(Why::Full, drain);
--- a/components/wire/tests/wire.rs
+++ b/components/wire/tests/wire.rs
@@ -1,7 +1,10 @@
 //! Malformed, foreign and truncated messages are refused cleanly; good ones survive the round trip.
 
+use board::Board;
+use model::Resources;
+use model::task::{Attempt, End, Id};
 use proptest::prelude::*;
-use wire::{Answer, Fault, Key, Request, open, read, seal, write};
+use wire::{Answer, Fact, FactKey, Fault, Key, Request, TaskFact, TaskState, open, read, seal, write};
 
 fn key() -> Key {
     Key::new("a shared key of a test cell")
@@ -29,6 +32,31 @@
     }
 }
 
+fn facts_with_every_end() -> Answer {
+    let ends = [End::Finished, End::Failed { message: "exit status 1".to_owned() }, End::Stopped, End::Lost];
+    let address = Some("127.0.0.1:9".parse().unwrap());
+    let states = ends.map(TaskState::Ended).into_iter().chain([
+        TaskState::Starting,
+        TaskState::Running(None),
+        TaskState::Running(address),
+        TaskState::Stopping,
+    ]);
+    let mut board = Board::default();
+    for (index, state) in states.enumerate() {
+        let task = Id { workload: "plan".to_owned(), life: 1, data_centre: "gt-1".to_owned(), index: index as u32 };
+        let fact = TaskFact { worker: "w".to_owned(), state, resources: Resources::new(1, 1, 0), patient: true };
+        board.set(FactKey::Task(task, Attempt { epoch: 1, number: 1 }), Fact::Task(fact));
+    }
+    Answer::Facts(board.delta(0))
+}
+
+#[test]
+fn facts_with_every_state_and_end_survive_the_way() {
+    let facts = facts_with_every_end();
+    let sealed = seal(&key(), &facts).unwrap();
+    assert_eq!(open::<Answer>(&key(), &sealed), Ok(facts));
+}
+
 #[test]
 fn another_cells_key_is_refused() {
     let sealed = seal(&Key::new("another"), &Request::Epochs).unwrap();
