--- a/components/fakes/src/worker.rs
+++ b/components/fakes/src/worker.rs
@@ -98,6 +98,18 @@
         self.state.lock().conduct = conduct;
     }
 
+    /// Loses everything that it had, as a worker that was restarted.
+    pub fn restart_empty(&self) {
+        let mut state = self.state.lock();
+        for running in state.tasks.values_mut().filter(|running| !ended(running)) {
+            finish(running, End::Lost);
+        }
+        state.tasks.clear();
+        state.incarnation += 1;
+        state.epoch = 0;
+        state.sequence = 0;
+    }
+
     /// Starts its way out.
     pub fn leave(&self) {
         self.state.lock().leaving = true;
@@ -115,6 +127,12 @@
         live.map(|running| running.task.task.clone()).collect()
     }
 
+    /// Attempts that run now.
+    pub fn running_attempts(&self) -> Vec<(Id, Attempt)> {
+        let state = self.state.lock();
+        state.tasks.iter().filter(|(_, running)| !ended(running)).map(|(key, _)| key.clone()).collect()
+    }
+
     /// Most that was ever in use at once, by dimension.
     pub fn peak(&self) -> Resources {
         self.state.lock().peak
--- a/components/jobs/src/book.rs
+++ b/components/jobs/src/book.rs
@@ -360,9 +360,15 @@
         }
     }
 
+    /// Attempts that live without a place in this book: of workloads that are not known, or older than the
+    /// latest one. They should end, once it is certain that the book is not behind.
+    pub fn strays(&self) -> impl Iterator<Item = &StopOrder> + '_ {
+        self.stray.values()
+    }
+
     /// Attempts to stop, again and again until they have ended.
     pub fn stops(&mut self, now: Instant) -> Vec<StopOrder> {
-        let mut orders: Vec<StopOrder> = self.stray.values().cloned().collect();
+        let mut orders: Vec<StopOrder> = Vec::new();
         for job in self.jobs.values_mut() {
             let unwanted = job.unwanted(now);
             for order in &unwanted {
--- a/components/jobs/tests/book.rs
+++ b/components/jobs/tests/book.rs
@@ -237,8 +237,9 @@
     again.record.life = 2;
     book.apply(again, None, true, now);
     see(&mut book, &old, "w1", TaskState::Running(None), now);
-    assert_eq!(book.stops(now)[0].attempt, old.1);
+    let strays: Vec<Attempt> = book.strays().map(|order| order.attempt).collect();
+    assert_eq!(strays, [old.1]);
     see(&mut book, &old, "w1", TaskState::Ended(End::Stopped), now);
     assert_eq!(book.take_acknowledgements().len(), 1);
-    assert!(book.stops(now).is_empty());
+    assert_eq!(book.strays().count(), 0);
 }
--- a/components/jobs/tests/two_places.rs
+++ b/components/jobs/tests/two_places.rs
@@ -191,7 +191,8 @@
             let at = self.position(&order.worker);
             self.workers[at].ledger.acknowledge(&order.task, order.attempt);
         }
-        for order in self.book.stops(self.now) {
+        let strays: Vec<_> = self.book.strays().cloned().collect();
+        for order in self.book.stops(self.now).into_iter().chain(strays) {
             let at = self.position(&order.worker);
             self.workers[at].ledger.stop(&order.task, order.attempt, self.now);
         }
--- a/components/member/src/table.rs
+++ b/components/member/src/table.rs
@@ -17,6 +17,8 @@
     pub echo_within: Duration,
     /// Dead hosts are forgotten after so long.
     pub forget_after: Duration,
+    /// A longer gap between two looks at the clock is a pause of this host.
+    pub pause: Duration,
 }
 
 impl Default for Limits {
@@ -25,6 +27,7 @@
             dead_after: Duration::from_millis(2000),
             echo_within: Duration::from_millis(1000),
             forget_after: Duration::from_secs(3600),
+            pause: Duration::from_millis(1000),
         }
     }
 }
@@ -70,6 +73,8 @@
     members: BTreeMap<HostId, Member>,
     /// When each of our latest digests was sent, to date the echoes by our own clock.
     sent: BTreeMap<u64, Instant>,
+    /// When this host last looked at the clock.
+    awake_at: Option<Instant>,
 }
 
 const SENT_REMEMBERED: usize = 64;
@@ -77,7 +82,24 @@
 impl Table {
     /// Creates an empty table for the host `own` in the life `incarnation`.
     pub fn new(own: Peer, incarnation: Incarnation, limits: Limits) -> Table {
-        Table { own, incarnation, limits, members: BTreeMap::new(), sent: BTreeMap::new() }
+        Table { own, incarnation, limits, members: BTreeMap::new(), sent: BTreeMap::new(), awake_at: None }
+    }
+
+    /// Looks at the clock; call it often. After a pause of this host the silence of the others says nothing:
+    /// the time of the pause is not counted against them.
+    pub fn awake(&mut self, now: Instant) {
+        let gap = self.gap(now);
+        for member in self.members.values_mut() {
+            member.heard_at += gap;
+        }
+        self.awake_at = Some(now);
+    }
+
+    /// How long this host was paused before `now`, since it last looked at the clock.
+    fn gap(&self, now: Instant) -> Duration {
+        let Some(awake_at) = self.awake_at else { return Duration::ZERO };
+        let gap = now.saturating_duration_since(awake_at);
+        if gap > self.limits.pause { gap } else { Duration::ZERO }
     }
 
     /// Notes that our digest `sequence` is sent now.
@@ -136,7 +158,7 @@
             return Some(State::Live);
         }
         let member = self.members.get(host)?;
-        let silent = now.saturating_duration_since(member.heard_at);
+        let silent = now.saturating_duration_since(member.heard_at + self.gap(now));
         Some(match member.presence {
             Presence::Gone => State::Dead,
             _ if silent > self.limits.dead_after => State::Dead,
--- a/components/member/tests/table.rs
+++ b/components/member/tests/table.rs
@@ -86,6 +86,23 @@
     assert!(!table.echoed(now));
 }
 
+#[test]
+fn a_host_that_was_paused_itself_takes_nobody_for_dead() {
+    let (mut table, start) = (table(), Instant::now());
+    let at = |millis| start + Duration::from_millis(millis);
+    table.awake(start);
+    table.hear(&digest("b", 1, 1), at(100));
+    table.awake(at(200));
+    // Frozen for a minute: even the first look, before anything else ran, must not find others dead.
+    assert_eq!(table.state("b", at(60_200)), Some(State::Live));
+    table.awake(at(60_200));
+    assert_eq!(table.state("b", at(60_300)), Some(State::Live));
+    for step in 0..25 {
+        table.awake(at(60_300 + step * 100));
+    }
+    assert_eq!(table.state("b", at(62_800)), Some(State::Dead), "silent while this host was awake");
+}
+
 #[test]
 fn a_host_that_goes_moves_only_its_own_part() {
     let all = ["a", "b", "c", "d"];
--- a/components/node/src/commands.rs
+++ b/components/node/src/commands.rs
@@ -9,6 +9,7 @@
 use model::workload::{Intent, Kind, Priority, Record, Versioned, Workload, divide};
 use model::{CommandId, DataCentreId, Reason, Resources, Revision, units};
 use place::{Cell, Worker};
+use platform::Use;
 use query::{Assignment, Statement, Subject};
 
 use crate::commit::{Change, Committed, settle};
@@ -31,6 +32,7 @@
     if !statement.is_command() {
         return shown(show::everywhere(shared, &statement, &command.statement).await);
     }
+    catch_up(shared, &statement).await;
     let change = match plan(shared, &statement, &command) {
         Ok(change) => change,
         Err(why) => return refuse(shared, &command, why, None),
@@ -40,6 +42,23 @@
     conclude(shared, &command, message, committed).await
 }
 
+/// A record that another entry host accepted a moment ago may not have come here yet: before it is said that
+/// there is none, the platform is asked.
+async fn catch_up(shared: &Shared, statement: &Statement) {
+    let named = match statement {
+        Statement::Cancel { workload, .. } => workload,
+        Statement::Change { subject: Subject::Workload(workload), .. } => workload,
+        _ => return,
+    };
+    if shared.configuration.workload(named).is_some() {
+        return;
+    }
+    let key = format!("{}{}", keys::prefix(&shared.settings.cell), Place::Workload(named.clone()).key());
+    if let Ok(entry) = shared.store.get(Use::Acceptance, &key).await {
+        shared.configuration.reached(entry.mod_revision, IN_FORCE).await;
+    }
+}
+
 fn shown(outcome: Result<query::Table, String>) -> Outcome {
     match outcome {
         Ok(table) => {
--- a/components/node/src/membership.rs
+++ b/components/node/src/membership.rs
@@ -46,7 +46,7 @@
 
 impl Membership {
     pub(crate) fn new(own: Peer, incarnation: Incarnation, dead_after: Duration) -> Membership {
-        let limits = Limits { dead_after, echo_within: dead_after / 2, ..Limits::default() };
+        let limits = Limits { dead_after, echo_within: dead_after / 2, pause: dead_after / 2, ..Limits::default() };
         Membership {
             state: Mutex::new(Hosts {
                 table: Table::new(own.clone(), incarnation, limits),
@@ -118,6 +118,11 @@
         self.state.lock().table.echoed(Instant::now())
     }
 
+    /// Looks at the clock, so that a pause of this host is noticed before anybody is taken for dead.
+    pub(crate) fn awake(&self) {
+        self.state.lock().table.awake(Instant::now());
+    }
+
     fn digest(&self, cell: &str, configuration: Revision, facts: u64, now: Instant) -> Digest {
         let table = &mut self.state.lock().table;
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
@@ -195,6 +200,14 @@
     }
 }
 
+/// Looks at the clock until the process ends.
+pub(crate) async fn stay_awake(shared: Arc<Shared>) {
+    loop {
+        shared.membership.awake();
+        tokio::time::sleep(shared.settings.membership.heartbeat / 2).await;
+    }
+}
+
 /// Sends digests until the process ends.
 pub(crate) async fn speak(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut heartbeat = tokio::time::interval(shared.settings.membership.heartbeat);
--- a/components/node/src/owner.rs
+++ b/components/node/src/owner.rs
@@ -10,7 +10,7 @@
 use jobs::{Book, Note};
 use member::{Presence, State};
 use model::task::{Attempt, Id};
-use model::workload::partition;
+use model::workload::{Record, partition};
 use model::{HostId, Partition, Revision, WorkerId, WorkloadId};
 use parking_lot::Mutex;
 use platform::{Compare, Put, Txn, Use};
@@ -22,6 +22,8 @@
 use crate::shared::Shared;
 use crate::{holds, send};
 
+/// A claim is acted on only with the configuration of its revision in force, which comes within this time.
+const IN_FORCE: Duration = Duration::from_secs(2);
 /// How often claims and stops are looked at.
 const LOOK: Duration = Duration::from_millis(100);
 /// How often attempts are compared with the holders' inventories.
@@ -41,6 +43,8 @@
     /// Where each committed order must show in the holder's facts.
     committed: HashMap<(Id, Attempt), (HostId, Version)>,
     compared_at: Instant,
+    /// Lives of workloads that the platform does not have (any more): their attempts may be stopped.
+    unrecorded: BTreeSet<(WorkloadId, u32)>,
 }
 
 impl Owned {
@@ -185,7 +189,7 @@
     match outcome {
         Ok(outcome) if outcome.succeeded => {
             for (number, claim) in claims {
-                own(shared, *number, claim, outcome.revision);
+                own(shared, *number, claim, outcome.revision).await;
             }
             true
         }
@@ -222,7 +226,7 @@
         let Ok(entry) = shared.store.get(Use::Claims, &key).await else { continue };
         let recorded: Option<Claim> = keys::decode(&entry.value).ok();
         if recorded.is_some_and(|recorded| recorded.change == claim.change) {
-            own(shared, *number, claim, entry.mod_revision);
+            own(shared, *number, claim, entry.mod_revision).await;
         }
     }
 }
@@ -231,12 +235,16 @@
 async fn adopt(shared: &Arc<Shared>, number: Partition) {
     let Some((claim, revision)) = shared.configuration.claim(shared.data_centre(), number) else { return };
     if claim.owner.as_ref() == Some(&shared.owner) {
-        own(shared, number, &claim, revision);
+        own(shared, number, &claim, revision).await;
     }
 }
 
-/// Opens the book of a partition that this host just claimed.
-fn own(shared: &Arc<Shared>, number: Partition, claim: &Claim, revision: Revision) {
+/// Opens the book of a partition that this host just claimed. With an older configuration it would take
+/// running tasks for strays and finished ones for waiting; then the next look tries again.
+async fn own(shared: &Arc<Shared>, number: Partition, claim: &Claim, revision: Revision) {
+    if !shared.configuration.reached(revision, IN_FORCE).await {
+        return;
+    }
     let now = Instant::now();
     shared.holds.raise(number, claim.epoch);
     let mut book = Book::new(claim.epoch, shared.data_centre().clone());
@@ -255,6 +263,7 @@
         revision,
         committed: HashMap::new(),
         compared_at: now,
+        unrecorded: BTreeSet::new(),
     };
     shared.partitions.set(number, Some(owned));
     events::emit!(shared.log, events::PARTITION_OWNED, "partition" => number, "epoch" => claim.epoch);
@@ -284,10 +293,14 @@
     recover(shared, number).await;
     compare(shared, number);
     evacuate(shared, number).await;
+    confirm_strays(shared, number).await;
     let now = Instant::now();
     let Some((epoch, stops, overdue, ends)) = shared.partitions.with(number, |owned| {
         let overdue = owned.book.overdue_orders(now);
-        (owned.book.epoch(), owned.book.stops(now), overdue, owned.book.take_acknowledgements())
+        let mut stops = owned.book.stops(now);
+        let strays = owned.book.strays().filter(|order| owned.unrecorded.contains(&life_of(&order.task)));
+        stops.extend(strays.cloned());
+        (owned.book.epoch(), stops, overdue, owned.book.take_acknowledgements())
     }) else {
         return;
     };
@@ -300,6 +313,37 @@
     note(shared, number);
 }
 
+fn life_of(task: &Id) -> (WorkloadId, u32) {
+    (task.workload.clone(), task.life)
+}
+
+/// Attempts of workloads that are not known here may belong to a record that has not come yet: they are
+/// stopped only when the platform says that there is none.
+async fn confirm_strays(shared: &Arc<Shared>, number: Partition) {
+    let doubtful = shared.partitions.with(number, |owned| {
+        let lives: BTreeSet<(WorkloadId, u32)> = owned.book.strays().map(|order| life_of(&order.task)).collect();
+        owned.unrecorded.retain(|life| lives.contains(life));
+        lives.difference(&owned.unrecorded).cloned().collect::<Vec<_>>()
+    });
+    for (workload, life) in doubtful.unwrap_or_default() {
+        let known = shared.configuration.workload(&workload);
+        let outdated = known.is_some_and(|known| known.record.life >= life);
+        if outdated || !is_recorded(shared, &workload, life).await {
+            shared.partitions.with(number, |owned| owned.unrecorded.insert((workload, life)));
+        }
+    }
+}
+
+/// Whether the platform has a record of this life of a workload, or can't say.
+async fn is_recorded(shared: &Shared, workload: &str, life: u32) -> bool {
+    let key = format!("{}{}", keys::prefix(&shared.settings.cell), Place::Workload(workload.to_owned()).key());
+    let read = shared.store.get(Use::Claims, &key).await;
+    shared.platform_said(&read);
+    let Ok(entry) = read else { return true };
+    let record: Option<Record> = keys::decode(&entry.value).ok();
+    record.is_some_and(|record| record.life == life)
+}
+
 /// Checks the authority over a partition, and confirms it after a pause.
 pub(crate) async fn may_act(shared: &Arc<Shared>, number: Partition) -> bool {
     let asked_at = Instant::now();
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -139,6 +139,7 @@
 /// Starts all loops and servers. The callers' and relay servers end after the returned signal.
 fn serve(shared: &Arc<Shared>, sockets: Sockets) -> (watch::Sender<bool>, Servers) {
     let digests = Arc::new(sockets.digests);
+    tokio::spawn(membership::stay_awake(shared.clone()));
     tokio::spawn(membership::hear(shared.clone(), digests.clone()));
     tokio::spawn(membership::speak(shared.clone(), digests));
     tokio::spawn(peers::serve(shared.clone(), sockets.peers));
