Give each test cell a loopback address of its own

Cause: a port that was free when a test chose it was taken as the source of another test's outgoing connection before its host listened on it (3 of 160 tests). Sources are always 127.0.0.1; cells listen elsewhere now.

--- a/bins/walkhookd/examples/cell/processes.rs
+++ b/bins/walkhookd/examples/cell/processes.rs
@@ -1,7 +1,7 @@
 //! Starts and stops the processes of the cell, and speaks to its operators' interface.
 
 use std::fs::File;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -44,14 +44,20 @@
     http: web::Client,
 }
 
+/// A loopback address of this run alone: a port that was free there stays free until its part takes it, which
+/// one of 127.0.0.1, where all outgoing connections begin, would not.
+fn own_ip() -> Ipv4Addr {
+    let process = std::process::id();
+    Ipv4Addr::new(127, 1 + (process % 250) as u8, (process / 250 % 250) as u8, 1)
+}
+
 fn free_address() -> Result<SocketAddr> {
-    Ok(TcpListener::bind(("127.0.0.1", 0))?.local_addr()?)
+    Ok(TcpListener::bind((own_ip(), 0))?.local_addr()?)
 }
 
 fn free_addresses<const N: usize>() -> Result<[SocketAddr; N]> {
     // All are taken at once, so that no two are the same.
-    let taken: Vec<TcpListener> =
-        (0..N).map(|_| TcpListener::bind(("127.0.0.1", 0))).collect::<std::io::Result<_>>()?;
+    let taken: Vec<TcpListener> = (0..N).map(|_| TcpListener::bind((own_ip(), 0))).collect::<std::io::Result<_>>()?;
     let addresses: Vec<SocketAddr> = taken.iter().map(TcpListener::local_addr).collect::<std::io::Result<_>>()?;
     addresses.try_into().map_err(|_| anyhow::anyhow!("too few addresses"))
 }
--- a/bins/walkhookd/tests/support/mod.rs
+++ b/bins/walkhookd/tests/support/mod.rs
@@ -4,8 +4,9 @@
 #![allow(dead_code)]
 
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use api::{Outcome, Status};
@@ -131,12 +132,7 @@
     /// Starts a cell and waits until all hosts take callers' requests and all workers are held.
     pub async fn start(layout: &[Layout]) -> Cell {
         let platform = Platform::start(any_port()).await.expect("a free port");
-        let folder = {
-            let mut f = tempfile::tempdir().expect("a folder");
-            f.disable_cleanup(true);
-            eprintln!("{}", f.path().display());
-            f
-        };
+        let folder = tempfile::tempdir().expect("a folder");
         let mut cell = Cell {
             platform,
             workers: Vec::new(),
@@ -174,7 +170,7 @@
         let count: usize = layout.iter().map(|(_, hosts, _)| hosts).sum();
         // All are taken at once, so that no two are the same.
         let taken: Vec<TcpListener> =
-            (0..count * 4).map(|_| TcpListener::bind(any_port()).expect("a free port")).collect();
+            (0..count * 4).map(|_| TcpListener::bind((own_ip(), 0)).expect("a free port")).collect();
         let addresses: Vec<SocketAddr> = taken.iter().map(|port| port.local_addr().expect("an address")).collect();
         drop(taken);
         let seed = addresses[2];
@@ -302,6 +298,17 @@
     }
 }
 
+/// A loopback address that no other cell uses: a port that was free there stays free until its host takes it,
+/// which one of 127.0.0.1, where all outgoing connections begin, would not.
+fn own_ip() -> Ipv4Addr {
+    static CELLS: AtomicU32 = AtomicU32::new(0);
+    thread_local! {
+        static OWN: u32 = CELLS.fetch_add(1, Ordering::Relaxed);
+    }
+    let (process, cell) = (std::process::id(), OWN.with(|own| *own));
+    Ipv4Addr::new(127, 1 + (process % 250) as u8, (process / 250 % 250) as u8, 1 + (cell % 250) as u8)
+}
+
 pub fn listed(
     name: &str,
     data_centre: &str,
