Conclude nothing from facts that are out of date; a leaving host keeps its slots

Now leaving hosts share slots until they are gone, and facts are withdrawn when the next holder's have come.

Found on the way, by reading: an owner could conclude from an earlier holder's facts that an attempt which the next holder had committed was missing, and start it again. Orders and inventories now carry the epoch of the hold and the version of the facts that shows them; facts older than that say nothing. The conclusions moved into the package facts, with tests.

--- a/components/node/src/facts.rs
+++ b/components/facts/src/lib.rs
@@ -1,22 +1,16 @@
 //! Facts about workers and attempts: what this host publishes of those that it holds, and what its neighbours
-//! publish of theirs.
+//! publish of theirs. The holder of a worker is the host that published it with the highest epoch; what others
+//! say of it is out of date.
+//!
+//! No sockets and no clock: what peers sent goes in, and what can be concluded comes out.
 
 use std::collections::HashMap;
-use std::sync::Arc;
-use std::time::Duration;
 
 use board::{Board, Delta, Version};
-use futures_util::future::join_all;
 use model::task::{Attempt, Id};
 use model::{Epoch, HostId, Incarnation, WorkerId};
 use parking_lot::Mutex;
-use tokio::sync::Notify;
-use wire::{Answer, Fact, FactKey, Request, TaskFact, WorkerFact};
-
-use crate::shared::Shared;
-
-/// Two rounds of pulls keep at least this distance.
-const SPACING: Duration = Duration::from_millis(20);
+use wire::{Fact, FactKey, TaskFact, WorkerFact};
 
 type Published = Board<FactKey, Fact>;
 
@@ -34,15 +28,13 @@
 }
 
 /// All facts of the data centre.
-pub(crate) struct Facts {
+pub struct Facts {
     own_host: HostId,
     state: Mutex<State>,
-    /// Set when a neighbour has newer facts.
-    pub(crate) behind: Notify,
 }
 
 /// A fact that changed, and that its host is the worker's holder.
-pub(crate) enum Change {
+pub enum Change {
     /// A worker's state.
     Worker,
     /// An attempt's state, and whether its worker is on probation.
@@ -50,20 +42,23 @@
 }
 
 impl Facts {
-    pub(crate) fn new(own_host: HostId) -> Facts {
-        Facts { own_host, state: Mutex::default(), behind: Notify::new() }
+    /// No facts yet, for the host `own_host`.
+    pub fn new(own_host: HostId) -> Facts {
+        Facts { own_host, state: Mutex::default() }
     }
 
-    pub(crate) fn own_version(&self) -> Version {
+    /// Version of what this host publishes.
+    pub fn own_version(&self) -> Version {
         self.state.lock().own.version()
     }
 
-    pub(crate) fn own_delta(&self, since: Version) -> Delta<FactKey, Fact> {
+    /// What this host published after a version.
+    pub fn own_delta(&self, since: Version) -> Delta<FactKey, Fact> {
         self.state.lock().own.delta(since)
     }
 
     /// Replaces what this host publishes of one worker, in one step. Returns what changed.
-    pub(crate) fn publish(&self, worker: &WorkerId, fact: WorkerFact, tasks: Vec<(FactKey, Fact)>) -> Vec<Change> {
+    pub fn publish(&self, worker: &WorkerId, fact: WorkerFact, tasks: Vec<(FactKey, Fact)>) -> Vec<Change> {
         let mut state = self.state.lock();
         let stale: Vec<FactKey> = published_tasks(&state.own, worker)
             .filter(|key| !tasks.iter().any(|(kept, _)| kept == *key))
@@ -90,7 +85,7 @@
     }
 
     /// Withdraws a worker that this host does not hold any more.
-    pub(crate) fn withdraw(&self, worker: &WorkerId) {
+    pub fn withdraw(&self, worker: &WorkerId) {
         let mut state = self.state.lock();
         let keys: Vec<FactKey> = published_tasks(&state.own, worker).cloned().collect();
         for key in keys {
@@ -99,19 +94,21 @@
         state.own.remove(&FactKey::Worker(worker.clone()));
     }
 
-    pub(crate) fn is_behind(&self, host: &HostId, incarnation: Incarnation, version: Version) -> bool {
+    /// Whether a neighbour has facts that were not pulled yet.
+    pub fn is_behind(&self, host: &HostId, incarnation: Incarnation, version: Version) -> bool {
         self.state.lock().views.get(host).is_none_or(|view| {
             view.incarnation < incarnation || (view.incarnation == incarnation && view.board.version() < version)
         })
     }
 
     /// The version to pull from: 0 for a new life of the host.
-    fn since(&self, host: &HostId, incarnation: Incarnation) -> Version {
+    pub fn since(&self, host: &HostId, incarnation: Incarnation) -> Version {
         let state = self.state.lock();
         state.views.get(host).filter(|view| view.incarnation == incarnation).map_or(0, |view| view.board.version())
     }
 
-    fn apply(&self, host: &HostId, incarnation: Incarnation, delta: Delta<FactKey, Fact>) -> Vec<Change> {
+    /// Takes in what a neighbour sent. Returns what changed of the workers that it holds.
+    pub fn apply(&self, host: &HostId, incarnation: Incarnation, delta: Delta<FactKey, Fact>) -> Vec<Change> {
         let mut guard = self.state.lock();
         let state = &mut *guard;
         let view = state
@@ -148,7 +145,7 @@
     }
 
     /// The holder of a worker and its fact.
-    pub(crate) fn holder(&self, worker: &WorkerId) -> Option<(HostId, WorkerFact)> {
+    pub fn holder(&self, worker: &WorkerId) -> Option<(HostId, WorkerFact)> {
         let state = self.state.lock();
         let (epoch, host) = state.holders.get(worker)?;
         let fact = worker_in(self.board_of(&state, host)?, worker)?;
@@ -156,7 +153,7 @@
     }
 
     /// The highest epoch that was ever published for a worker.
-    pub(crate) fn highest_epoch(&self, worker: &WorkerId) -> Epoch {
+    pub fn highest_epoch(&self, worker: &WorkerId) -> Epoch {
         self.state.lock().holders.get(worker).map_or(0, |(epoch, _)| *epoch)
     }
 
@@ -168,7 +165,7 @@
     }
 
     /// Every worker with its holder and fact.
-    pub(crate) fn workers(&self) -> Vec<(WorkerId, HostId, WorkerFact)> {
+    pub fn workers(&self) -> Vec<(WorkerId, HostId, WorkerFact)> {
         let state = self.state.lock();
         let mut workers = Vec::with_capacity(state.holders.len());
         for (worker, (epoch, host)) in &state.holders {
@@ -182,7 +179,7 @@
     }
 
     /// Every attempt on a worker, as its holder publishes it, with the holder.
-    pub(crate) fn tasks(&self) -> Vec<(Id, Attempt, TaskFact)> {
+    pub fn tasks(&self) -> Vec<(Id, Attempt, TaskFact)> {
         let state = self.state.lock();
         let views = state.views.iter().map(|(host, view)| (host, &view.board));
         let mut tasks = Vec::new();
@@ -199,14 +196,10 @@
     }
 
     /// Whether the holder of a worker, which has its whole inventory, surely does not know an attempt there.
-    /// `committed` is the host and version of its facts that must show the attempt, when that is known.
-    pub(crate) fn lacks(
-        &self,
-        worker: &WorkerId,
-        task: &Id,
-        attempt: Attempt,
-        committed: Option<&(HostId, Version)>,
-    ) -> bool {
+    ///
+    /// `shown` is where the attempt was last told of. Facts that are older than that say nothing: neither those
+    /// of an earlier holder, nor those that the same holder published before.
+    pub fn lacks(&self, worker: &WorkerId, task: &Id, attempt: Attempt, shown: Option<&Shown>) -> bool {
         let state = self.state.lock();
         let Some((epoch, host)) = state.holders.get(worker) else { return false };
         let Some(board) = self.board_of(&state, host) else { return false };
@@ -214,16 +207,25 @@
         if held.epoch != *epoch || !held.reachable {
             return false;
         }
-        if let Some((by, version)) = committed
-            && by == host
-            && board.version() < *version
-        {
-            return false;
+        if let Some(shown) = shown {
+            let same_hold = shown.epoch == *epoch;
+            if shown.epoch > *epoch || (same_hold && board.version() < shown.version) {
+                return false;
+            }
         }
         board.get(&FactKey::Task(task.clone(), attempt)).is_none()
     }
 }
 
+/// Where an attempt was told of: by the holder of this epoch, in its facts from this version on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shown {
+    /// Epoch of the hold.
+    pub epoch: Epoch,
+    /// Version of the holder's facts that shows it.
+    pub version: Version,
+}
+
 fn published_tasks<'a>(board: &'a Published, worker: &'a WorkerId) -> impl Iterator<Item = &'a FactKey> + 'a {
     board.iter().filter_map(move |(key, fact)| match fact {
         Fact::Task(fact) if fact.worker == *worker => Some(key),
@@ -249,25 +251,3 @@
 fn is_holder(holders: &HashMap<WorkerId, (Epoch, HostId)>, worker: &WorkerId, epoch: Epoch, host: &HostId) -> bool {
     holders.get(worker).is_some_and(|(highest, by)| *highest == epoch && by == host)
 }
-
-/// Pulls facts from neighbours that have newer ones, until the process ends.
-pub(crate) async fn follow(shared: Arc<Shared>) {
-    loop {
-        shared.facts.behind.notified().await;
-        let behind = shared
-            .membership
-            .neighbours()
-            .into_iter()
-            .filter(|member| shared.facts.is_behind(&member.peer.host, member.incarnation, member.facts));
-        join_all(behind.map(|member| pull(&shared, member))).await;
-        tokio::time::sleep(SPACING).await;
-    }
-}
-
-async fn pull(shared: &Arc<Shared>, member: member::Member) {
-    let since = shared.facts.since(&member.peer.host, member.incarnation);
-    let answer = shared.links.call(member.peer.peers, &Request::Facts { since }).await;
-    let Ok(Answer::Facts(delta)) = answer else { return };
-    let changed = shared.facts.apply(&member.peer.host, member.incarnation, delta);
-    crate::owner::observe(shared, changed);
-}
--- /dev/null
+++ b/components/facts/tests/facts.rs
@@ -0,0 +1,96 @@
+//! What can be concluded from facts of several hosts, some of them out of date.
+
+use board::Board;
+use facts::{Change, Facts, Shown};
+use model::Resources;
+use model::task::{Attempt, Id};
+use wire::{Fact, FactKey, TaskFact, TaskState, WorkerFact};
+
+fn worker(epoch: u64) -> WorkerFact {
+    WorkerFact {
+        epoch,
+        capacity: Resources::new(16, 1024, 0),
+        free: Resources::new(16, 1024, 0),
+        patient: Resources::ZERO,
+        reachable: true,
+        open: true,
+        leaving: false,
+        probation: false,
+        lapsed: false,
+    }
+}
+
+fn id() -> Id {
+    Id { workload: "plan".to_owned(), life: 1, data_centre: "gt-1".to_owned(), index: 0 }
+}
+
+const ATTEMPT: Attempt = Attempt { epoch: 1, number: 1 };
+
+fn running() -> (FactKey, Fact) {
+    let fact = TaskFact {
+        worker: "w".to_owned(),
+        state: TaskState::Running(None),
+        resources: Resources::new(1, 1, 0),
+        patient: false,
+    };
+    (FactKey::Task(id(), ATTEMPT), Fact::Task(fact))
+}
+
+/// What a neighbour publishes, held with `epoch`.
+fn published(epoch: u64, with_task: bool) -> Board<FactKey, Fact> {
+    let mut board = Board::default();
+    board.set(FactKey::Worker("w".to_owned()), Fact::Worker(worker(epoch)));
+    if with_task {
+        let (key, fact) = running();
+        board.set(key, fact);
+    }
+    board
+}
+
+fn lacks(facts: &Facts, shown: Option<Shown>) -> bool {
+    facts.lacks(&"w".to_owned(), &id(), ATTEMPT, shown.as_ref())
+}
+
+#[test]
+fn an_earlier_holder_does_not_show_that_an_attempt_is_missing() {
+    let facts = Facts::new("a".to_owned());
+    facts.apply(&"b".to_owned(), 1, published(4, false).delta(0));
+    // The order was committed by the next holder, whose facts have not come yet.
+    assert!(!lacks(&facts, Some(Shown { epoch: 5, version: 9 })));
+    facts.apply(&"c".to_owned(), 1, published(5, false).delta(0));
+    assert!(!lacks(&facts, Some(Shown { epoch: 5, version: 9 })), "older than what shows it");
+    assert!(lacks(&facts, Some(Shown { epoch: 5, version: 1 })));
+    assert!(lacks(&facts, Some(Shown { epoch: 4, version: 1 })), "the next holder has the whole inventory");
+}
+
+#[test]
+fn only_the_highest_epoch_speaks_for_a_worker() {
+    let facts = Facts::new("a".to_owned());
+    facts.apply(&"c".to_owned(), 1, published(5, false).delta(0));
+    let late = facts.apply(&"b".to_owned(), 1, published(4, true).delta(0));
+    assert!(!late.iter().any(|change| matches!(change, Change::Task(..))));
+    assert!(facts.tasks().is_empty());
+    assert_eq!(facts.holder(&"w".to_owned()).unwrap().0, "c");
+}
+
+#[test]
+fn facts_of_an_earlier_life_of_a_host_are_forgotten() {
+    let facts = Facts::new("a".to_owned());
+    facts.apply(&"b".to_owned(), 1, published(4, true).delta(0));
+    assert_eq!(facts.tasks().len(), 1);
+    assert_eq!(facts.since(&"b".to_owned(), 2), 0, "a new life is pulled whole");
+    facts.apply(&"b".to_owned(), 2, published(5, false).delta(0));
+    assert!(facts.tasks().is_empty());
+}
+
+#[test]
+fn a_worker_and_its_tasks_are_published_in_one_step() {
+    let facts = Facts::new("a".to_owned());
+    let changed = facts.publish(&"w".to_owned(), worker(1), vec![running()]);
+    assert_eq!(changed.len(), 2);
+    assert!(facts.publish(&"w".to_owned(), worker(1), vec![running()]).is_empty(), "nothing new");
+    facts.publish(&"w".to_owned(), worker(1), Vec::new());
+    assert!(lacks(&facts, None));
+    facts.withdraw(&"w".to_owned());
+    assert!(!lacks(&facts, None), "nobody speaks for it now");
+}
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -42,7 +42,7 @@
 /// The hosts as seen now.
 #[derive(Clone, Debug, Default)]
 pub struct Topology {
-    /// Live hosts of the own data centre.
+    /// Hosts of the own data centre that share the slots of its instances.
     pub hosts: Vec<HostId>,
     /// Hosts of the own data centre among which the keys are divided.
     pub homes: Vec<HostId>,
@@ -96,7 +96,7 @@
     teams: Mutex<BTreeSet<TeamId>>,
     leaving: AtomicBool,
     ready: AtomicBool,
-    /// Since when the live hosts of the data centre have been what they are.
+    /// Since when the hosts that share the slots have been what they are.
     settled: Mutex<(Vec<HostId>, Instant)>,
     settle: Duration,
 }
--- a/components/node/src/holds.rs
+++ b/components/node/src/holds.rs
@@ -29,6 +29,9 @@
 const EPOCHS_FRESH: Duration = Duration::from_secs(1);
 /// Orders for one worker that come within this time go out in one batch.
 const GATHER: Duration = Duration::from_millis(1);
+/// Facts of a worker that was lost to another holder are withdrawn after so long at the latest.
+const WITHDRAW: Duration = Duration::from_secs(3);
+const WITHDRAW_LOOK: Duration = Duration::from_millis(20);
 /// A silent worker is looked at this often.
 const SILENT: Duration = Duration::from_millis(500);
 
@@ -178,13 +181,27 @@
         sequence += 1;
         if !exchange(&shared, &worker, &held, sequence).await {
             shared.holds.held.lock().remove(&worker);
-            shared.facts.withdraw(&worker);
-            shared.membership.speak.notify_one();
+            let epoch = held.ledger.lock().epoch();
+            withdraw(&shared, &worker, epoch).await;
             return;
         }
     }
 }
 
+/// Withdraws a worker's facts, but not before its next holder's are here: callers' requests go on to its
+/// instances in the meantime.
+async fn withdraw(shared: &Arc<Shared>, worker: &WorkerId, epoch: Epoch) {
+    let began = Instant::now();
+    while shared.facts.highest_epoch(worker) <= epoch && began.elapsed() < WITHDRAW {
+        tokio::time::sleep(WITHDRAW_LOOK).await;
+    }
+    // This host may have taken it back by now; then its facts are its own again.
+    if shared.holds.get(worker).is_none() {
+        shared.facts.withdraw(worker);
+        shared.membership.speak.notify_one();
+    }
+}
+
 /// Sends one batch and takes in its report. False when the worker is held by another host.
 async fn exchange(shared: &Arc<Shared>, worker: &WorkerId, held: &Arc<Held>, sequence: u64) -> bool {
     let (batch, sent) = {
@@ -310,7 +327,7 @@
         if !fact.reachable && !fact.lapsed {
             continue;
         }
-        workers.push(worker);
+        workers.push((worker, fact.epoch));
         for (key, fact) in ledger.task_facts() {
             let (FactKey::Task(task, attempt), Fact::Task(fact)) = (key, fact) else { continue };
             if model::workload::partition(&task.workload, shared.settings.tasks.partitions) == partition {
@@ -318,7 +335,7 @@
             }
         }
     }
-    InventoryAnswer { epoch, workers, tasks }
+    InventoryAnswer { epoch, version: shared.facts.own_version(), workers, tasks }
 }
 
 /// Commits start orders of a partition's owner. Also returns the version of the facts that shows them.
@@ -340,9 +357,12 @@
             answers.push(StartAnswer::NotHolder);
             continue;
         };
-        let commit = held.ledger.lock().commit(order, now);
+        let (commit, hold) = {
+            let mut ledger = held.ledger.lock();
+            (ledger.commit(order, now), ledger.epoch())
+        };
         answers.push(match commit {
-            Commit::Accepted => StartAnswer::Accepted,
+            Commit::Accepted => StartAnswer::Accepted(hold),
             Commit::Full(free) => StartAnswer::Full(free),
             Commit::Closed => StartAnswer::Closed,
         });
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -1,6 +1,6 @@
 //! An entry host: all of its parts put together, each a loop with its own state.
 //!
-//! Facts come in by [`membership`], [`configuration`], [`listing`] and [`facts`]; [`owner`] and [`schedule`]
+//! Facts come in by [`membership`], [`configuration`], [`listing`] and [`pull`]; [`owner`] and [`schedule`]
 //! decide about work, [`holds`] carries the decisions out at the workers, [`commit`] makes them durable where
 //! they must last, [`commands`] and [`show`] answer operators, and [`services`] tells the gateway where
 //! callers' requests can go.
@@ -9,7 +9,6 @@
 mod commands;
 mod commit;
 mod configuration;
-mod facts;
 mod holds;
 mod keys;
 mod listing;
@@ -17,6 +16,7 @@
 mod operators;
 mod owner;
 mod peers;
+mod pull;
 mod schedule;
 mod send;
 mod services;
--- a/components/node/src/membership.rs
+++ b/components/node/src/membership.rs
@@ -77,6 +77,15 @@
         self.state.lock().table.live_in(data_centre, serving, Instant::now())
     }
 
+    /// Hosts of the own data centre that may send requests to instances: also the leaving ones, until they are
+    /// gone, and always this one.
+    pub(crate) fn sharing(&self) -> Vec<HostId> {
+        let mut hosts: Vec<HostId> = self.neighbours().into_iter().map(|member| member.peer.host).collect();
+        hosts.push(self.own.host.clone());
+        hosts.sort();
+        hosts
+    }
+
     /// The live host of the own data centre that is responsible for a key; `None` when there is none.
     pub(crate) fn responsible(&self, key: &str) -> Option<HostId> {
         let hosts = self.live_in(&self.own.data_centre);
@@ -284,6 +293,6 @@
     }
     let near = digest.from.data_centre == *shared.data_centre();
     if near && shared.facts.is_behind(&digest.from.host, digest.incarnation, digest.facts) {
-        shared.facts.behind.notify_one();
+        shared.facts_behind.notify_one();
     }
 }
--- a/components/node/src/owner.rs
+++ b/components/node/src/owner.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use board::Version;
 use claim::{Authority, Claim, Step, View};
+use facts::{Change, Shown};
 use futures_util::future::join_all;
 use jobs::{Book, Note};
 use member::{Presence, State};
@@ -17,7 +17,6 @@
 use uuid::Uuid;
 use wire::{Answer, InventoryAnswer, Request, StopOrder};
 
-use crate::facts::Change;
 use crate::keys::{self, Place};
 use crate::shared::Shared;
 use crate::{holds, send};
@@ -40,8 +39,8 @@
     pub(crate) authority: Authority,
     /// Revision of the record that claims it: the next change compares with it.
     revision: Revision,
-    /// Where each committed order must show in the holder's facts.
-    committed: HashMap<(Id, Attempt), (HostId, Version)>,
+    /// Where each attempt was last told of.
+    shown: HashMap<(Id, Attempt), Shown>,
     compared_at: Instant,
     /// Lives of workloads that the platform does not have (any more): their attempts may be stopped.
     unrecorded: BTreeSet<(WorkloadId, u32)>,
@@ -261,7 +260,7 @@
         book,
         authority: Authority::new(shared.pause_bound(), now),
         revision,
-        committed: HashMap::new(),
+        shown: HashMap::new(),
         compared_at: now,
         unrecorded: BTreeSet::new(),
     };
@@ -417,8 +416,8 @@
     let workers = shared.listing.workers(shared.data_centre()).len();
     let ready = shared.partitions.with(number, |owned| {
         owned.book.workers(workers);
-        for found in inventories.iter().flat_map(|inventory| &inventory.tasks) {
-            owned.book.observe(&found.task, found.attempt, &found.fact, false, now);
+        for inventory in &inventories {
+            take_inventory(owned, inventory, now);
         }
         match &missing {
             Some(name) => owned.book.recovering(name),
@@ -432,6 +431,21 @@
     }
 }
 
+fn take_inventory(owned: &mut Owned, inventory: &InventoryAnswer, now: Instant) {
+    let epochs: HashMap<&WorkerId, u64> = inventory.workers.iter().map(|(worker, epoch)| (worker, *epoch)).collect();
+    for found in &inventory.tasks {
+        let Some(epoch) = epochs.get(&found.fact.worker) else { continue };
+        let shown = Shown { epoch: *epoch, version: inventory.version };
+        let key = (found.task.clone(), found.attempt);
+        // Two hosts may both tell of a worker that is moving between them: the later hold counts.
+        if owned.shown.get(&key).is_some_and(|known| known.epoch > shown.epoch) {
+            continue;
+        }
+        owned.shown.insert(key, shown);
+        owned.book.observe(&found.task, found.attempt, &found.fact, false, now);
+    }
+}
+
 /// A worker that may have tasks nobody told of; `None` when there is none.
 fn unaccounted(shared: &Shared, inventories: &[InventoryAnswer]) -> Option<WorkerId> {
     if !shared.listing.known() {
@@ -439,7 +453,8 @@
     }
     let limits = shared.ledger_limits();
     let now = Instant::now();
-    let covered: BTreeSet<&WorkerId> = inventories.iter().flat_map(|inventory| &inventory.workers).collect();
+    let covered: BTreeSet<&WorkerId> =
+        inventories.iter().flat_map(|inventory| inventory.workers.iter().map(|(worker, _)| worker)).collect();
     let listed = shared.listing.workers(shared.data_centre()).into_iter().map(|(worker, _)| worker);
     let known = shared.facts.workers().into_iter().map(|(worker, _, _)| worker);
     let mut all: BTreeSet<WorkerId> = listed.chain(known).collect();
@@ -458,8 +473,8 @@
         owned.compared_at = now;
         let mut gone = Vec::new();
         for (task, attempt, worker) in owned.book.may_live() {
-            let committed = owned.committed.get(&(task.clone(), attempt));
-            if shared.facts.lacks(worker, &task, attempt, committed) {
+            let shown = owned.shown.get(&(task.clone(), attempt));
+            if shared.facts.lacks(worker, &task, attempt, shown) {
                 gone.push((task, attempt));
             }
         }
@@ -467,7 +482,7 @@
             owned.book.vanished(&task, attempt, now);
         }
         let live: BTreeSet<(Id, Attempt)> = owned.book.may_live().map(|(task, attempt, _)| (task, attempt)).collect();
-        owned.committed.retain(|key, _| live.contains(key));
+        owned.shown.retain(|key, _| live.contains(key));
         let workers: BTreeSet<WorkerId> = owned.book.workers_in_use();
         for worker in workers {
             let held = shared.facts.holder(&worker).is_some_and(|(_, fact)| fact.reachable || !fact.lapsed);
@@ -576,7 +591,7 @@
 }
 
 /// Takes in what became of orders.
-pub(crate) fn committed(owned: &mut Owned, task: &Id, attempt: Attempt, by: &HostId, version: Version, now: Instant) {
-    owned.committed.insert((task.clone(), attempt), (by.clone(), version));
+pub(crate) fn committed(owned: &mut Owned, task: &Id, attempt: Attempt, shown: Shown, now: Instant) {
+    owned.shown.insert((task.clone(), attempt), shown);
     owned.book.committed(task, attempt, now);
 }
--- a/components/node/src/send.rs
+++ b/components/node/src/send.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use facts::Shown;
 use futures_util::future::join_all;
 use model::{Epoch, HostId, Partition, Reason, WorkerId};
 use wire::{Answer, Request, ReserveOrder, StartAnswer, StartOrder, StopOrder};
@@ -45,27 +46,21 @@
         let request = Request::Start { partition, epoch, orders: orders.clone() };
         let answer = ask(shared, &host, request).await;
         if let Ok(Answer::Started(answers, version)) = answer {
-            started(shared, partition, &host, version, &orders, &answers);
+            started(shared, partition, version, &orders, &answers);
         }
     });
     join_all(calls).await;
 }
 
-fn started(
-    shared: &Arc<Shared>,
-    partition: Partition,
-    host: &HostId,
-    version: u64,
-    orders: &[StartOrder],
-    answers: &[StartAnswer],
-) {
+fn started(shared: &Arc<Shared>, partition: Partition, version: u64, orders: &[StartOrder], answers: &[StartAnswer]) {
     let now = Instant::now();
     let mut refused = false;
     shared.partitions.with(partition, |owned| {
         for (order, answer) in orders.iter().zip(answers) {
             let reason = match answer {
-                StartAnswer::Accepted => {
-                    owner::committed(owned, &order.task, order.attempt, host, version, now);
+                StartAnswer::Accepted(epoch) => {
+                    let shown = Shown { epoch: *epoch, version };
+                    owner::committed(owned, &order.task, order.attempt, shown, now);
                     continue;
                 }
                 StartAnswer::Full(free) => Reason::NoRoom { nearest: order.worker.clone(), free: *free },
--- a/components/node/src/services.rs
+++ b/components/node/src/services.rs
@@ -37,7 +37,7 @@
         let instance = Instance { name: format!("{task} {attempt}"), address };
         services.entry(task.workload).or_default().push(instance);
     }
-    let hosts = shared.membership.live_in(shared.data_centre());
+    let hosts = shared.membership.sharing();
     let neighbours = shared.membership.reachable().into_iter().map(|member| Neighbour {
         host: member.peer.host.clone(),
         data_centre: member.peer.data_centre.clone(),
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use claim::Owner;
+use facts::Facts;
 use gateway::Gateway;
 use member::Peer;
 use metrics::Metrics;
@@ -16,7 +17,6 @@
 
 use crate::commit::Committer;
 use crate::configuration::Configuration;
-use crate::facts::Facts;
 use crate::holds::Holds;
 use crate::listing::Listing;
 use crate::membership::Membership;
@@ -46,6 +46,8 @@
     pub(crate) gateway: Arc<Gateway>,
     /// Set when something may let waiting work start.
     pub(crate) look_again: Notify,
+    /// Set when a neighbour has newer facts.
+    pub(crate) facts_behind: Notify,
     /// Set when service instances may have changed.
     pub(crate) services_changed: Notify,
     pub(crate) stopping: watch::Sender<bool>,
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use claim::Owner;
+use facts::Facts;
 use gateway::Gateway;
 use member::Peer;
 use metrics::Metrics;
@@ -19,7 +20,6 @@
 
 use crate::commit::Committer;
 use crate::configuration::Configuration;
-use crate::facts::Facts;
 use crate::holds::Holds;
 use crate::listing::Listing;
 use crate::membership::Membership;
@@ -27,7 +27,7 @@
 use crate::owner::Partitions;
 use crate::peers::Links;
 use crate::shared::{Shared, incarnation};
-use crate::{commit, configuration, facts, holds, listing, membership, owner, peers, schedule, services, stop, usage};
+use crate::{commit, configuration, holds, listing, membership, owner, peers, pull, schedule, services, stop, usage};
 
 /// Why an entry host could not be started.
 #[derive(Debug)]
@@ -124,6 +124,7 @@
         committer: Committer::new(),
         gateway: Gateway::new(&settings, metrics.clone(), log.clone()),
         look_again: Notify::new(),
+        facts_behind: Notify::new(),
         services_changed: Notify::new(),
         stopping: watch::Sender::new(false),
         metrics,
@@ -145,7 +146,7 @@
     tokio::spawn(peers::serve(shared.clone(), sockets.peers));
     tokio::spawn(configuration::follow(shared.clone()));
     tokio::spawn(listing::follow(shared.clone()));
-    tokio::spawn(facts::follow(shared.clone()));
+    tokio::spawn(pull::follow(shared.clone()));
     tokio::spawn(holds::run(shared.clone()));
     tokio::spawn(owner::run(shared.clone()));
     tokio::spawn(schedule::run(shared.clone()));
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -154,8 +154,8 @@
 /// What a holder says to a start order. Anything but `Accepted` means that it surely was not started.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StartAnswer {
-    /// Committed in the ledger; it will be sent to the worker.
-    Accepted,
+    /// Committed in the ledger of the hold with this epoch; it will be sent to the worker.
+    Accepted(Epoch),
     /// Does not fit; this is free.
     Full(Resources),
     /// This host does not hold the worker.
@@ -171,8 +171,10 @@
 pub struct InventoryAnswer {
     /// Newest claim epoch that this host knows for the partition.
     pub epoch: Epoch,
-    /// Workers held with a complete inventory.
-    pub workers: Vec<WorkerId>,
+    /// Version of the host's facts that shows all of this.
+    pub version: Version,
+    /// Workers held with a complete inventory, and the epochs of the holds.
+    pub workers: Vec<(WorkerId, Epoch)>,
     /// Attempts at tasks of the partition.
     pub tasks: Vec<Inventoried>,
 }
