--- a/components/ledger/src/book.rs
+++ b/components/ledger/src/book.rs
@@ -269,15 +269,21 @@
                         entry.start = None;
                     }
                 }
-                Command::Acknowledge { task, attempt } => {
-                    self.entries.remove(&(task.clone(), *attempt));
-                }
+                Command::Acknowledge { task, attempt } => self.forget(task, *attempt),
                 Command::Stop { .. } | Command::Throttle { .. } | Command::Checkpoint { .. } => {}
             }
         }
         self.report(report, now)
     }
 
+    /// Forgets an attempt whose end is durable and that its worker has forgotten.
+    pub fn forget(&mut self, task: &Id, attempt: Attempt) {
+        let key = (task.clone(), attempt);
+        if self.entries.get(&key).is_some_and(|entry| entry.acknowledged) {
+            self.entries.remove(&key);
+        }
+    }
+
     fn report(&mut self, report: Report, now: Instant) -> Vec<Ended> {
         self.reachable = true;
         self.lapsed = false;
--- a/components/place/src/choose.rs
+++ b/components/place/src/choose.rs
@@ -12,7 +12,7 @@
 pub enum Policy {
     /// The first one with room. The baseline of the measurements.
     FirstFit,
-    /// The one that is left with the least of its fullest dimension.
+    /// The one that is left with the least over all dimensions.
     BestFit,
     /// The one whose free shape is most like what is asked, then the fullest.
     Aligned,
@@ -98,7 +98,7 @@
     let slots = cell.slots.iter().enumerate();
     let with_room = slots.filter(|(_, slot)| slot.open && demand.each.fits_in(&slot.free));
     match (demand.policy, demand.kind) {
-        (Policy::FirstFit, _) => with_room.map(|(at, _)| at).next(),
+        (Policy::FirstFit, Kind::Batch | Kind::Gang) => with_room.map(|(at, _)| at).next(),
         (policy, Kind::Service) => lowest(with_room, |at, slot| {
             let (on_worker, on_rack) = siblings.crowding(at, slot.rack);
             (on_worker, on_rack, score(policy, slot, &demand.each))
@@ -129,7 +129,7 @@
     match policy {
         Policy::FirstFit => 0.0,
         // Accelerators left over weigh most, so that work without need of them keeps off.
-        Policy::BestFit => cpu.max(memory) + accelerators,
+        Policy::BestFit => cpu + memory + accelerators,
         Policy::Aligned => (cpu - memory).abs() + (cpu + memory) * ALIGNED_FULLNESS + accelerators,
     }
 }
