--- /dev/null
+++ b/bins/walkhookd/examples/capacity/main.rs
@@ -0,0 +1,163 @@
+//! Measures what an entry host costs, at three sizes of each thing that it costs for, and fits a line to each:
+//! `cargo run --release --example capacity`. Takes about four minutes.
+//!
+//! Entry hosts are processes of their own with the default times; workers and the platform are stand-ins within
+//! this one, so that their cost is not counted.
+
+#[path = "../../tests/support/mod.rs"]
+mod support;
+
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use argh::FromArgs;
+use support::{Cell, DEFAULT, batch, until};
+
+const SETTLE: Duration = Duration::from_secs(4);
+const MEASURE: Duration = Duration::from_secs(10);
+
+/// What one entry host costs, as the mean over the hosts of a run.
+#[derive(Clone, Copy, Debug, Default)]
+struct Cost {
+    /// Processor time, in thousandths of a core.
+    cpu: f64,
+    /// Resident memory, in MiB.
+    memory: f64,
+    /// Bytes a second between entry hosts, sent and received.
+    control: f64,
+    /// Calls to the platform a second, by all hosts together.
+    platform: f64,
+}
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    if let ["--role", "walkhookd", rest @ ..] = words.as_slice() {
+        return walkhookd::main(&walkhookd::cli::Cli::from_args(&["walkhookd"], rest).expect("good arguments"));
+    }
+    let runtime = tokio::runtime::Runtime::new().expect("threads");
+    runtime.block_on(measure());
+    ExitCode::SUCCESS
+}
+
+async fn measure() {
+    println!(
+        "{:<26} {:>6} {:>9} {:>9} {:>11} {:>11}",
+        "what grows", "size", "cpu m", "MiB", "control B/s", "platform/s"
+    );
+    let mut rows = Vec::new();
+    for hosts in [2, 4, 8] {
+        rows.push((hosts as f64, idle(hosts, 1, 0).await));
+    }
+    fit("hosts of a data centre", &rows);
+    rows.clear();
+    for workers in [20, 60, 120] {
+        rows.push((workers as f64 / 2.0, idle(2, workers, 0).await));
+    }
+    fit("workers held by a host", &rows);
+    rows.clear();
+    for tasks in [0, 300, 900] {
+        rows.push((tasks as f64 / 2.0, idle(2, 120, tasks).await));
+    }
+    fit("tasks on a host's workers", &rows);
+    rows.clear();
+    for rate in [5, 15, 30] {
+        rows.push((f64::from(rate) / 2.0, starting(2, 40, rate).await));
+    }
+    fit("starts a second and host", &rows);
+}
+
+/// The cost of a cell in which nothing happens.
+async fn idle(hosts: usize, workers: usize, tasks: u32) -> Cost {
+    let cell = Cell::start_at(&[("gt-1", hosts, workers)], DEFAULT).await;
+    if tasks > 0 {
+        cell.submit(0, &batch("long", tasks, 1, "run 1h")).await;
+        until("all run", || async { running(&cell) == tasks as usize }).await;
+    }
+    observe(&cell).await
+}
+
+/// The cost while so many tasks a second are accepted, started, finished and acknowledged.
+async fn starting(hosts: usize, workers: usize, rate: u32) -> Cost {
+    let cell = Cell::start_at(&[("gt-1", hosts, workers)], DEFAULT).await;
+    let submitting = async {
+        let mut every = tokio::time::interval(Duration::from_secs(1));
+        for round in 0.. {
+            every.tick().await;
+            cell.submit(0, &batch(&format!("job-{round}"), rate, 1, "run 500ms")).await;
+        }
+    };
+    tokio::select! {
+        () = submitting => unreachable!("it goes on"),
+        cost = observe(&cell) => cost,
+    }
+}
+
+fn running(cell: &Cell) -> usize {
+    cell.workers.iter().map(|(_, worker)| worker.running().len()).sum()
+}
+
+async fn observe(cell: &Cell) -> Cost {
+    tokio::time::sleep(SETTLE).await;
+    let before = sample(cell).await;
+    let began = Instant::now();
+    tokio::time::sleep(MEASURE).await;
+    let after = sample(cell).await;
+    let seconds = began.elapsed().as_secs_f64();
+    let hosts = cell.hosts.len() as f64;
+    Cost {
+        cpu: (after.cpu - before.cpu) / seconds / hosts,
+        memory: after.memory / hosts,
+        control: (after.control - before.control) / seconds / hosts,
+        platform: (after.platform - before.platform) / seconds,
+    }
+}
+
+async fn sample(cell: &Cell) -> Cost {
+    let mut sum = Cost::default();
+    for host in &cell.hosts {
+        let (cpu, memory) = host.costs();
+        sum.cpu += cpu as f64;
+        sum.memory += memory as f64 / 1024.0;
+        sum.control += control_bytes(host.operators).await;
+    }
+    sum.platform = cell.platform.counts().calls.values().sum::<u64>() as f64;
+    sum
+}
+
+async fn control_bytes(operators: std::net::SocketAddr) -> f64 {
+    let text = support::get_text(&format!("http://{operators}/metrics")).await;
+    let lines = text.lines().filter(|line| line.starts_with("walkhook_control_bytes_total"));
+    lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum()
+}
+
+/// Prints the rows and the line of least squares through them, with the largest distance from it.
+fn fit(what: &str, rows: &[(f64, Cost)]) {
+    for (size, cost) in rows {
+        println!(
+            "{what:<26} {size:>6} {:>9.2} {:>9.1} {:>11.0} {:>11.2}",
+            cost.cpu, cost.memory, cost.control, cost.platform
+        );
+    }
+    let line = |value: fn(&Cost) -> f64| {
+        let count = rows.len() as f64;
+        let mean_size = rows.iter().map(|(size, _)| size).sum::<f64>() / count;
+        let mean = rows.iter().map(|(_, cost)| value(cost)).sum::<f64>() / count;
+        let over: f64 = rows.iter().map(|(size, cost)| (size - mean_size) * (value(cost) - mean)).sum();
+        let under: f64 = rows.iter().map(|(size, _)| (size - mean_size).powi(2)).sum();
+        let slope = over / under;
+        let start = mean - slope * mean_size;
+        let residual = rows.iter().map(|(size, cost)| (value(cost) - start - slope * size).abs()).fold(0.0, f64::max);
+        (start, slope, residual)
+    };
+    let shown = [
+        ("cpu m", line(|cost| cost.cpu)),
+        ("MiB", line(|cost| cost.memory)),
+        ("control B/s", line(|cost| cost.control)),
+        ("platform/s", line(|cost| cost.platform)),
+    ];
+    for (name, (start, slope, residual)) in shown {
+        println!("  {name:<12} = {start:>9.3} + {slope:>9.4} each   (residual {residual:.3})");
+    }
+    println!();
+}
--- a/bins/walkhookd/tests/support/mod.rs
+++ b/bins/walkhookd/tests/support/mod.rs
@@ -30,6 +30,12 @@
 const PATIENCE: Duration = Duration::from_secs(60);
 const LOOK: Duration = Duration::from_millis(20);
 pub const CORES: u32 = 8;
+/// Times for tests: failures are found out in fractions of a second.
+pub const FAST: &str = "log: debug
+membership: { heartbeat: 50ms, dead_after: 600ms }
+tasks: { lease: 3s, renew_every: 200ms, partitions: 4 }";
+/// The times that an entry host has unless its settings say otherwise.
+pub const DEFAULT: &str = "log: info";
 
 /// A caller's client.
 pub type Caller = Client<HttpConnector, Full<Bytes>>;
@@ -46,11 +52,32 @@
     process: Option<Child>,
 }
 
+/// The daemon; for an example, which is not built together with it, the example itself in that role.
+fn daemon() -> Command {
+    if let Some(path) = option_env!("CARGO_BIN_EXE_walkhookd") {
+        return Command::new(path);
+    }
+    let mut itself = Command::new(std::env::current_exe().expect("a path"));
+    itself.args(["--role", "walkhookd"]);
+    itself
+}
+
 impl Entry {
+    /// Processor time in milliseconds and resident memory in KiB.
+    pub fn costs(&self) -> (u64, u64) {
+        let id = self.process.as_ref().expect("it runs").id();
+        let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).expect("it runs");
+        let fields: Vec<&str> = stat.rsplit_once(')').expect("a name").1.split_whitespace().collect();
+        let ticks: u64 = fields[11..13].iter().map(|ticks| ticks.parse::<u64>().expect("a number")).sum();
+        let statm = std::fs::read_to_string(format!("/proc/{id}/statm")).expect("it runs");
+        let pages: u64 = statm.split_whitespace().nth(1).expect("pages").parse().expect("a number");
+        (ticks * 10, pages * 4)
+    }
+
     fn start(&mut self) {
         let log = std::fs::File::options().create(true).append(true).open(self.settings.with_extension("log"));
         let log = log.expect("a log file");
-        let process = Command::new(env!("CARGO_BIN_EXE_walkhookd"))
+        let process = daemon()
             .arg("--settings")
             .arg(&self.settings)
             .stdin(Stdio::null())
@@ -134,6 +161,11 @@
 impl Cell {
     /// Starts a cell and waits until all hosts take callers' requests and all workers are held.
     pub async fn start(layout: &[Layout]) -> Cell {
+        Cell::start_at(layout, FAST).await
+    }
+
+    /// The same with other times.
+    pub async fn start_at(layout: &[Layout], pace: &str) -> Cell {
         let platform = Platform::start(any_port()).await.expect("a free port");
         let folder = tempfile::tempdir().expect("a folder");
         let mut cell = Cell {
@@ -149,7 +181,7 @@
                 cell.add_worker(data_centre, number).await;
             }
         }
-        cell.write_settings(layout);
+        cell.write_settings(layout, pace);
         for host in &mut cell.hosts {
             host.start();
         }
@@ -169,7 +201,7 @@
         self.workers.push((name, worker));
     }
 
-    fn write_settings(&mut self, layout: &[Layout]) {
+    fn write_settings(&mut self, layout: &[Layout], pace: &str) {
         let count: usize = layout.iter().map(|(_, hosts, _)| hosts).sum();
         // All are taken at once, so that no two are the same.
         let taken: Vec<TcpListener> =
@@ -184,7 +216,7 @@
                 let own = free.next().expect("enough addresses");
                 let name = format!("{data_centre}-e{number}");
                 let file = self.folder.path().join(format!("{name}.yaml"));
-                let text = settings(&name, data_centre, &all, own, seed, self.platform.address());
+                let text = settings(&name, data_centre, &all, own, seed, self.platform.address(), pace);
                 std::fs::write(&file, text).expect("a settings file");
                 let (callers, operators, relay) = (own[0], own[1], own[3]);
                 self.hosts.push(Entry { name, callers, operators, relay, settings: file, process: None });
@@ -347,6 +379,15 @@
     Some(Answer { status, outcome, retry_after, body: String::from_utf8_lossy(&body).into_owned() })
 }
 
+/// The text that a GET brings; empty when none.
+pub async fn get_text(url: &str) -> String {
+    let caller: Client<HttpConnector, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
+    let request = Request::builder().uri(url).body(Full::new(Bytes::new())).expect("a good request");
+    let Ok(answer) = caller.request(request).await else { return String::new() };
+    let body = answer.into_body().collect().await.map(http_body_util::Collected::to_bytes).unwrap_or_default();
+    String::from_utf8_lossy(&body).into_owned()
+}
+
 /// Waits until a condition holds; fails the test when it does not within a time that is far beyond need.
 pub async fn until<F: Future<Output = bool>>(what: &str, mut condition: impl FnMut() -> F) {
     let began = Instant::now();
@@ -363,6 +404,7 @@
     own: &[SocketAddr],
     seed: SocketAddr,
     platform: SocketAddr,
+    pace: &str,
 ) -> String {
     let [callers, operators, peers, relay] = own else { panic!("four addresses") };
     format!(
@@ -374,9 +416,7 @@
 seeds: ['{seed}']
 platform: {{ address: '{platform}', timeout: 700ms, calls_per_second: 200 }}
 shared_key: {KEY}
-log: debug
-membership: {{ heartbeat: 50ms, dead_after: 600ms }}
-tasks: {{ lease: 3s, renew_every: 200ms, partitions: 4 }}
+{pace}
 classes:
   - {{ name: check, path: /slots, service: planner, priority: urgent, deadline: 5s, repeatable: true }}
   - {{ name: booking, path: /bookings, service: planner, priority: urgent, deadline: 5s }}
