Stop no more patient work than urgent work needs

And room that was kept at a worker is left out of its published free room, so its own workload never saw it. Now the room kept for a workload is remembered by the scheduler, renewed without new victims, and used where its holder says that it has become free. The facts carry run time since the last checkpoint, as a power of two of seconds, for the least loss.

--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -68,8 +68,8 @@
     TASK_ENDED = 505, Debug, "attempt ended";
     /// A task is parked.
     TASK_PARKED = 506, Warning, "task parked";
-    /// A task was stopped for urgent work.
-    TASK_PREEMPTED = 507, Info, "attempt stopped for urgent work";
+    /// Patient tasks were stopped for urgent work.
+    TASK_PREEMPTED = 507, Info, "patient attempts stopped for urgent work";
     /// A request's answer broke off.
     ANSWER_BROKEN = 601, Warning, "answer of a backend server broke off";
     /// The home of keys has lost its authority for a while.
--- a/components/facts/tests/facts.rs
+++ b/components/facts/tests/facts.rs
@@ -32,6 +32,7 @@
         state: TaskState::Running(None),
         resources: Resources::new(1, 1, 0),
         patient: false,
+        unsaved: 0,
     };
     (FactKey::Task(id(), ATTEMPT), Fact::Task(fact))
 }
--- a/components/fakes/src/worker.rs
+++ b/components/fakes/src/worker.rs
@@ -35,6 +35,7 @@
 struct Running {
     task: Task,
     started_at: Instant,
+    saved_at: Instant,
     lease_until: Duration,
     ends_after: Option<Duration>,
     backend: Option<Backend>,
@@ -259,9 +260,16 @@
             let failure = failure_of(state.conduct, &run);
             let address = server.as_ref().map(Backend::address);
             let run_now = failure.map_or(Run::Running { address }, |end| Run::Ended { end });
-            let task = Task { task, attempt, resources, patient, run: run_now, usage: None };
+            let task = Task { task, attempt, resources, patient, run: run_now, unsaved_ms: 0, usage: None };
             let ends_after = time_of(&run);
-            let running = Running { task, started_at: Instant::now(), lease_until, ends_after, backend: server };
+            let running = Running {
+                task,
+                started_at: Instant::now(),
+                saved_at: Instant::now(),
+                lease_until,
+                ends_after,
+                backend: server,
+            };
             state.tasks.insert(key, running);
             note_peak(state);
         }
@@ -269,7 +277,12 @@
         Command::Acknowledge { task, attempt } => {
             state.tasks.remove(&(task, attempt));
         }
-        Command::Throttle { .. } | Command::Checkpoint { .. } => {}
+        Command::Checkpoint { task, attempt } => {
+            if let Some(running) = state.tasks.get_mut(&(task, attempt)) {
+                running.saved_at = Instant::now();
+            }
+        }
+        Command::Throttle { .. } => {}
     }
 }
 
@@ -282,8 +295,15 @@
         return;
     }
     let run = Run::Ended { end: End::Stopped };
-    let task = Task { task, attempt, resources: Resources::ZERO, patient: false, run, usage: None };
-    let running = Running { task, started_at: Instant::now(), lease_until, ends_after: None, backend: None };
+    let task = Task { task, attempt, resources: Resources::ZERO, patient: false, run, unsaved_ms: 0, usage: None };
+    let running = Running {
+        task,
+        started_at: Instant::now(),
+        saved_at: Instant::now(),
+        lease_until,
+        ends_after: None,
+        backend: None,
+    };
     state.tasks.insert(key, running);
 }
 
@@ -305,10 +325,14 @@
         stamp_ms: state.born.elapsed().as_millis() as u64,
         capacity: state.capacity,
         leaving: state.leaving,
-        tasks: state.tasks.values().map(|running| running.task.clone()).collect(),
+        tasks: state.tasks.values().map(reported).collect(),
     }
 }
 
+fn reported(running: &Running) -> Task {
+    Task { unsaved_ms: running.saved_at.elapsed().as_millis() as u64, ..running.task.clone() }
+}
+
 fn failure_of(conduct: Conduct, run: &str) -> Option<End> {
     let message = match (conduct, run.split_whitespace().next()) {
         (Conduct::FailsEverything, _) => "the worker's disk is full",
--- a/components/jobs/tests/book.rs
+++ b/components/jobs/tests/book.rs
@@ -39,7 +39,7 @@
 }
 
 fn fact(worker: &str, state: TaskState) -> TaskFact {
-    TaskFact { worker: worker.to_owned(), state, resources: Resources::new(1, 1024, 0), patient: false }
+    TaskFact { worker: worker.to_owned(), state, resources: Resources::new(1, 1024, 0), patient: false, unsaved: 0 }
 }
 
 fn start(book: &mut Book, index: u32, worker: &str, now: Instant) -> (Id, Attempt) {
--- a/components/jobs/tests/two_places.rs
+++ b/components/jobs/tests/two_places.rs
@@ -79,7 +79,7 @@
 }
 
 fn found(task: &Id, attempt: Attempt, resources: Resources, run: Run) -> Task {
-    Task { task: task.clone(), attempt, resources, patient: false, run, usage: None }
+    Task { task: task.clone(), attempt, resources, patient: false, run, unsaved_ms: 0, usage: None }
 }
 
 struct World {
--- a/components/ledger/src/book.rs
+++ b/components/ledger/src/book.rs
@@ -55,6 +55,8 @@
     stop: Option<Instant>,
     /// Whether the worker was told to stop it.
     stop_sent: bool,
+    /// Run time since the last checkpoint, as a power of two of seconds.
+    unsaved: u8,
     /// Whether it answers callers: then they are led elsewhere before it is stopped.
     service: bool,
     /// Whether its end is durable, so that the worker may forget it.
@@ -192,6 +194,7 @@
             offered: false,
             stop: None,
             stop_sent: false,
+            unsaved: 0,
             service: order.service,
             acknowledged: false,
             trial: self.trust.on_probation(),
@@ -327,6 +330,7 @@
             offered: true,
             stop: None,
             stop_sent: false,
+            unsaved: 0,
             service: matches!(task.run, Run::Running { address: Some(_) }),
             acknowledged: false,
             trial: false,
@@ -335,6 +339,7 @@
         if entry.ended() {
             return None;
         }
+        entry.unsaved = power_of_seconds(task.unsaved_ms);
         match task.run {
             Run::Running { address } if entry.stop.is_none() => entry.state = TaskState::Running(address),
             Run::Running { .. } | Run::Stopping => entry.state = TaskState::Stopping,
@@ -420,8 +425,14 @@
                 state: entry.state.clone(),
                 resources: entry.resources,
                 patient: entry.patient,
+                unsaved: entry.unsaved,
             };
             (FactKey::Task(task.clone(), *attempt), Fact::Task(fact))
         })
     }
 }
+
+/// The power of two of seconds that a time has reached; 0 below two seconds.
+fn power_of_seconds(milliseconds: u64) -> u8 {
+    (milliseconds / 1000).checked_ilog2().unwrap_or(0) as u8
+}
--- a/components/ledger/tests/ledger.rs
+++ b/components/ledger/tests/ledger.rs
@@ -38,7 +38,15 @@
 
 fn found(workload: &str, index: u32, number: u32, cores: u32, run: Run) -> Task {
     let resources = Resources::new(cores, cores * 1024, 0);
-    Task { task: task(workload, index), attempt: attempt(number), resources, patient: true, run, usage: None }
+    Task {
+        task: task(workload, index),
+        attempt: attempt(number),
+        resources,
+        patient: true,
+        run,
+        unsaved_ms: 0,
+        usage: None,
+    }
 }
 
 fn running() -> Run {
@@ -244,6 +252,7 @@
                         resources: *resources,
                         patient: true,
                         run: running(),
+                        unsaved_ms: 0,
                         usage: None,
                     });
                 }
--- a/components/node/src/schedule.rs
+++ b/components/node/src/schedule.rs
@@ -22,8 +22,12 @@
 const RESERVE_AFTER: Duration = Duration::from_secs(30);
 /// Urgent work that finds no room stops patient work after so long.
 const PREEMPT_AFTER: Duration = Duration::from_millis(200);
+/// Room that has not become free after so long is looked for anew.
+const KEEP: Duration = Duration::from_secs(20);
 /// Tasks of one workload ordered in one pass, so that no pass gets long.
 const MOST_ORDERS: usize = 512;
+/// Longer runs without a checkpoint count alike; as a power of two of seconds, half a year.
+const LONGEST_UNSAVED: u8 = 24;
 /// The first of these many priorities in the seniority of a reservation.
 const SENIORITY_BITS: u32 = 60;
 
@@ -37,13 +41,19 @@
     accepted_ms: u64,
 }
 
-/// Orders made in one pass.
-#[derive(Default)]
-struct Orders {
-    starts: BTreeMap<(Partition, Epoch), Vec<StartOrder>>,
-    reservations: BTreeMap<(Partition, Epoch), Vec<ReserveOrder>>,
+/// Start orders made in one pass.
+type Orders = BTreeMap<(Partition, Epoch), Vec<StartOrder>>;
+
+/// Room that is kept for a workload at workers, until it has become free there.
+struct Kept {
+    since: Instant,
+    /// Tasks to start on each worker.
+    places: BTreeMap<WorkerId, u32>,
 }
 
+/// What is kept for workloads, by name.
+type Keeping = HashMap<WorkloadId, Kept>;
+
 /// The view that one pass decides on.
 struct Pass {
     now: Instant,
@@ -57,34 +67,35 @@
 
 /// Looks at waiting work until the process ends.
 pub(crate) async fn run(shared: Arc<Shared>) {
+    let mut keeping = Keeping::new();
     loop {
         let _ = tokio::time::timeout(LOOK, shared.look_again.notified()).await;
         if !shared.is_stopping() {
-            pass(&shared).await;
+            pass(&shared, &mut keeping).await;
         }
         tokio::time::sleep(SPACING).await;
     }
 }
 
-async fn pass(shared: &Arc<Shared>) {
+async fn pass(shared: &Arc<Shared>, keeping: &mut Keeping) {
     let now = Instant::now();
     let waiting = waiting(shared, now).await;
+    keeping.retain(|name, kept| {
+        now.duration_since(kept.since) < KEEP && waiting.iter().any(|one| one.workload.name == *name)
+    });
     if waiting.is_empty() {
         return;
     }
     let mut pass = Pass::new(shared, now);
     let mut orders = Orders::default();
     for at in pass.order(&waiting) {
-        place_one(shared, &mut pass, &waiting[at], &mut orders).await;
+        place_one(shared, &mut pass, keeping, &waiting[at], &mut orders).await;
     }
-    for ((partition, epoch), starts) in orders.starts {
+    for ((partition, epoch), starts) in orders {
         // Each partition's orders go out on their own: a slow holder must not hold up the next pass.
         let shared = shared.clone();
         tokio::spawn(async move { send::starts(&shared, partition, epoch, starts).await });
     }
-    for ((partition, epoch), reservations) in orders.reservations {
-        send::reservations(shared, partition, epoch, reservations).await;
-    }
 }
 
 async fn waiting(shared: &Arc<Shared>, now: Instant) -> Vec<Waiting> {
@@ -188,7 +199,10 @@
     usage
 }
 
-async fn place_one(shared: &Arc<Shared>, pass: &mut Pass, one: &Waiting, orders: &mut Orders) {
+async fn place_one(shared: &Arc<Shared>, pass: &mut Pass, keeping: &mut Keeping, one: &Waiting, orders: &mut Orders) {
+    if keeping.contains_key(&one.workload.name) {
+        return use_kept(shared, pass, keeping, one, orders).await;
+    }
     let closed = close(pass, &one.avoided);
     let refused = match one.workload.kind {
         Kind::Gang => place_gang(shared, pass, one, orders).await,
@@ -204,7 +218,7 @@
     };
     shared.partitions.with(one.partition, |owned| owned.book.explain(&one.workload.name, &reason));
     if let Choice::Waiting(Reason::NoRoom { .. } | Reason::GangIncomplete { .. }) = choice {
-        make_room(pass, one, orders);
+        make_room(shared, pass, keeping, one).await;
     }
 }
 
@@ -289,7 +303,7 @@
     let Some(order) = order.flatten() else { return false };
     pass.cell.take(at, &one.workload.each);
     pass.spend(&one.workload.team, &one.workload.each);
-    orders.starts.entry((one.partition, one.epoch)).or_default().push(order);
+    orders.entry((one.partition, one.epoch)).or_default().push(order);
     true
 }
 
@@ -313,7 +327,9 @@
         pass.cell.give(*at, &workload.each);
     }
     let reservations = keep(pass, one, &places);
-    if !send::reservations(shared, one.partition, one.epoch, reservations).await {
+    let asked = reservations.len();
+    let there = send::reservations(shared, one.partition, one.epoch, reservations).await;
+    if there.len() < asked {
         return Some(Choice::Waiting(Reason::GangIncomplete { fitting: 0, needed: count as u32 }));
     }
     for (position, at) in one.claimant.positions.iter().zip(places) {
@@ -349,33 +365,70 @@
     (tier << SENIORITY_BITS) | (one.accepted_ms & ((1 << SENIORITY_BITS) - 1))
 }
 
+/// Starts tasks on the workers where the kept room has become free, and keeps the rest.
+async fn use_kept(shared: &Arc<Shared>, pass: &mut Pass, keeping: &mut Keeping, one: &Waiting, orders: &mut Orders) {
+    let Some(kept) = keeping.get_mut(&one.workload.name) else { return };
+    let each = &one.workload.each;
+    let renewed =
+        kept.places.iter().map(|(worker, count)| reservation(one, worker.clone(), times(each, *count), Vec::new()));
+    let there = send::reservations(shared, one.partition, one.epoch, renewed.collect()).await;
+    let allowed = pass.allowance(&one.workload.team, each, one.claimant.positions.len());
+    let mut positions = one.claimant.positions[..allowed].iter();
+    for worker in there {
+        let Some(at) = pass.cell.find(&worker) else { continue };
+        let count = kept.places.remove(&worker).unwrap_or(0);
+        for position in positions.by_ref().take(count as usize) {
+            order_one(shared, pass, one, *position, at, orders);
+        }
+    }
+    if kept.places.is_empty() {
+        keeping.remove(&one.workload.name);
+    }
+}
+
+fn times(each: &Resources, count: u32) -> Resources {
+    Resources {
+        cpu_milli: each.cpu_milli.saturating_mul(count),
+        memory_mib: each.memory_mib.saturating_mul(count),
+        accelerators: each.accelerators.saturating_mul(count),
+    }
+}
+
 /// For work that found no room: stops patient work for urgent work, and keeps room for what waits long.
-fn make_room(pass: &mut Pass, one: &Waiting, orders: &mut Orders) {
+async fn make_room(shared: &Arc<Shared>, pass: &Pass, keeping: &mut Keeping, one: &Waiting) {
     let waited = pass.now.saturating_duration_since(one.claimant.since);
     let urgent = one.workload.priority == Priority::Urgent && waited >= PREEMPT_AFTER;
     if !urgent && waited < RESERVE_AFTER {
         return;
     }
     let mut candidates = candidates(pass, urgent);
-    let mut reserved = Vec::new();
-    for _ in &one.claimant.positions[..one.claimant.positions.len().min(MOST_ORDERS)] {
+    let mut chosen: BTreeMap<WorkerId, (u32, Vec<(Id, Attempt)>)> = BTreeMap::new();
+    for _ in one.claimant.positions.iter().take(MOST_ORDERS) {
         let Some(preemption) = place::preempt(&candidates, &one.workload.each) else { break };
         let victims: BTreeSet<(Id, Attempt)> =
             preemption.victims.iter().map(|victim| (victim.task.clone(), victim.attempt)).collect();
         for candidate in candidates.iter_mut().filter(|candidate| candidate.worker == preemption.worker) {
             use_up(candidate, &victims, &one.workload.each);
         }
-        let stopped: Vec<(Id, Attempt)> = if urgent { victims.into_iter().collect() } else { Vec::new() };
-        reserved.push((preemption.worker, stopped));
+        let place = chosen.entry(preemption.worker).or_default();
+        place.0 += 1;
+        if urgent {
+            place.1.extend(victims);
+        }
+    }
+    if chosen.is_empty() {
+        return;
     }
-    let mut by_worker: BTreeMap<WorkerId, (Resources, Vec<(Id, Attempt)>)> = BTreeMap::new();
-    for (worker, victims) in reserved {
-        let entry = by_worker.entry(worker).or_default();
-        entry.0 = entry.0.checked_add(&one.workload.each).unwrap_or(entry.0);
-        entry.1.extend(victims);
+    let stopped: usize = chosen.values().map(|(_, victims)| victims.len()).sum();
+    if stopped > 0 {
+        events::emit!(shared.log, events::TASK_PREEMPTED, "for" => &one.workload.name, "stopped" => stopped);
     }
-    let new = by_worker.into_iter().map(|(worker, (size, victims))| reservation(one, worker, size, victims));
-    orders.reservations.entry((one.partition, one.epoch)).or_default().extend(new);
+    let places = chosen.iter().map(|(worker, (count, _))| (worker.clone(), *count)).collect();
+    keeping.insert(one.workload.name.clone(), Kept { since: pass.now, places });
+    let reservations = chosen
+        .into_iter()
+        .map(|(worker, (count, victims))| reservation(one, worker, times(&one.workload.each, count), victims));
+    send::reservations(shared, one.partition, one.epoch, reservations.collect()).await;
 }
 
 /// Workers with what could make room there: for urgent work the patient tasks that may be stopped; for work
@@ -386,8 +439,8 @@
         let ends = matches!(fact.state, TaskState::Running(None) | TaskState::Starting);
         let patient = fact.patient && matches!(fact.state, TaskState::Running(_) | TaskState::Starting);
         if (urgent && patient) || (!urgent && ends) {
-            let victim =
-                Victim { task: task.clone(), attempt: *attempt, resources: fact.resources, unsaved: Duration::ZERO };
+            let unsaved = Duration::from_secs(1 << fact.unsaved.min(LONGEST_UNSAVED));
+            let victim = Victim { task: task.clone(), attempt: *attempt, resources: fact.resources, unsaved };
             by_worker.entry(&fact.worker).or_default().push(victim);
         }
     }
--- a/components/node/src/send.rs
+++ b/components/node/src/send.rs
@@ -1,6 +1,6 @@
 //! Sends an owner's orders to the holders of the workers, here or at other hosts.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -77,19 +77,23 @@
     }
 }
 
-/// Asks holders to keep room. True when all of it is there now.
+/// Asks holders to keep room. Returns the workers where all of it is there now.
 pub(crate) async fn reservations(
     shared: &Arc<Shared>,
     partition: Partition,
     epoch: Epoch,
     orders: Vec<ReserveOrder>,
-) -> bool {
-    let (sorted, without) = by_holder(shared, orders, |order| &order.worker);
+) -> BTreeSet<WorkerId> {
+    let (sorted, _) = by_holder(shared, orders, |order| &order.worker);
     let calls = sorted.into_iter().map(|(host, orders)| async move {
-        let answer = ask(shared, &host, Request::Reserve { partition, epoch, orders }).await;
-        matches!(answer, Ok(Answer::Reserved(all)) if all.iter().all(|there| *there))
+        let workers: Vec<WorkerId> = orders.iter().map(|order| order.worker.clone()).collect();
+        let Ok(Answer::Reserved(there)) = ask(shared, &host, Request::Reserve { partition, epoch, orders }).await
+        else {
+            return Vec::new();
+        };
+        workers.into_iter().zip(there).filter(|(_, there)| *there).map(|(worker, _)| worker).collect()
     });
-    join_all(calls).await.into_iter().all(|there| there) && without.is_empty()
+    join_all(calls).await.into_iter().flatten().collect()
 }
 
 /// Sends stop orders. Lost ones are sent again at the next look.
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -103,6 +103,9 @@
     pub resources: Resources,
     /// Whether it may be stopped for urgent work.
     pub patient: bool,
+    /// Run time since its last checkpoint, which a stop would lose: the power of two of the seconds. So coarse
+    /// that it seldom changes, since each change travels to every neighbour.
+    pub unsaved: u8,
 }
 
 /// An order to start one attempt.
--- a/components/wire/tests/wire.rs
+++ b/components/wire/tests/wire.rs
@@ -44,7 +44,8 @@
     let mut board = Board::default();
     for (index, state) in states.enumerate() {
         let task = Id { workload: "plan".to_owned(), life: 1, data_centre: "gt-1".to_owned(), index: index as u32 };
-        let fact = TaskFact { worker: "w".to_owned(), state, resources: Resources::new(1, 1, 0), patient: true };
+        let fact =
+            TaskFact { worker: "w".to_owned(), state, resources: Resources::new(1, 1, 0), patient: true, unsaved: 3 };
         board.set(FactKey::Task(task, Attempt { epoch: 1, number: 1 }), Fact::Task(fact));
     }
     Answer::Facts(board.delta(0))
--- a/components/worker/src/protocol.rs
+++ b/components/worker/src/protocol.rs
@@ -114,6 +114,9 @@
     pub patient: bool,
     /// How it is.
     pub run: Run,
+    /// Run time since the last checkpoint, which a stop would lose, in milliseconds.
+    #[serde(default)]
+    pub unsaved_ms: u64,
     /// Late usage: what it was seen to use, when that is known.
     pub usage: Option<Resources>,
 }
