--- a/bins/walkhookd/tests/support/mod.rs
+++ b/bins/walkhookd/tests/support/mod.rs
@@ -4,7 +4,7 @@
 #![allow(dead_code)]
 
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
@@ -30,6 +30,8 @@
 const PATIENCE: Duration = Duration::from_secs(60);
 const LOOK: Duration = Duration::from_millis(20);
 pub const CORES: u32 = 8;
+/// Below the ports of outgoing connections.
+const FIRST_PORT: u16 = 10_000;
 /// Times for tests: failures are found out in fractions of a second.
 pub const FAST: &str = "log: debug
 membership: { heartbeat: 50ms, dead_after: 600ms }
@@ -203,11 +205,10 @@
 
     fn write_settings(&mut self, layout: &[Layout], pace: &str) {
         let count: usize = layout.iter().map(|(_, hosts, _)| hosts).sum();
-        // All are taken at once, so that no two are the same.
-        let taken: Vec<TcpListener> =
-            (10_000..).filter_map(|port| TcpListener::bind((own_ip(), port)).ok()).take(count * 4).collect();
-        let addresses: Vec<SocketAddr> = taken.iter().map(|port| port.local_addr().expect("an address")).collect();
-        drop(taken);
+        // Not tried out by listening: a listener of this process lives on for a moment in every child that another
+        // test is just starting, and its port would be taken when the host wants it.
+        let addresses: Vec<SocketAddr> =
+            (0..count * 4).map(|at| SocketAddr::from((own_ip(), FIRST_PORT + at as u16))).collect();
         let seed = addresses[2];
         let all: Vec<&str> = layout.iter().map(|(name, _, _)| *name).collect();
         let mut free = addresses.chunks(4);
@@ -333,8 +334,8 @@
     }
 }
 
-/// A loopback address that no other cell uses. A port that was free there, below those that the system gives to
-/// outgoing connections, stays free until its host takes it.
+/// A loopback address that no other cell uses, so that all ports there are free, but for those that the system
+/// gives to outgoing connections.
 fn own_ip() -> Ipv4Addr {
     static CELLS: AtomicU32 = AtomicU32::new(0);
     thread_local! {
--- a/components/member/src/digest.rs
+++ b/components/member/src/digest.rs
@@ -46,8 +46,27 @@
     pub configuration: Revision,
     /// Version of the facts that it publishes.
     pub facts: u64,
-    /// The last sequence that it heard from each live host of its own data centre, with the incarnation.
-    pub heard: Vec<(HostId, Incarnation, u64)>,
-    /// Some other live hosts, so that a newcomer who knows one host comes to know all.
+    /// What it last heard from each live host of its own data centre.
+    pub heard: Vec<Heard>,
+    /// Some other live hosts, so that a newcomer who knows one host comes to know all. Not in every digest.
     pub known: Vec<Peer>,
 }
+
+/// What was last heard from a host, kept short: it is most of a digest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heard {
+    /// Stands for its name.
+    pub host: HostMark,
+    /// The last four bytes of its incarnation.
+    pub life: u32,
+    /// The sequence of its last digest.
+    pub sequence: u64,
+}
+
+/// Stands for a host's name where many names would be sent.
+pub type HostMark = u32;
+
+/// The mark of a host's name.
+pub fn mark(host: &str) -> HostMark {
+    xxhash_rust::xxh3::xxh3_64(host.as_bytes()) as HostMark
+}
--- a/components/member/src/lib.rs
+++ b/components/member/src/lib.rs
@@ -6,6 +6,6 @@
 mod rendezvous;
 mod table;
 
-pub use digest::{Digest, Peer, Presence};
+pub use digest::{Digest, Heard, HostMark, Peer, Presence, mark};
 pub use rendezvous::{rank, winner};
 pub use table::{Limits, Member, State, Table};
--- a/components/member/src/table.rs
+++ b/components/member/src/table.rs
@@ -5,13 +5,15 @@
 
 use model::{DataCentreId, HostId, Incarnation, Revision};
 
-use crate::digest::{Digest, Peer, Presence};
+use crate::digest::{Digest, Heard, HostMark, Peer, Presence, mark};
 
 /// Bounds of the failure detector.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
     /// A host that is silent for so long is taken for dead.
     pub dead_after: Duration,
+    /// The same for a host of another data centre, from where digests come less often.
+    pub far_dead_after: Duration,
     /// Authority that rests on being heard by the peers ends after so long without their echo. Shorter
     /// than `dead_after`, so that it ends before a peer can take over.
     pub echo_within: Duration,
@@ -25,6 +27,7 @@
     fn default() -> Self {
         Limits {
             dead_after: Duration::from_millis(2000),
+            far_dead_after: Duration::from_millis(8000),
             echo_within: Duration::from_millis(1000),
             forget_after: Duration::from_secs(3600),
             pause: Duration::from_millis(1000),
@@ -62,8 +65,8 @@
     pub facts: u64,
     /// The newest sequence of ours that it says it heard, and when we sent that.
     pub echo: Option<(u64, Instant)>,
-    /// Hosts of its data centre that it says it hears.
-    pub hears: BTreeSet<HostId>,
+    /// Marks of the hosts of its data centre that it says it hears.
+    pub hears: BTreeSet<HostMark>,
 }
 
 /// All other entry hosts that this one knows of.
@@ -137,20 +140,37 @@
             configuration: digest.configuration,
             facts: digest.facts,
             echo,
-            hears: digest.heard.iter().map(|(host, _, _)| host.clone()).collect(),
+            hears: digest.heard.iter().map(|heard| heard.host).collect(),
         };
         self.members.insert(digest.from.host.clone(), member);
+        self.hear_of(digest, now);
         replaced || before != self.state(&digest.from.host, now)
     }
 
+    /// A host of another data centre that hears its neighbours speaks for them: digests from afar come seldom.
+    fn hear_of(&mut self, digest: &Digest, now: Instant) {
+        let far = &digest.from.data_centre;
+        if *far == self.own.data_centre {
+            return;
+        }
+        for member in self.members.values_mut().filter(|member| member.peer.data_centre == *far) {
+            let host = mark(&member.peer.host);
+            let life = member.incarnation as u32;
+            if digest.heard.iter().any(|heard| heard.host == host && heard.life == life) {
+                member.heard_at = now;
+            }
+        }
+    }
+
     /// The echo is dated by when *we* sent the digest that was heard: a digest held up on the way, or a
     /// pause of ours, can't stretch the authority that rests on it.
     fn echo_of(&self, digest: &Digest, known: Option<&Member>) -> Option<(u64, Instant)> {
         let previous = known.filter(|member| member.incarnation == digest.incarnation).and_then(|member| member.echo);
-        let heard = digest.heard.iter().find(|(host, life, _)| *host == self.own.host && *life == self.incarnation);
-        let Some((_, _, sequence)) = heard else { return previous };
-        match self.sent.get(sequence) {
-            Some(sent_at) => Some((*sequence, *sent_at)),
+        let (own, life) = (mark(&self.own.host), self.incarnation as u32);
+        let heard = digest.heard.iter().find(|heard| heard.host == own && heard.life == life);
+        let Some(heard) = heard else { return previous };
+        match self.sent.get(&heard.sequence) {
+            Some(sent_at) => Some((heard.sequence, *sent_at)),
             None => previous,
         }
     }
@@ -164,12 +184,17 @@
         let silent = now.saturating_duration_since(member.heard_at + self.gap(now));
         Some(match member.presence {
             Presence::Gone => State::Dead,
-            _ if silent > self.limits.dead_after => State::Dead,
+            _ if silent > self.dead_after(member) => State::Dead,
             Presence::Leaving => State::Leaving,
             Presence::Serving => State::Live,
         })
     }
 
+    fn dead_after(&self, member: &Member) -> Duration {
+        let near = member.peer.data_centre == self.own.data_centre;
+        if near { self.limits.dead_after } else { self.limits.far_dead_after }
+    }
+
     /// A host's entry.
     pub fn get(&self, host: &str) -> Option<&Member> {
         self.members.get(host)
@@ -241,7 +266,7 @@
     fn is_missed(&self, host: &str, known: &[&Member], now: Instant) -> bool {
         let missing = known.iter().filter(|member| {
             let heard = self.state(&member.peer.host, now).is_some_and(|state| state != State::Dead);
-            heard && !member.hears.contains(host)
+            heard && !member.hears.contains(&mark(host))
         });
         self.is_quorum(missing.map(|member| member.peer.host.as_str()), known)
     }
@@ -270,11 +295,15 @@
     }
 
     /// What our next digest says it heard in the own data centre.
-    pub fn heard(&self, now: Instant) -> Vec<(HostId, Incarnation, u64)> {
+    pub fn heard(&self, now: Instant) -> Vec<Heard> {
         self.reachable(now)
             .into_iter()
             .filter(|member| member.peer.data_centre == self.own.data_centre)
-            .map(|member| (member.peer.host.clone(), member.incarnation, member.sequence))
+            .map(|member| Heard {
+                host: mark(&member.peer.host),
+                life: member.incarnation as u32,
+                sequence: member.sequence,
+            })
             .collect()
     }
 
--- a/components/member/tests/table.rs
+++ b/components/member/tests/table.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use member::{Digest, Limits, Peer, Presence, State, Table, winner};
+use member::{Digest, Heard, Limits, Peer, Presence, State, Table, mark, winner};
 
 fn peer(host: &str) -> Peer {
     Peer {
@@ -27,6 +27,10 @@
     }
 }
 
+fn heard(host: &str, life: u32, sequence: u64) -> Heard {
+    Heard { host: mark(host), life, sequence }
+}
+
 fn table() -> Table {
     Table::new(peer("a"), 7, Limits::default())
 }
@@ -68,7 +72,7 @@
     let (mut table, start) = (table(), Instant::now());
     table.sending(1, start);
     let mut echo = digest("b", 1, 1);
-    echo.heard = vec![("a".to_owned(), 7, 1)];
+    echo.heard = vec![heard("a", 7, 1)];
     table.hear(&echo, start);
     // Of two hosts `a` comes first by name, but it needs the other: `b` alone is no quorum, `a` alone is one.
     assert!(table.has_authority(|_| false, start + Duration::from_millis(900)));
@@ -81,7 +85,7 @@
     let (mut table, now) = (table(), Instant::now());
     table.sending(1, now);
     let mut echo = digest("b", 1, 1);
-    echo.heard = vec![("a".to_owned(), 6, 1)];
+    echo.heard = vec![heard("a", 6, 1)];
     echo.from = peer("0");
     table.hear(&echo, now);
     assert!(!table.has_authority(|_| false, now));
@@ -95,7 +99,7 @@
     for other in others {
         let mut said = digest(other, 1, 1);
         let hears = others.iter().chain([&own]).filter(|host| **host != *other && **host != missed);
-        said.heard = hears.map(|host| ((*host).to_owned(), 7, 1)).collect();
+        said.heard = hears.map(|host| heard(host, 7, 1)).collect();
         table.hear(&said, now);
     }
     table
@@ -145,7 +149,7 @@
             for other in ["b", "c"] {
                 let mut said = digest(other, 1, step + 1);
                 let hears = ["a", "b", "c", "d"].into_iter().filter(|host| *host != other && *host != missed);
-                said.heard = hears.map(|host| (host.to_owned(), 1, step)).collect();
+                said.heard = hears.map(|host| heard(host, 1, step)).collect();
                 table.hear(&said, at);
             }
         }
@@ -155,6 +159,30 @@
     assert_eq!(hear_again("d"), ["a", "b", "c"]);
 }
 
+#[test]
+fn a_far_host_speaks_for_its_neighbours() {
+    let (mut table, start) = (table(), Instant::now());
+    let far = |host: &str, sequence: u64, hears: &[&str]| {
+        let mut said = digest(host, 1, sequence);
+        said.from.data_centre = "gt-2".to_owned();
+        said.heard = hears.iter().map(|host| heard(host, 1, 1)).collect();
+        said
+    };
+    table.hear(&far("x", 1, &[]), start);
+    table.hear(&far("y", 1, &[]), start);
+    for second in 1..=20u64 {
+        let now = start + Duration::from_secs(second);
+        table.awake(now);
+        table.hear(&far("x", 1 + second, &["y"]), now);
+        assert_eq!(table.state("y", now), Some(State::Live));
+    }
+    for second in 21..=30u64 {
+        table.awake(start + Duration::from_secs(second));
+        table.hear(&far("x", 1 + second, &[]), start + Duration::from_secs(second));
+    }
+    assert_eq!(table.state("y", start + Duration::from_secs(30)), Some(State::Dead));
+}
+
 #[test]
 fn a_host_that_was_paused_itself_takes_nobody_for_dead() {
     let (mut table, start) = (table(), Instant::now());
--- a/components/node/src/membership.rs
+++ b/components/node/src/membership.rs
@@ -15,8 +15,13 @@
 
 use crate::shared::Shared;
 
-/// Hosts of each other data centre that a digest goes to each time.
+/// Hosts of each other data centre that a digest goes to, once in so many digests.
 const FAR: usize = 2;
+const FAR_EVERY: u64 = 5;
+/// Silence after which a host of another data centre is taken for dead, against one of the own.
+const FAR_PATIENCE: u32 = 4;
+/// Hosts are named for newcomers once in so many digests.
+const NAMED_EVERY: u64 = 16;
 /// Hosts named in a digest for newcomers.
 const NAMED: usize = 8;
 /// Digests that go out at once after a change keep at least this distance.
@@ -46,7 +51,13 @@
 
 impl Membership {
     pub(crate) fn new(own: Peer, incarnation: Incarnation, dead_after: Duration) -> Membership {
-        let limits = Limits { dead_after, echo_within: dead_after / 2, pause: dead_after / 2, ..Limits::default() };
+        let limits = Limits {
+            dead_after,
+            far_dead_after: dead_after * FAR_PATIENCE,
+            echo_within: dead_after / 2,
+            pause: dead_after / 2,
+            ..Limits::default()
+        };
         Membership {
             state: Mutex::new(Hosts {
                 table: Table::new(own.clone(), incarnation, limits),
@@ -143,7 +154,9 @@
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
         table.sending(sequence, now);
         let reachable = table.reachable(now);
-        let named = reachable.choose_multiple(&mut rand::rng(), NAMED);
+        // While few are known, this host may be a newcomer itself: then it names them each time.
+        let count = if sequence.is_multiple_of(NAMED_EVERY) || sequence < NAMED_EVERY { NAMED } else { 0 };
+        let named = reachable.choose_multiple(&mut rand::rng(), count);
         Digest {
             cell: cell.to_owned(),
             from: self.own.clone(),
@@ -173,8 +186,11 @@
             }
         }
         let mut rng = rand::rng();
-        for addresses in far.values() {
-            targets.extend(addresses.choose_multiple(&mut rng, FAR));
+        let sequence = self.sequence.load(Ordering::Relaxed);
+        if sequence < NAMED_EVERY || sequence.is_multiple_of(FAR_EVERY) {
+            for addresses in far.values() {
+                targets.extend(addresses.choose_multiple(&mut rng, FAR));
+            }
         }
         let dead: Vec<SocketAddr> = table
             .iter()
