--- a/components/facts/src/lib.rs
+++ b/components/facts/src/lib.rs
@@ -164,6 +164,19 @@
         state.views.get(host).map(|view| &view.board)
     }
 
+    /// Workers that answer and are on their way out.
+    pub fn leaving(&self) -> Vec<WorkerId> {
+        let state = self.state.lock();
+        let mut leaving = Vec::new();
+        for (worker, (epoch, host)) in &state.holders {
+            let fact = self.board_of(&state, host).and_then(|board| worker_in(board, worker));
+            if fact.is_some_and(|fact| fact.epoch == *epoch && fact.leaving && fact.reachable) {
+                leaving.push(worker.clone());
+            }
+        }
+        leaving
+    }
+
     /// Every worker with its holder and fact.
     pub fn workers(&self) -> Vec<(WorkerId, HostId, WorkerFact)> {
         let state = self.state.lock();
--- a/components/gateway/src/service.rs
+++ b/components/gateway/src/service.rs
@@ -19,6 +19,8 @@
     queue: Queue,
     waiters: HashMap<Ticket, oneshot::Sender<Grant>>,
     budget: Budget,
+    instances: Vec<Instance>,
+    hosts: Vec<HostId>,
 }
 
 /// A service that classes of requests lead to.
@@ -42,14 +44,26 @@
             queue: Queue::new(limits.queue as usize),
             waiters: HashMap::new(),
             budget: Budget::default(),
+            instances: Vec::new(),
+            hosts: Vec::new(),
         };
         Service { state: Mutex::new(state), links: Links::default() }
     }
 
-    pub(crate) fn update(&self, instances: &[Instance], hosts: &[HostId], now: Instant) {
+    pub(crate) fn update_instances(&self, instances: Vec<Instance>, now: Instant) {
         let mut state = self.state.lock();
-        state.pool.update(instances, hosts, now);
-        self.links.retain(instances);
+        state.instances = instances;
+        state.update(now);
+        self.links.retain(&state.instances);
+    }
+
+    pub(crate) fn update_hosts(&self, hosts: &[HostId], now: Instant) {
+        let mut state = self.state.lock();
+        if state.hosts != hosts {
+            state.hosts = hosts.to_vec();
+            state.update(now);
+        }
+        // Time passes too: shares that were gained earlier may be used now.
         state.grant_waiting(now);
     }
 
@@ -125,6 +139,11 @@
 }
 
 impl State {
+    fn update(&mut self, now: Instant) {
+        self.pool.update(&self.instances, &self.hosts, now);
+        self.grant_waiting(now);
+    }
+
     fn take(&mut self, now: Instant) -> Grant {
         self.pool.pick(None, now).ok_or(Refusal { why: Why::NoShare, retry_after: Duration::from_secs(1) })
     }
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -129,12 +129,19 @@
         })
     }
 
-    /// Takes in the live instances of each service, and the hosts.
-    pub fn update(&self, instances: BTreeMap<WorkloadId, Vec<Instance>>, topology: Topology) {
+    /// Takes in the live instances of each service.
+    pub fn update_instances(&self, mut instances: BTreeMap<WorkloadId, Vec<Instance>>) {
         let now = Instant::now();
         for (name, service) in &self.services {
-            let live = instances.get(name).map(Vec::as_slice).unwrap_or_default();
-            service.update(live, &topology.hosts, now);
+            service.update_instances(instances.remove(name).unwrap_or_default(), now);
+        }
+    }
+
+    /// Takes in the hosts.
+    pub fn update_hosts(&self, topology: Topology) {
+        let now = Instant::now();
+        for service in self.services.values() {
+            service.update_hosts(&topology.hosts, now);
         }
         {
             let mut home = self.home.lock();
--- a/components/node/src/owner.rs
+++ b/components/node/src/owner.rs
@@ -99,7 +99,8 @@
         let steps = steps(&shared);
         take(&shared, &steps).await;
         release(&shared, &steps).await;
-        join_all(shared.partitions.owned_here().into_iter().map(|number| tend(&shared, number))).await;
+        let leaving = shared.facts.leaving();
+        join_all(shared.partitions.owned_here().into_iter().map(|number| tend(&shared, number, &leaving))).await;
         tokio::time::sleep(LOOK).await;
     }
 }
@@ -285,13 +286,13 @@
 }
 
 /// One look at an owned partition.
-async fn tend(shared: &Arc<Shared>, number: Partition) {
+async fn tend(shared: &Arc<Shared>, number: Partition, leaving: &[WorkerId]) {
     if !may_act(shared, number).await {
         return;
     }
     recover(shared, number).await;
     compare(shared, number);
-    evacuate(shared, number).await;
+    evacuate(shared, number, leaving).await;
     confirm_strays(shared, number).await;
     let now = Instant::now();
     let Some((epoch, stops, overdue, ends)) = shared.partitions.with(number, |owned| {
@@ -494,14 +495,7 @@
 }
 
 /// Empties workers that are on their way out.
-async fn evacuate(shared: &Arc<Shared>, number: Partition) {
-    let leaving: Vec<WorkerId> = shared
-        .facts
-        .workers()
-        .into_iter()
-        .filter(|(_, _, fact)| fact.leaving && fact.reachable)
-        .map(|(worker, _, _)| worker)
-        .collect();
+async fn evacuate(shared: &Arc<Shared>, number: Partition, leaving: &[WorkerId]) {
     if leaving.is_empty() {
         return;
     }
--- a/components/node/src/services.rs
+++ b/components/node/src/services.rs
@@ -13,8 +13,10 @@
 
 /// Two refreshes keep at least this distance.
 const SPACING: Duration = Duration::from_millis(20);
-/// The gateway is told anew this often even when nothing changed.
+/// The gateway is told the hosts this often even when nothing changed.
 const LOOK: Duration = Duration::from_millis(100);
+/// It is told all instances anew after so many looks.
+const ALL_EVERY: u32 = 20;
 
 /// Notes that instances may have changed.
 pub(crate) fn refresh(shared: &Shared) {
@@ -23,20 +25,27 @@
 
 /// Keeps the gateway up to date until the process ends.
 pub(crate) async fn run(shared: Arc<Shared>) {
-    loop {
-        let _ = tokio::time::timeout(LOOK, shared.services_changed.notified()).await;
-        tell(&shared);
+    for look in 0u32.. {
+        let changed = tokio::time::timeout(LOOK, shared.services_changed.notified()).await.is_ok();
+        if changed || look.is_multiple_of(ALL_EVERY) {
+            shared.gateway.update_instances(instances(&shared));
+        }
+        shared.gateway.update_hosts(topology(&shared));
         tokio::time::sleep(SPACING).await;
     }
 }
 
-fn tell(shared: &Shared) {
+fn instances(shared: &Shared) -> BTreeMap<WorkloadId, Vec<Instance>> {
     let mut services: BTreeMap<WorkloadId, Vec<Instance>> = BTreeMap::new();
     for (task, attempt, fact) in shared.facts.tasks() {
         let TaskState::Running(Some(address)) = fact.state else { continue };
         let instance = Instance { name: format!("{task} {attempt}"), address };
         services.entry(task.workload).or_default().push(instance);
     }
+    services
+}
+
+fn topology(shared: &Shared) -> Topology {
     let hosts = shared.membership.sharing();
     let neighbours = shared.membership.reachable().into_iter().map(|member| Neighbour {
         host: member.peer.host.clone(),
@@ -46,11 +55,10 @@
     });
     let (now, lease) = (Instant::now(), shared.settings.tasks.lease);
     let dropped = |host: &str| shared.listing.gone_for(host, lease, now);
-    let topology = Topology {
+    Topology {
         hosts,
         homes: shared.membership.homes(dropped),
         neighbours: neighbours.collect(),
         certain: shared.membership.has_authority(dropped),
-    };
-    shared.gateway.update(services, topology);
+    }
 }
