Hand the memory of keys over on a planned stop

Cause: after a planned stop duplicates of keys whose home had gone were answered "unknown", although the answers were known until then. Weighed: a second live copy all the time (near the store that was refused, and two messages a request). Now the stopping host, once nothing runs there, sends each next home its keys and says when that was all; such keys count as the next home's own. A later life of the host under the same name is not covered by it. Test: 30 answered keys, two of three hosts stopped in turn, each duplicate gets its first answer.

--- a/bins/walkhookd/tests/callers.rs
+++ b/bins/walkhookd/tests/callers.rs
@@ -212,6 +212,30 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_to_keys_outlive_a_planned_stop_of_their_home() {
+    let mut cell = serving(&[("gt-1", 3, 2)]).await;
+    let mut answered = BTreeMap::new();
+    while answered.len() < 30 {
+        let key = Uuid::now_v7().to_string();
+        let answer = cell.call(0, "/bookings/1", Some(&key)).await.expect("an answer");
+        if answer.status == 200 {
+            answered.insert(key, answer.body);
+        }
+    }
+    assert_eq!(cell.hosts[1].stop().await, Some(0));
+    assert_eq!(cell.hosts[2].stop().await, Some(0));
+    for (key, body) in &answered {
+        until("the answer is there", || async {
+            let again = cell.call(0, "/bookings/1", Some(key)).await.expect("an answer");
+            assert!(again.status != 200 || again.body == *body, "{again:?}");
+            again.status == 200
+        })
+        .await;
+    }
+    at_most_once(&cell);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_service_that_moves_cuts_off_no_request_and_no_instance_gets_more_than_its_slots() {
     let cell = serving(&[("gt-1", 2, 2)]).await;
--- a/components/fakes/src/backend.rs
+++ b/components/fakes/src/backend.rs
@@ -10,10 +10,11 @@
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 use web::Body;
 
 const MAX_BODY: usize = 64 * 1024 * 1024;
+const SLOTS: usize = 8;
 
 /// What an instance has run.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -29,6 +30,8 @@
 struct Shared {
     record: Mutex<Record>,
     running: AtomicUsize,
+    /// Only so many requests are worked on at once; others wait.
+    slots: Semaphore,
     work: Duration,
 }
 
@@ -44,7 +47,12 @@
     /// Starts an instance whose answers take `work`, unless a request says otherwise in `x-work`.
     pub async fn start(address: SocketAddr, work: Duration) -> std::io::Result<Backend> {
         let (listener, address) = crate::listen(address).await?;
-        let shared = Arc::new(Shared { record: Mutex::default(), running: AtomicUsize::new(0), work });
+        let shared = Arc::new(Shared {
+            record: Mutex::default(),
+            running: AtomicUsize::new(0),
+            slots: Semaphore::new(SLOTS),
+            work,
+        });
         let (stop, mut stopped) = watch::channel(false);
         let served = shared.clone();
         let handler = move |request, _| answer(served.clone(), address, request);
@@ -65,6 +73,11 @@
         self.stop.send_replace(true);
     }
 
+    /// Most requests that ran at once since this was last asked.
+    pub fn take_peak(&self) -> usize {
+        std::mem::take(&mut self.shared.record.lock().peak)
+    }
+
     /// What it has run.
     pub fn record(&self) -> Record {
         self.shared.record.lock().clone()
@@ -87,6 +100,7 @@
     let path = request.uri().path().to_owned();
     let body = web::read_limited(request.into_body(), MAX_BODY).await.unwrap_or_default();
     if !work.is_zero() {
+        let _slot = shared.slots.acquire().await;
         tokio::time::sleep(work).await;
     }
     shared.running.fetch_sub(1, Ordering::SeqCst);
--- a/components/gateway/src/keyed.rs
+++ b/components/gateway/src/keyed.rs
@@ -37,9 +37,9 @@
 /// An answer that is remembered.
 #[derive(Clone, Debug)]
 pub(crate) struct Stored {
-    status: StatusCode,
-    headers: HeaderMap,
-    body: Bytes,
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
 }
 
 impl Stored {
@@ -69,8 +69,8 @@
     }
 }
 
-struct Shard {
-    memory: Memory<Arc<Stored>>,
+pub(crate) struct Shard {
+    pub(crate) memory: Memory<Arc<Stored>>,
     running: HashMap<Key, watch::Receiver<Option<End>>>,
 }
 
@@ -89,7 +89,11 @@
         }
     }
 
-    fn shard(&self, key: &Key) -> &Mutex<Shard> {
+    pub(crate) fn shards(&self) -> &[Mutex<Shard>] {
+        &self.shards
+    }
+
+    pub(crate) fn shard(&self, key: &Key) -> &Mutex<Shard> {
         let hash = blake3::hash(key.text().as_bytes());
         &self.shards[usize::from(hash.as_bytes()[0]) % SHARDS]
     }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod answer;
 mod body;
 mod dispatch;
+mod handover;
 mod keyed;
 mod link;
 mod relay;
--- a/components/node/src/answer.rs
+++ b/components/node/src/answer.rs
@@ -37,6 +37,15 @@
             Ok(rows) => Answer::Rows(rows),
             Err(why) => Answer::Refused(why),
         },
+        Request::Keys { from, keys, last } => {
+            if !shared.gateway.take_keys(&keys) {
+                return Answer::Refused("no room to remember the keys".to_owned());
+            }
+            if last {
+                shared.gateway.handed_over(from);
+            }
+            Answer::Done
+        }
         Request::Wake { .. } => {
             shared.look_again.notify_one();
             Answer::Done
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -79,6 +79,7 @@
     for server in servers {
         let _ = server.await;
     }
+    stop::hand_over_keys(&shared).await;
     let _ = tokio::time::timeout(Duration::from_secs(2), operators.close()).await;
     stop::gone(&shared).await;
     Ok(())
--- a/components/node/src/stop.rs
+++ b/components/node/src/stop.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use member::Presence;
+use wire::{Answer, Remembered, Request};
 
 use crate::shared::Shared;
 
@@ -12,6 +13,9 @@
 /// Workers and partitions that nobody took by then are left to the failure detector.
 const HANDOVER: Duration = Duration::from_secs(6);
 const LOOK: Duration = Duration::from_millis(50);
+/// Bytes of keys that are sent at once, and what a key counts beside its answer's body.
+const BATCH: usize = 1024 * 1024;
+const KEY_OVERHEAD: usize = 512;
 
 /// Hands over all that this host is responsible for, while it still serves.
 pub(crate) async fn leave(shared: &Arc<Shared>) {
@@ -35,6 +39,42 @@
     shared.holds.len() > 0 || !shared.partitions.owned_here().is_empty()
 }
 
+/// Hands over the keys that this host remembers, once nothing runs here any more. Where that fails, the next
+/// home answers "unknown" for them.
+pub(crate) async fn hand_over_keys(shared: &Arc<Shared>) {
+    for (host, keys) in shared.gateway.keys_to_hand_over() {
+        let Some(member) = shared.membership.get(&host) else { continue };
+        let mut batches = batches(keys).into_iter().peekable();
+        while let Some(keys) = batches.next() {
+            let last = batches.peek().is_none();
+            let request = Request::Keys { from: shared.own.host.clone(), keys, last };
+            let answer = shared.links.call(member.peer.peers, &request).await;
+            if answer != Ok(Answer::Done) {
+                break;
+            }
+        }
+    }
+}
+
+/// Splits keys so that each part fits a frame with room to spare; there is always one part, so that a host that
+/// gets nothing is told so.
+fn batches(keys: Vec<Remembered>) -> Vec<Vec<Remembered>> {
+    let mut batches = vec![Vec::new()];
+    let mut size = 0;
+    for key in keys {
+        let length = key.answer.as_ref().map_or(0, |answer| answer.body.len()) + KEY_OVERHEAD;
+        if size + length > BATCH {
+            batches.push(Vec::new());
+            size = 0;
+        }
+        size += length;
+        if let Some(batch) = batches.last_mut() {
+            batch.push(key);
+        }
+    }
+    batches
+}
+
 /// Says that the host is gone, so that nobody waits for its silence.
 pub(crate) async fn gone(shared: &Arc<Shared>) {
     shared.membership.set_presence(Presence::Gone);
--- a/components/request/src/home.rs
+++ b/components/request/src/home.rs
@@ -1,6 +1,6 @@
 //! Which host remembers an unrepeatable key, and whether it has remembered it for all of the key's life.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, SystemTime};
 
 use member::winner;
@@ -33,12 +33,14 @@
     /// Since when this host has had its memory without a gap.
     since: SystemTime,
     certain: bool,
+    /// Hosts that handed all their keys over before they stopped, and when.
+    handed: HashMap<HostId, SystemTime>,
 }
 
 impl Home {
     /// A host that begins to remember at `now`.
     pub fn new(own: HostId, skew: Duration, now: SystemTime) -> Home {
-        Home { own, skew, views: VecDeque::new(), since: now, certain: false }
+        Home { own, skew, views: VecDeque::new(), since: now, certain: false, handed: HashMap::new() }
     }
 
     /// Takes in the live hosts of the data centre. Tells whether they changed.
@@ -66,6 +68,16 @@
         changed
     }
 
+    /// Takes in that a host that stops has handed over all its keys whose home this one is now.
+    pub fn handed_over(&mut self, from: HostId, now: SystemTime) {
+        self.handed.insert(from, now);
+    }
+
+    /// The newest view of the hosts.
+    pub fn hosts(&self) -> &[HostId] {
+        self.views.back().map(|(_, hosts)| hosts.as_slice()).unwrap_or_default()
+    }
+
     /// The standing of this host for a key that was made at `created`.
     pub fn standing(&self, key: &str, created: SystemTime) -> Standing {
         let Some((_, hosts)) = self.views.back() else { return Standing::Uncertain };
@@ -82,15 +94,18 @@
         if from < self.since {
             return Standing::TooYoung;
         }
-        let mine_throughout = self.views_since(from).all(|hosts| home(key, hosts) == Some(&self.own));
+        let mine_throughout = self.views_since(from).all(|(began, hosts)| match home(key, hosts) {
+            Some(host) => host == self.own || self.handed.get(host).is_some_and(|at| began < at),
+            None => false,
+        });
         if mine_throughout { Standing::Mine } else { Standing::TooYoung }
     }
 
     /// Views that were in force at `from` or later.
-    fn views_since(&self, from: SystemTime) -> impl Iterator<Item = &Vec<HostId>> + '_ {
+    fn views_since(&self, from: SystemTime) -> impl Iterator<Item = &(SystemTime, Vec<HostId>)> + '_ {
         let ends = self.views.iter().skip(1).map(|(began, _)| Some(*began)).chain([None]);
         let in_force = self.views.iter().zip(ends).filter(move |(_, end)| end.is_none_or(|end| end >= from));
-        in_force.map(|((_, hosts), _)| hosts)
+        in_force.map(|(view, _)| view)
     }
 }
 
--- a/components/request/src/keys.rs
+++ b/components/request/src/keys.rs
@@ -149,6 +149,29 @@
         }
     }
 
+    /// Takes in a key that another host remembered. False when there is no room for it.
+    pub fn restore(&mut self, key: &Key, answer: Option<A>, now: SystemTime) -> bool {
+        match self.begin(key, now) {
+            Begin::First => {}
+            Begin::Full => return false,
+            Begin::Running | Begin::Answered(_) | Begin::Unknown => return true,
+        }
+        match answer {
+            Some(answer) => self.answered(key, answer),
+            None => self.unknown(key),
+        }
+        true
+    }
+
+    /// All keys that have an end, with the answer where it is known.
+    pub fn ended(&self) -> impl Iterator<Item = (String, Option<&A>)> + '_ {
+        self.entries.iter().filter_map(|(id, entry)| match entry {
+            Entry::Running => None,
+            Entry::Answered(answer) => Some((id.to_string(), Some(answer))),
+            Entry::Unknown => Some((id.to_string(), None)),
+        })
+    }
+
     /// Number of keys remembered.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/components/request/tests/request.rs
+++ b/components/request/tests/request.rs
@@ -257,6 +257,30 @@
     assert_eq!(home.standing(&moved(after), after), Standing::Mine);
 }
 
+#[test]
+fn keys_that_were_handed_over_are_as_good_as_own_ones() {
+    let start = SystemTime::now();
+    let mut home = settled_home("entry-0", 3, start);
+    let created = start + 5 * SECOND;
+    let three = settled_home("entry-0", 3, SystemTime::UNIX_EPOCH);
+    home.view(vec!["entry-0".to_owned()], start + 10 * SECOND);
+    let key = loop {
+        let key = parsed(created).text();
+        if three.standing(&key, created) == Standing::Other("entry-2".to_owned()) {
+            break key;
+        }
+    };
+    assert_eq!(home.standing(&key, created), Standing::TooYoung);
+    home.handed_over("entry-1".to_owned(), start + 12 * SECOND);
+    assert_eq!(home.standing(&key, created), Standing::TooYoung, "another host handed over");
+    home.handed_over("entry-2".to_owned(), start + 12 * SECOND);
+    assert_eq!(home.standing(&key, created), Standing::Mine);
+    // It comes back under its name and goes without a word: what it did in that life is not known.
+    home.view(hosts(3), start + 20 * SECOND);
+    home.view(vec!["entry-0".to_owned()], start + 30 * SECOND);
+    assert_eq!(home.standing(&key, start + 25 * SECOND), Standing::TooYoung);
+}
+
 #[test]
 fn a_home_out_of_touch_runs_nothing_and_begins_anew_afterwards() {
     let start = SystemTime::now();
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use frame::{MAX_FRAME, read, write};
 pub use message::{
-    Answer, Entry, EntryKey, Fact, FactKey, Inventoried, InventoryAnswer, Listed, ListedKind, Request, ReserveOrder,
-    StartAnswer, StartOrder, StopOrder, TaskFact, TaskState, WorkerFact,
+    Answer, Entry, EntryKey, Fact, FactKey, Inventoried, InventoryAnswer, Listed, ListedKind, Remembered,
+    RememberedAnswer, Request, ReserveOrder, StartAnswer, StartOrder, StopOrder, TaskFact, TaskState, WorkerFact,
 };
 pub use seal::{Fault, Key, MAX_DATAGRAM, open, seal};
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -193,6 +193,26 @@
     pub fact: TaskFact,
 }
 
+/// What is remembered of an unrepeatable request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Remembered {
+    /// Its key.
+    pub key: String,
+    /// The answer; `None` when it is unknown whether it ran.
+    pub answer: Option<RememberedAnswer>,
+}
+
+/// An answer that is remembered whole.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RememberedAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers.
+    pub headers: Vec<(String, Vec<u8>)>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
 /// A request to another entry host.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Request {
@@ -254,6 +274,15 @@
         /// The statement.
         statement: String,
     },
+    /// Keys of unrepeatable requests whose home the sender was and the asked host is from now on.
+    Keys {
+        /// The sender, which is stopping.
+        from: HostId,
+        /// The keys.
+        keys: Vec<Remembered>,
+        /// Whether the asked host has got all of them with this.
+        last: bool,
+    },
     /// The state of a workload changed: look at it now.
     Wake {
         /// The workload.
@@ -280,7 +309,7 @@
     Started(Vec<StartAnswer>, Version),
     /// To `Reserve`, in the order of the orders: whether all the room is there now.
     Reserved(Vec<bool>),
-    /// To `Stop`, `Acknowledge` and `Wake`.
+    /// To `Stop`, `Acknowledge`, `Keys` and `Wake`.
     Done,
     /// To `Show`: rows of cells.
     Rows(Vec<Vec<String>>),
