--- /dev/null
+++ b/bins/walkhookd/examples/starts/main.rs
@@ -0,0 +1,77 @@
+//! Measures starts and takeovers end to end, through real entry hosts: `cargo run --release --example starts`.
+//!
+//! A burst of small tasks on 50 workers with room, from the submission to the last one's start at its worker; and
+//! the time from the SIGKILL of an entry host until all of its workers take new work.
+
+#[path = "../../tests/support/mod.rs"]
+mod support;
+
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use argh::FromArgs;
+use support::{Cell, DEFAULT, until};
+
+const WORKERS: usize = 50;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    if let ["--role", "walkhookd", rest @ ..] = words.as_slice() {
+        return walkhookd::main(&walkhookd::cli::Cli::from_args(&["walkhookd"], rest).expect("good arguments"));
+    }
+    let runtime = tokio::runtime::Runtime::new().expect("threads");
+    runtime.block_on(measure());
+    ExitCode::SUCCESS
+}
+
+fn small(name: &str, tasks: u32) -> String {
+    support::batch(name, tasks, 1, "run 1h").replace("processors: 1, memory: 1GiB", "processors: 0.02, memory: 8MiB")
+}
+
+fn started(cell: &Cell) -> usize {
+    cell.workers.iter().map(|(_, worker)| worker.starts().len()).sum()
+}
+
+async fn measure() {
+    let mut cell = Cell::start_at(&[("gt-1", 3, WORKERS)], DEFAULT).await;
+    println!("tasks in a burst  seconds  starts a second");
+    let mut before = 0;
+    for (round, tasks) in [500u32, 2_000, 6_000].into_iter().enumerate() {
+        let began = Instant::now();
+        cell.submit(0, &small(&format!("burst-{round}"), tasks)).await;
+        while started(&cell) < before + tasks as usize {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        let took = began.elapsed().as_secs_f64();
+        println!("{tasks:>16} {took:>8.2} {:>16.0}", f64::from(tasks) / took);
+        before += tasks as usize;
+    }
+    let tasks = before;
+    let metrics = support::get_text(&format!("http://{}/metrics", cell.hosts[0].operators)).await;
+    let decisions =
+        metrics.lines().filter(|line| line.contains("decision_seconds_sum") || line.contains("decision_seconds_count"));
+    for line in decisions {
+        println!("{line}");
+    }
+    for victim in [1, 2] {
+        let began = Instant::now();
+        cell.hosts[victim].kill();
+        let live = format!("show workers where state = live and holder != gt-1-e{victim}");
+        cell.until_rows(0, &live, WORKERS).await;
+        let held = began.elapsed();
+        cell.submit(0, &small(&format!("after-{victim}"), 200)).await;
+        let expected = started(&cell).max(before) + 200;
+        until("new work runs", || async { started(&cell) >= expected.min(before + 200) }).await;
+        println!(
+            "killed gt-1-e{victim}: workers held again after {:.2} s, new work started after {:.2} s",
+            held.as_secs_f64(),
+            began.elapsed().as_secs_f64()
+        );
+        before += 200;
+        cell.hosts[victim].restart();
+        cell.until_ready(victim).await;
+        tokio::time::sleep(Duration::from_secs(4)).await;
+    }
+    println!("tasks started more than once: {} of {tasks}", cell.started_again().len());
+}
--- a/components/jobs/src/job.rs
+++ b/components/jobs/src/job.rs
@@ -129,6 +129,11 @@
     }
 
     fn resize_run(&mut self, wanted: u32, phase: Phase, now: Instant) {
+        let last = self.tasks.keys().next_back().map_or(0, |last| last + 1);
+        if last == wanted && self.tasks.len() == wanted as usize {
+            // Just the wanted ones: this is asked after each order and end of a run with thousands of tasks.
+            return;
+        }
         for index in 0..wanted {
             if !self.tasks.contains_key(&index) {
                 self.add(index, phase.clone(), now);
