--- a/bins/walkhookd/examples/capacity/main.rs
+++ b/bins/walkhookd/examples/capacity/main.rs
@@ -10,7 +10,6 @@
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
-use argh::FromArgs;
 use support::{Cell, DEFAULT, batch, until};
 
 const SETTLE: Duration = Duration::from_secs(4);
@@ -30,14 +29,7 @@
 }
 
 fn main() -> ExitCode {
-    let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
-    if let ["--role", "walkhookd", rest @ ..] = words.as_slice() {
-        return walkhookd::main(&walkhookd::cli::Cli::from_args(&["walkhookd"], rest).expect("good arguments"));
-    }
-    let runtime = tokio::runtime::Runtime::new().expect("threads");
-    runtime.block_on(measure());
-    ExitCode::SUCCESS
+    support::run_example(measure())
 }
 
 async fn measure() {
--- a/bins/walkhookd/examples/load/main.rs
+++ b/bins/walkhookd/examples/load/main.rs
@@ -12,7 +12,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use argh::FromArgs;
 use bytes::Bytes;
 use http::Request;
 use http_body_util::{BodyExt, Full};
@@ -41,14 +40,7 @@
 }
 
 fn main() -> ExitCode {
-    let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
-    if let ["--role", "walkhookd", rest @ ..] = words.as_slice() {
-        return walkhookd::main(&walkhookd::cli::Cli::from_args(&["walkhookd"], rest).expect("good arguments"));
-    }
-    let runtime = tokio::runtime::Runtime::new().expect("threads");
-    runtime.block_on(measure());
-    ExitCode::SUCCESS
+    support::run_example(measure())
 }
 
 async fn measure() {
--- a/bins/walkhookd/tests/support/mod.rs
+++ b/bins/walkhookd/tests/support/mod.rs
@@ -5,11 +5,12 @@
 
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitCode, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use api::{Outcome, Status};
+use argh::FromArgs;
 use bytes::Bytes;
 use fakes::{Platform, Worker, any_port};
 use http::{Method, Request};
@@ -64,6 +65,17 @@
     itself
 }
 
+/// The main function of an example: what it measures, or, in the processes that it starts, the daemon.
+pub fn run_example(measure: impl Future<Output = ()>) -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    if let ["--role", "walkhookd", rest @ ..] = words.as_slice() {
+        return walkhookd::main(&walkhookd::cli::Cli::from_args(&["walkhookd"], rest).expect("good arguments"));
+    }
+    tokio::runtime::Runtime::new().expect("threads").block_on(measure);
+    ExitCode::SUCCESS
+}
+
 impl Entry {
     /// Processor time in milliseconds and resident memory in KiB.
     pub fn costs(&self) -> (u64, u64) {
--- a/components/node/src/commit.rs
+++ b/components/node/src/commit.rs
@@ -294,7 +294,7 @@
         let place = Place::Progress(shared.data_centre().clone(), workload.clone());
         txn.puts.push(Put { key: format!("{prefix}{}", place.key()), value: keys::encode(progress), lease: 0 });
         if partitions.insert(*partition) {
-            let Some(revision) = shared.partitions.with(*partition, |owned| owned.revision()) else { return false };
+            let Some(revision) = shared.partitions.with(*partition, |owned| owned.revision) else { return false };
             let claim = Place::Claim(shared.data_centre().clone(), *partition);
             txn.compares.push(Compare { key: format!("{prefix}{}", claim.key()), mod_revision: revision });
         }
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -6,6 +6,7 @@
 //! callers' requests can go.
 
 mod answer;
+mod claims;
 mod commands;
 mod commit;
 mod configuration;
@@ -17,6 +18,7 @@
 mod owner;
 mod peers;
 mod pull;
+mod recovery;
 mod schedule;
 mod send;
 mod services;
--- a/components/node/src/schedule.rs
+++ b/components/node/src/schedule.rs
@@ -12,7 +12,7 @@
 use wire::{ReserveOrder, StartOrder, TaskFact, TaskState};
 
 use crate::shared::Shared;
-use crate::{owner, send};
+use crate::{recovery, send};
 
 /// Waiting work is looked at this often even when nothing changed.
 const LOOK: Duration = Duration::from_millis(500);
@@ -101,7 +101,7 @@
 async fn waiting(shared: &Arc<Shared>, now: Instant) -> Vec<Waiting> {
     let mut waiting = Vec::new();
     for partition in shared.partitions.owned_here() {
-        if !owner::may_act(shared, partition).await {
+        if !recovery::may_act(shared, partition).await {
             continue;
         }
         let found = shared.partitions.with(partition, |owned| {
