Remove the records of finished work; cut a data centre off from the platform

Records of workloads that have been over for keep_finished (1 h) are removed by their partition's owner, on the condition that nothing changed. Found on the way, by reading: a name used again after that would have had the life of the first one, and a late end of the first one's task would have finished the second's. Lives go by the clock now. Tests: a data centre cut off from the platform heals its instances, hears of changes from peers, refuses commands; a platform that takes 5 s an answer; records removed and names free.

--- a/bins/walkhook/src/wait.rs
+++ b/bins/walkhook/src/wait.rs
@@ -47,7 +47,7 @@
     let mut counts = BTreeMap::new();
     for row in outcome.table.iter().flat_map(|table| &table.rows) {
         let [task, _, _, state, ..] = row.as_slice() else { continue };
-        let name = task.split(['.', '~']).next().unwrap_or_default();
+        let name = task.split('.').next().unwrap_or_default();
         if name == workload {
             *counts.entry(state.clone()).or_default() += 1;
         }
--- a/bins/walkhookd/tests/platform.rs
+++ b/bins/walkhookd/tests/platform.rs
@@ -2,9 +2,11 @@
 
 mod support;
 
+use std::collections::BTreeMap;
+
 use api::Status;
-use fakes::Control;
-use support::{Cell, SERVICE, batch, until};
+use fakes::{Control, Platform, any_port};
+use support::{Cell, FAST, SERVICE, batch, until};
 use uuid::Uuid;
 
 #[tokio::test(flavor = "multi_thread")]
@@ -101,6 +103,75 @@
         .await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_data_centre_cut_off_from_the_platform_heals_its_instances_and_hears_of_changes() {
+    let platform = Platform::start(any_port()).await.expect("a free port");
+    let doors = BTreeMap::from([("gt-2", platform.door().await.expect("a free port"))]);
+    let cell = Cell::start_with(platform, &[("gt-1", 1, 2), ("gt-2", 2, 3)], FAST, &doors).await;
+    cell.submit(0, SERVICE).await;
+    let running = || {
+        let there = cell.workers.iter().filter(|(name, _)| name.starts_with("gt-2"));
+        there.map(|(_, worker)| worker.running().len()).sum::<usize>()
+    };
+    until("its share runs", || async { running() == 2 }).await;
+    doors["gt-2"].cut(true);
+    let (_, busy) = cell
+        .workers
+        .iter()
+        .filter(|(name, _)| name.starts_with("gt-2"))
+        .max_by_key(|(_, worker)| worker.running().len())
+        .expect("workers");
+    busy.restart_empty();
+    until("its share runs again", || async { running() == 2 }).await;
+    cell.execute(0, "change workload planner set instances = 8").await;
+    until("the change is in force beyond the cut", || async { running() == 4 }).await;
+    until("it answers", || async { cell.call(1, "/slots/1", None).await.is_some_and(|answer| answer.status == 200) })
+        .await;
+    let refused = cell.ask(1, "cancel workload planner", None).await.expect("an answer");
+    assert_ne!(refused.status, Status::Done);
+    doors["gt-2"].cut(false);
+    until("it accepts again", || async {
+        let outcome = cell.ask(1, "change workload planner set instances = 6", None).await;
+        outcome.is_some_and(|outcome| outcome.status == Status::Done)
+    })
+    .await;
+    assert_eq!(cell.doubled(), []);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_platform_is_as_good_as_one_that_is_down() {
+    let cell = Cell::start(&[("gt-1", 2, 2)]).await;
+    cell.submit(0, SERVICE).await;
+    cell.submit(0, &batch("long", 4, 1, "run 10m")).await;
+    cell.until_rows(0, "show tasks where state = running", 8).await;
+    cell.platform.control(Control { delay_ms: 5000, ..Control::default() });
+    let refused = cell.ask(0, "submit plan.yaml", Some(&batch("late", 1, 1, "run 1s"))).await.expect("an answer");
+    assert_ne!(refused.status, Status::Done);
+    let (_, worker) = cell.workers.iter().max_by_key(|(_, worker)| worker.running().len()).expect("workers");
+    worker.restart_empty();
+    cell.until_rows(1, "show tasks where state = running", 8).await;
+    until("it answers", || async { cell.call(1, "/slots/1", None).await.is_some_and(|answer| answer.status == 200) })
+        .await;
+    assert_eq!(cell.doubled(), []);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn records_of_finished_work_are_removed_and_their_names_are_free() {
+    let pace = FAST.replace("partitions: 4", "partitions: 4, keep_finished: 300ms");
+    let platform = Platform::start(any_port()).await.expect("a free port");
+    let cell = Cell::start_with(platform, &[("gt-1", 2, 2)], &pace, &BTreeMap::new()).await;
+    cell.submit(0, &batch("nightly", 4, 1, "run 50ms")).await;
+    until("it ran", || async { cell.starts().values().sum::<usize>() == 4 }).await;
+    until("its record is gone", || async { cell.platform.value("/walkhook/test/workload/nightly").is_none() }).await;
+    assert!(cell.platform.value("/walkhook/test/progress/gt-1/nightly").is_none());
+    until("it is accepted again", || async {
+        let outcome = cell.ask(1, "submit plan.yaml", Some(&batch("nightly", 2, 1, "run 50ms"))).await;
+        outcome.is_some_and(|outcome| outcome.status == Status::Done)
+    })
+    .await;
+    until("it runs again", || async { cell.starts().values().sum::<usize>() == 6 }).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn of_a_wave_of_cancelled_work_nothing_is_started_afterwards() {
     let cell = Cell::start(&[("gt-1", 2, 2)]).await;
--- a/bins/walkhookd/tests/support/mod.rs
+++ b/bins/walkhookd/tests/support/mod.rs
@@ -12,7 +12,7 @@
 use api::{Outcome, Status};
 use argh::FromArgs;
 use bytes::Bytes;
-use fakes::{Platform, Worker, any_port};
+use fakes::{Door, Platform, Worker, any_port};
 use http::{Method, Request};
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy::Client;
@@ -181,6 +181,11 @@
     /// The same with other times.
     pub async fn start_at(layout: &[Layout], pace: &str) -> Cell {
         let platform = Platform::start(any_port()).await.expect("a free port");
+        Cell::start_with(platform, layout, pace, &BTreeMap::new()).await
+    }
+
+    /// The same with a platform that runs already, which some data centres reach by an address of their own.
+    pub async fn start_with(platform: Platform, layout: &[Layout], pace: &str, doors: &BTreeMap<&str, Door>) -> Cell {
         let folder = tempfile::tempdir().expect("a folder");
         let mut cell = Cell {
             platform,
@@ -195,7 +200,7 @@
                 cell.add_worker(data_centre, number).await;
             }
         }
-        cell.write_settings(layout, pace);
+        cell.write_settings(layout, pace, doors);
         for host in &mut cell.hosts {
             host.start();
         }
@@ -215,7 +220,7 @@
         self.workers.push((name, worker));
     }
 
-    fn write_settings(&mut self, layout: &[Layout], pace: &str) {
+    fn write_settings(&mut self, layout: &[Layout], pace: &str, doors: &BTreeMap<&str, Door>) {
         let count: usize = layout.iter().map(|(_, hosts, _)| hosts).sum();
         // Not tried out by listening: a listener of this process lives on for a moment in every child that another
         // test is just starting, and its port would be taken when the host wants it.
@@ -229,7 +234,8 @@
                 let own = free.next().expect("enough addresses");
                 let name = format!("{data_centre}-e{number}");
                 let file = self.folder.path().join(format!("{name}.yaml"));
-                let text = settings(&name, data_centre, &all, own, seed, self.platform.address(), pace);
+                let platform = doors.get(data_centre).map_or(self.platform.address(), |door| door.address);
+                let text = settings(&name, data_centre, &all, own, seed, platform, pace);
                 std::fs::write(&file, text).expect("a settings file");
                 let (callers, operators, relay) = (own[0], own[1], own[3]);
                 self.hosts.push(Entry { name, callers, operators, relay, settings: file, process: None });
--- a/components/fakes/src/lib.rs
+++ b/components/fakes/src/lib.rs
@@ -6,7 +6,7 @@
 mod worker;
 
 pub use crate::backend::{Backend, Record};
-pub use crate::platform::{Control, Counts, Platform};
+pub use crate::platform::{Control, Counts, Door, Platform};
 pub use crate::worker::{Conduct, Worker};
 
 use std::net::SocketAddr;
--- a/components/fakes/src/platform.rs
+++ b/components/fakes/src/platform.rs
@@ -5,6 +5,7 @@
 use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -82,6 +83,20 @@
     counts: Counts,
 }
 
+/// Another address of a platform.
+pub struct Door {
+    /// Where it listens.
+    pub address: SocketAddr,
+    cut: Arc<AtomicBool>,
+}
+
+impl Door {
+    /// Cuts it off, also the watches that go through it, or opens it again.
+    pub fn cut(&self, cut: bool) {
+        self.cut.store(cut, Ordering::Relaxed);
+    }
+}
+
 struct Shared {
     state: Mutex<State>,
     revision: watch::Sender<u64>,
@@ -112,6 +127,24 @@
         self.address
     }
 
+    /// Opens another address that leads to the same store, and that can be cut off on its own.
+    pub async fn door(&self) -> std::io::Result<Door> {
+        let (listener, address) = crate::listen(crate::any_port()).await?;
+        let cut = Arc::new(AtomicBool::new(false));
+        let (shared, closed) = (self.shared.clone(), cut.clone());
+        let handler = move |request, _| {
+            let (shared, closed) = (shared.clone(), closed.clone());
+            async move {
+                if closed.load(Ordering::Relaxed) {
+                    pending::<()>().await;
+                }
+                answer_through(shared, request, Some(closed)).await
+            }
+        };
+        tokio::spawn(web::serve(listener, 4096, pending(), Duration::ZERO, handler));
+        Ok(Door { address, cut })
+    }
+
     /// Changes what it does wrong.
     pub fn control(&self, control: Control) {
         apply_control(&self.shared, control);
@@ -192,6 +225,14 @@
 }
 
 async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
+    answer_through(shared, request, None).await
+}
+
+async fn answer_through(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+    door: Option<Arc<AtomicBool>>,
+) -> Response<Body> {
     let path = request.uri().path().to_owned();
     let operator = matches!(path.as_str(), "/control" | "/counts" | "/list");
     let (down, delay) = {
@@ -213,7 +254,7 @@
         "/v3/lease/grant" => with(request, |body| grant(&shared, body)).await,
         "/v3/lease/keepalive" => with(request, |body| keepalive(&shared, body)).await,
         "/v3/lease/revoke" => with(request, |body| revoke(&shared, body)).await,
-        "/v3/watch" => start_watch(shared, request).await,
+        "/v3/watch" => start_watch(shared, request, door).await,
         "/v1/hosts" => web::json(StatusCode::OK, &shared.state.lock().list),
         "/counts" => web::json(StatusCode::OK, &shared.state.lock().counts),
         "/list" => {
@@ -352,14 +393,14 @@
     web::json(StatusCode::OK, &LeaseResponse { id: request.id, ttl: Number(0) })
 }
 
-async fn start_watch(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
+async fn start_watch(shared: Arc<Shared>, request: Request<Incoming>, door: Option<Arc<AtomicBool>>) -> Response<Body> {
     let Some(request) = read::<WatchRequest>(request).await else {
         return refuse(StatusCode::BAD_REQUEST, "unreadable body");
     };
     let (sender, mut receiver) = mpsc::channel::<Bytes>(16);
     shared.state.lock().counts.watches += 1;
     tokio::spawn(async move {
-        send_changes(&shared, request, sender).await;
+        send_changes(&shared, request, sender, door.as_deref()).await;
         shared.state.lock().counts.watches -= 1;
     });
     let stream = futures_util::stream::poll_fn(move |context| {
@@ -368,12 +409,15 @@
     Response::new(StreamBody::new(stream).boxed())
 }
 
-async fn send_changes(shared: &Shared, request: WatchRequest, sender: mpsc::Sender<Bytes>) {
+async fn send_changes(shared: &Shared, request: WatchRequest, sender: mpsc::Sender<Bytes>, door: Option<&AtomicBool>) {
     let create = request.create_request;
     let wanted = RangeRequest { key: create.key, range_end: create.range_end };
     let mut next = create.start_revision.0;
     let mut revisions = shared.revision.subscribe();
     loop {
+        if door.is_some_and(|cut| cut.load(Ordering::Relaxed)) {
+            return;
+        }
         let (down, result) = {
             let state = shared.state.lock();
             (state.control.down, changes(&state, &wanted, &mut next))
--- a/components/jobs/src/book.rs
+++ b/components/jobs/src/book.rs
@@ -5,7 +5,7 @@
 
 use model::task::{Attempt, End, Id};
 use model::workload::{Kind, Progress, Versioned};
-use model::{DataCentreId, Epoch, Reason, WorkerId, WorkloadId};
+use model::{DataCentreId, Epoch, Reason, Revision, WorkerId, WorkloadId};
 use wire::{StartOrder, StopOrder, TaskFact, TaskState};
 
 use crate::failure::Verdict;
@@ -414,6 +414,18 @@
         self.acknowledge.extend_from_slice(ends);
     }
 
+    /// Workloads that have been over for so long, and whose ends are durable, with the revisions of their
+    /// records: the records may be removed.
+    pub fn expired(&mut self, keep: Duration, now: Instant) -> Vec<(WorkloadId, Revision)> {
+        let mut expired = Vec::new();
+        for (name, job) in &mut self.jobs {
+            if job.expired(keep, now) && self.accounted && !self.undurable.contains_key(name) {
+                expired.push((name.clone(), job.versioned.revision));
+            }
+        }
+        expired
+    }
+
     /// Workers that have, or may have, an attempt of this partition.
     pub fn workers_in_use(&self) -> BTreeSet<WorkerId> {
         self.jobs.values().flat_map(|job| job.tasks.values().filter_map(|task| task.worker().cloned())).collect()
--- a/components/jobs/src/job.rs
+++ b/components/jobs/src/job.rs
@@ -27,6 +27,8 @@
     pub failures: Failures,
     data_centre: DataCentreId,
     waiting: BTreeSet<u32>,
+    /// Since when nothing of it lives or is left to run.
+    over_since: Option<Instant>,
     /// Instances that leave their worker, with their successor and since when.
     moves: BTreeMap<u32, (u32, Instant)>,
 }
@@ -39,6 +41,7 @@
             failures: Failures::default(),
             data_centre,
             waiting: BTreeSet::new(),
+            over_since: None,
             moves: BTreeMap::new(),
         }
     }
@@ -323,6 +326,16 @@
         done && (self.cancelled() || self.workload().kind != Kind::Service)
     }
 
+    /// Whether it has been over for so long. Looks at the clock, so it must be asked from time to time.
+    pub(crate) fn expired(&mut self, keep: std::time::Duration, now: Instant) -> bool {
+        if !self.over() {
+            self.over_since = None;
+            return false;
+        }
+        let since = *self.over_since.get_or_insert(now);
+        now.duration_since(since) >= keep
+    }
+
     /// Which tasks have finished.
     pub fn progress(&self) -> Progress {
         let finished = self.tasks.iter().filter(|(_, task)| task.phase == Phase::Finished);
--- a/components/model/src/task.rs
+++ b/components/model/src/task.rs
@@ -6,15 +6,12 @@
 
 use crate::{DataCentreId, Epoch, WorkloadId};
 
-/// Life of a workload whose name was not used before.
-pub const FIRST_LIFE: u32 = 1;
-
 /// Names a task in the cell.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Id {
     /// The workload that it belongs to.
     pub workload: WorkloadId,
-    /// Tells the workload from an earlier one with the same name; from 1.
+    /// Tells the workload from an earlier one with the same name; larger than any before.
     pub life: u32,
     /// The data centre that its share was given to.
     pub data_centre: DataCentreId,
@@ -24,26 +21,31 @@
 
 impl fmt::Display for Id {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        if self.life == FIRST_LIFE {
-            return write!(out, "{}.{}.{}", self.workload, self.data_centre, self.index);
-        }
-        write!(out, "{}~{}.{}.{}", self.workload, self.life, self.data_centre, self.index)
+        // The life is left out: of two workloads with one name at most one is of interest to a person.
+        write!(out, "{}.{}.{}", self.workload, self.data_centre, self.index)
     }
 }
 
-impl std::str::FromStr for Id {
+/// A task's name as a person writes it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Name {
+    /// The workload.
+    pub workload: WorkloadId,
+    /// The data centre of its share.
+    pub data_centre: DataCentreId,
+    /// Position in that share.
+    pub index: u32,
+}
+
+impl std::str::FromStr for Name {
     type Err = ParseFault;
 
-    fn from_str(text: &str) -> Result<Id, ParseFault> {
+    fn from_str(text: &str) -> Result<Name, ParseFault> {
         let mut parts = text.rsplitn(3, '.');
         let index = parts.next().and_then(|part| part.parse().ok()).ok_or(ParseFault)?;
         let data_centre = parts.next().ok_or(ParseFault)?.to_owned();
-        let named = parts.next().ok_or(ParseFault)?;
-        let (workload, life) = match named.split_once('~') {
-            Some((workload, life)) => (workload.to_owned(), life.parse().map_err(|_| ParseFault)?),
-            None => (named.to_owned(), FIRST_LIFE),
-        };
-        Ok(Id { workload, life, data_centre, index })
+        let workload = parts.next().ok_or(ParseFault)?.to_owned();
+        Ok(Name { workload, data_centre, index })
     }
 }
 
--- a/components/model/src/workload.rs
+++ b/components/model/src/workload.rs
@@ -71,7 +71,8 @@
     pub intent: Intent,
     /// The command that last changed the record; settles a lost answer by reading back.
     pub command: CommandId,
-    /// Tells this workload from an earlier one with the same name; from 1.
+    /// Tells this workload from an earlier one with the same name; larger than any before, also when the record
+    /// of that one was removed.
     pub life: u32,
     /// Tasks of each data centre; decided once, at acceptance or by a change.
     pub shares: BTreeMap<DataCentreId, u32>,
--- a/components/node/src/commands.rs
+++ b/components/node/src/commands.rs
@@ -22,6 +22,8 @@
 /// When to come back after a refusal by an outage.
 const RETRY_AFTER: Duration = Duration::from_secs(2);
 const MIB: u64 = 1024 * 1024;
+/// The beginning of 2026, in seconds of Unix time.
+const LIVES_FROM: u64 = 1_767_225_600;
 
 /// Carries out one statement.
 pub(crate) async fn execute(shared: &Arc<Shared>, command: Command) -> Outcome {
@@ -145,13 +147,10 @@
 
 fn submit_one(shared: &Shared, workload: Workload, change: &mut Change) -> Result<(), String> {
     let known = shared.configuration.workload(&workload.name);
-    let mut life = 1;
-    if let Some(known) = &known {
-        if !is_over(shared, known) {
-            return Err(format!("workload {} exists and is not over; change or cancel it", workload.name));
-        }
-        life = known.record.life + 1;
+    if known.as_ref().is_some_and(|known| !is_over(shared, known)) {
+        return Err(format!("workload {} exists and is not over; change or cancel it", workload.name));
     }
+    let life = next_life(known.as_ref().map_or(0, |known| known.record.life), SystemTime::now());
     let shares = shares(shared, &workload)?;
     let place = Place::Workload(workload.name.clone());
     change.expects.push((place.clone(), known.map_or(0, |known| known.revision)));
@@ -161,6 +160,14 @@
     Ok(())
 }
 
+/// By the clock, so that it exceeds also those whose records were removed: a worker that was away for long may
+/// still bring the ends of their tasks.
+fn next_life(known: u32, now: SystemTime) -> u32 {
+    let since = now.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_secs();
+    let by_clock = u32::try_from(since.saturating_sub(LIVES_FROM)).unwrap_or(u32::MAX);
+    by_clock.max(known.saturating_add(1))
+}
+
 /// Whether a workload was cancelled or has finished everywhere.
 fn is_over(shared: &Shared, known: &Versioned) -> bool {
     if known.record.intent == Intent::Cancel {
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -26,6 +26,7 @@
 mod show;
 mod start;
 mod stop;
+mod sweep;
 mod usage;
 
 pub use start::{Fault, run};
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -27,7 +27,9 @@
 use crate::owner::Partitions;
 use crate::peers::Links;
 use crate::shared::{Shared, incarnation};
-use crate::{commit, configuration, holds, listing, membership, owner, peers, pull, schedule, services, stop, usage};
+use crate::{
+    commit, configuration, holds, listing, membership, owner, peers, pull, schedule, services, stop, sweep, usage,
+};
 
 /// Why an entry host could not be started.
 #[derive(Debug)]
@@ -153,6 +155,7 @@
     tokio::spawn(schedule::run(shared.clone()));
     tokio::spawn(commit::run(shared.clone()));
     tokio::spawn(services::run(shared.clone()));
+    tokio::spawn(sweep::run(shared.clone()));
     tokio::spawn(usage::run(shared.clone()));
 
     let stop_serving = watch::Sender::new(false);
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -121,11 +121,17 @@
 }
 
 fn tasks(section: Option<Section<'_>>) -> Tasks {
-    let default = Tasks { lease: Duration::from_secs(15), renew_every: Duration::from_secs(1), partitions: 16 };
+    let default = Tasks {
+        lease: Duration::from_secs(15),
+        renew_every: Duration::from_secs(1),
+        partitions: 16,
+        keep_finished: Duration::from_secs(3600),
+    };
     let Some(section) = section else { return default };
     let lease = section.value_or("lease", default.lease, tree::duration);
     let renew_every = section.value_or("renew_every", default.renew_every, tree::duration);
     let partitions = section.value_or("partitions", default.partitions, tree::number);
+    let keep_finished = section.value_or("keep_finished", default.keep_finished, tree::duration);
     if lease < renew_every * LOSSES {
         section.fault("lease", format!("must be at least {LOSSES} times `renew_every`"));
     }
@@ -133,7 +139,7 @@
         section.fault("partitions", "must be at least 1");
     }
     section.finish();
-    Tasks { lease, renew_every, partitions }
+    Tasks { lease, renew_every, partitions, keep_finished }
 }
 
 fn requests(section: Option<Section<'_>>) -> Requests {
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -87,6 +87,8 @@
     pub renew_every: Duration,
     /// Partitions of jobs in each data centre; the same at all hosts, for good.
     pub partitions: Partition,
+    /// How long the records of finished and cancelled workloads are kept.
+    pub keep_finished: Duration,
 }
 
 /// Callers' requests.
