Send the list of hosts only when it is newer; bound the bytes of remembered answers

The list goes out only when its version is newer, from the platform too. And 16,384 keys with answers of 64 KiB would have taken 1 GB; a shard takes no new key now while its answers have 512 KiB, 8 MiB in all, and says "not run".

--- a/bins/walkhookd/examples/starts/main.rs
+++ b/bins/walkhookd/examples/starts/main.rs
@@ -26,6 +26,40 @@
 }
 
 async fn measure() {
+    bursts().await;
+    urgent().await;
+}
+
+/// How long urgent work waits on a cell that is full of patient work.
+async fn urgent() {
+    let cell = Cell::start_at(&[("gt-1", 3, WORKERS)], DEFAULT).await;
+    let cores = WORKERS as u32 * support::CORES;
+    let running = |name: &str| {
+        let all = cell.workers.iter().flat_map(|(_, worker)| worker.running());
+        all.filter(|task| task.workload == name).count()
+    };
+    let of = |name: &str, priority: &str, tasks: u32, processors: u32| {
+        support::batch(name, tasks, processors, "run 1h")
+            .replace("kind: batch", &format!("kind: batch, priority: {priority}"))
+    };
+    cell.submit(0, &of("menus", "patient", cores, 1)).await;
+    until("the cell is full", || async { running("menus") == cores as usize }).await;
+    println!("\nurgent tasks of 4 cores on a full cell   seconds until all run   patient tasks stopped");
+    let mut stopped = 0;
+    for (round, tasks) in [1u32, 10, 40].into_iter().enumerate() {
+        let name = format!("rush-{round}");
+        let began = Instant::now();
+        cell.submit(round % 3, &of(&name, "urgent", tasks, 4)).await;
+        while running(&name) < tasks as usize {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        let now_stopped = cores as usize - running("menus");
+        println!("{tasks:>38} {:>24.2} {:>23}", began.elapsed().as_secs_f64(), now_stopped - stopped);
+        stopped = now_stopped;
+    }
+}
+
+async fn bursts() {
     let mut cell = Cell::start_at(&[("gt-1", 3, WORKERS)], DEFAULT).await;
     println!("tasks in a burst  seconds  starts a second");
     let mut before = 0;
--- a/components/fakes/src/platform.rs
+++ b/components/fakes/src/platform.rs
@@ -234,6 +234,7 @@
     door: Option<Arc<AtomicBool>>,
 ) -> Response<Body> {
     let path = request.uri().path().to_owned();
+    let query = request.uri().query().map(str::to_owned);
     let operator = matches!(path.as_str(), "/control" | "/counts" | "/list");
     let (down, delay) = {
         let mut state = shared.state.lock();
@@ -255,7 +256,7 @@
         "/v3/lease/keepalive" => with(request, |body| keepalive(&shared, body)).await,
         "/v3/lease/revoke" => with(request, |body| revoke(&shared, body)).await,
         "/v3/watch" => start_watch(shared, request, door).await,
-        "/v1/hosts" => web::json(StatusCode::OK, &shared.state.lock().list),
+        "/v1/hosts" => hosts(&shared, query.as_deref()),
         "/counts" => web::json(StatusCode::OK, &shared.state.lock().counts),
         "/list" => {
             with(request, |host| {
@@ -294,6 +295,16 @@
     }
 }
 
+/// The list, without hosts when the asker knows this version.
+fn hosts(shared: &Shared, query: Option<&str>) -> Response<Body> {
+    let state = shared.state.lock();
+    let known = query.and_then(|query| query.strip_prefix("known=")).and_then(|known| known.parse::<u64>().ok());
+    if known == Some(state.list.version) {
+        return web::json(StatusCode::OK, &List { version: state.list.version, hosts: Vec::new() });
+    }
+    web::json(StatusCode::OK, &state.list)
+}
+
 fn in_range(key: &[u8], request: &RangeRequest) -> bool {
     if request.range_end.0.is_empty() {
         return key == request.key.0;
--- a/components/gateway/src/handover.rs
+++ b/components/gateway/src/handover.rs
@@ -35,7 +35,11 @@
         let now = SystemTime::now();
         keys.iter().all(|remembered| {
             let Ok(key) = Key::parse(&remembered.key, SKEW, now) else { return false };
-            let answer = remembered.answer.as_ref().map(|answer| Arc::new(unpack(answer)));
+            let answer = remembered.answer.as_ref().map(unpack);
+            let answer = answer.map(|stored| {
+                let size = stored.size();
+                (Arc::new(stored), size)
+            });
             self.keys.shard(&key).lock().memory.restore(&key, answer, now)
         })
     }
--- a/components/gateway/src/keyed.rs
+++ b/components/gateway/src/keyed.rs
@@ -29,8 +29,9 @@
 const MAX_BODY: usize = 1024 * 1024;
 /// Shards of the memory, each under its own lock.
 const SHARDS: usize = 16;
-/// Keys that one shard remembers. At 1 KB an answer the whole memory stays under 16 MB.
-const MOST_KEYS: usize = 1024;
+/// Keys that one shard remembers, and bytes of their answers: 8 MiB in all. Beyond them no new key is taken.
+const MOST_KEYS: usize = 4096;
+const MOST_BYTES: usize = 512 * 1024;
 /// When to ask again after an answer could not be found out.
 const ASK_AGAIN: Duration = Duration::from_secs(1);
 
@@ -43,6 +44,12 @@
 }
 
 impl Stored {
+    /// Bytes that it takes, about.
+    pub(crate) fn size(&self) -> usize {
+        let headers = self.headers.iter().map(|(name, value)| name.as_str().len() + value.len());
+        self.body.len() + headers.sum::<usize>()
+    }
+
     fn answer(&self) -> Response<Body> {
         let mut answer = Response::new(web::full(self.body.clone()));
         *answer.status_mut() = self.status;
@@ -82,7 +89,7 @@
 
 impl Keys {
     pub(crate) fn new(limits: &settings::Requests) -> Keys {
-        let shard = || Shard { memory: Memory::new(limits.key_window, MOST_KEYS), running: HashMap::new() };
+        let shard = || Shard { memory: Memory::new(limits.key_window, MOST_KEYS, MOST_BYTES), running: HashMap::new() };
         Keys {
             shards: (0..SHARDS).map(|_| Mutex::new(shard())).collect(),
             max_remembered: limits.max_remembered as usize,
@@ -254,7 +261,7 @@
         let end = self.run(&gateway).await;
         let mut shard = gateway.keys.shard(&self.key).lock();
         match &end {
-            End::Answered(stored) => shard.memory.answered(&self.key, stored.clone()),
+            End::Answered(stored) => shard.memory.answered(&self.key, stored.clone(), stored.size()),
             End::NotRun(..) => shard.memory.not_run(&self.key),
             End::Unknown(_) => shard.memory.unknown(&self.key),
         }
--- a/components/node/src/answer.rs
+++ b/components/node/src/answer.rs
@@ -12,7 +12,10 @@
     match request {
         Request::Configuration { since } => Answer::Configuration(shared.configuration.delta(since)),
         Request::Facts { since } => Answer::Facts(shared.facts.own_delta(since)),
-        Request::List => {
+        Request::List { since } => {
+            if shared.listing.version() <= since {
+                return Answer::Done;
+            }
             let (version, hosts) = shared.listing.whole();
             Answer::List(version, hosts)
         }
--- a/components/node/src/listing.rs
+++ b/components/node/src/listing.rs
@@ -29,6 +29,10 @@
 }
 
 impl Listing {
+    pub(crate) fn version(&self) -> u64 {
+        self.state.lock().version
+    }
+
     pub(crate) fn whole(&self) -> (u64, Vec<(HostId, Listed)>) {
         let state = self.state.lock();
         (state.version, state.hosts.iter().map(|(name, host)| (name.clone(), host.clone())).collect())
@@ -78,7 +82,7 @@
 
     /// Whether the list was ever read.
     pub(crate) fn known(&self) -> bool {
-        self.state.lock().version > 0
+        self.version() > 0
     }
 }
 
@@ -100,7 +104,7 @@
 }
 
 async fn read(shared: &Shared) -> bool {
-    let list = shared.lister.list().await;
+    let list = shared.lister.list(shared.listing.version()).await;
     shared.platform_said(&list);
     let Ok(list) = list else { return false };
     let hosts = list.hosts.into_iter().map(|host| (host.name.clone(), listed(host)));
@@ -125,7 +129,7 @@
 async fn ask(shared: &Shared) -> bool {
     let Some(reader) = shared.membership.responsible("list") else { return false };
     let Some(member) = shared.membership.get(&reader) else { return false };
-    let answer = shared.links.call(member.peer.peers, &Request::List).await;
+    let answer = shared.links.call(member.peer.peers, &Request::List { since: shared.listing.version() }).await;
     let Ok(Answer::List(version, hosts)) = answer else { return false };
     shared.listing.take(version, hosts, Instant::now())
 }
--- a/components/platform/src/list.rs
+++ b/components/platform/src/list.rs
@@ -56,11 +56,11 @@
 /// Reads the list. A trait, because the users' own platform may speak another dialect.
 #[async_trait]
 pub trait Lister: Send + Sync {
-    /// The list as the platform has it now.
-    async fn list(&self) -> Result<List, Fault>;
+    /// The list as the platform has it now; without hosts when its version is still `known`.
+    async fn list(&self, known: u64) -> Result<List, Fault>;
 }
 
-/// Reads the list by `GET /v1/hosts` from the platform's address.
+/// Reads the list by `GET /v1/hosts?known=VERSION` from the platform's address.
 pub struct Http {
     http: web::Client,
     url: String,
@@ -76,10 +76,10 @@
 
 #[async_trait]
 impl Lister for Http {
-    async fn list(&self) -> Result<List, Fault> {
+    async fn list(&self, known: u64) -> Result<List, Fault> {
         if !self.budget.take(Use::Hosts, Instant::now()) {
             return Err(Fault::OverBudget);
         }
-        self.http.get(&self.url).await.map_err(|fault| Fault::Unknown(fault.to_string()))
+        self.http.get(&format!("{}?known={known}", self.url)).await.map_err(|fault| Fault::Unknown(fault.to_string()))
     }
 }
--- a/components/request/src/keys.rs
+++ b/components/request/src/keys.rs
@@ -67,23 +67,26 @@
 #[derive(Clone, Debug)]
 enum Entry<A> {
     Running,
-    Answered(A),
+    Answered(A, usize),
     Unknown,
 }
 
-/// Keys and the answers to them, bounded in number and in time.
+/// Keys and the answers to them, bounded in number, bytes and time.
 #[derive(Debug)]
 pub struct Memory<A> {
     window: Duration,
     most: usize,
+    most_bytes: usize,
+    bytes: usize,
     entries: HashMap<Uuid, Entry<A>>,
     by_age: BTreeMap<(SystemTime, Uuid), ()>,
 }
 
 impl<A: Clone> Memory<A> {
-    /// Remembers keys until `window` after they were made, at most `most` of them.
-    pub fn new(window: Duration, most: usize) -> Memory<A> {
-        Memory { window, most, entries: HashMap::new(), by_age: BTreeMap::new() }
+    /// Remembers keys until `window` after they were made, at most `most` of them; none is taken while their
+    /// answers have `most_bytes` or more.
+    pub fn new(window: Duration, most: usize, most_bytes: usize) -> Memory<A> {
+        Memory { window, most, most_bytes, bytes: 0, entries: HashMap::new(), by_age: BTreeMap::new() }
     }
 
     /// Takes a request in. A key older than the window is `Unknown`: its memory may be gone.
@@ -91,14 +94,14 @@
         self.expire(now);
         match self.entries.get(&key.id) {
             Some(Entry::Running) => return Begin::Running,
-            Some(Entry::Answered(answer)) => return Begin::Answered(answer.clone()),
+            Some(Entry::Answered(answer, _)) => return Begin::Answered(answer.clone()),
             Some(Entry::Unknown) => return Begin::Unknown,
             None => {}
         }
         if key.created + self.window <= now {
             return Begin::Unknown;
         }
-        if self.entries.len() >= self.most {
+        if self.entries.len() >= self.most || self.bytes >= self.most_bytes {
             return Begin::Full;
         }
         self.entries.insert(key.id, Entry::Running);
@@ -109,14 +112,14 @@
     /// The answer to a key, when it is remembered.
     pub fn get(&self, key: &Key) -> Option<A> {
         match self.entries.get(&key.id) {
-            Some(Entry::Answered(answer)) => Some(answer.clone()),
+            Some(Entry::Answered(answer, _)) => Some(answer.clone()),
             _ => None,
         }
     }
 
-    /// The request was answered.
-    pub fn answered(&mut self, key: &Key, answer: A) {
-        self.set(key, Entry::Answered(answer));
+    /// The request was answered, with an answer of so many bytes.
+    pub fn answered(&mut self, key: &Key, answer: A, bytes: usize) {
+        self.set(key, Entry::Answered(answer, bytes));
     }
 
     /// Whether the request ran can't be said.
@@ -126,13 +129,23 @@
 
     /// The request surely did not run: a later one with the key may.
     pub fn not_run(&mut self, key: &Key) {
-        self.entries.remove(&key.id);
-        self.by_age.remove(&(key.created, key.id));
+        self.remove(&(key.created, key.id));
+    }
+
+    fn remove(&mut self, age: &(SystemTime, Uuid)) {
+        self.by_age.remove(age);
+        if let Some(Entry::Answered(_, bytes)) = self.entries.remove(&age.1) {
+            self.bytes -= bytes;
+        }
     }
 
     fn set(&mut self, key: &Key, entry: Entry<A>) {
-        if let Some(known) = self.entries.get_mut(&key.id) {
-            *known = entry;
+        let Some(known) = self.entries.get_mut(&key.id) else { return };
+        if let Entry::Answered(_, bytes) = &entry {
+            self.bytes += bytes;
+        }
+        if let Entry::Answered(_, bytes) = std::mem::replace(known, entry) {
+            self.bytes -= bytes;
         }
     }
 
@@ -144,20 +157,19 @@
             if matches!(self.entries.get(&age.1), Some(Entry::Running)) {
                 continue;
             }
-            self.by_age.remove(&age);
-            self.entries.remove(&age.1);
+            self.remove(&age);
         }
     }
 
     /// Takes in a key that another host remembered. False when there is no room for it.
-    pub fn restore(&mut self, key: &Key, answer: Option<A>, now: SystemTime) -> bool {
+    pub fn restore(&mut self, key: &Key, answer: Option<(A, usize)>, now: SystemTime) -> bool {
         match self.begin(key, now) {
             Begin::First => {}
             Begin::Full => return false,
             Begin::Running | Begin::Answered(_) | Begin::Unknown => return true,
         }
         match answer {
-            Some(answer) => self.answered(key, answer),
+            Some((answer, bytes)) => self.answered(key, answer, bytes),
             None => self.unknown(key),
         }
         true
@@ -167,7 +179,7 @@
     pub fn ended(&self) -> impl Iterator<Item = (String, Option<&A>)> + '_ {
         self.entries.iter().filter_map(|(id, entry)| match entry {
             Entry::Running => None,
-            Entry::Answered(answer) => Some((id.to_string(), Some(answer))),
+            Entry::Answered(answer, _) => Some((id.to_string(), Some(answer))),
             Entry::Unknown => Some((id.to_string(), None)),
         })
     }
--- a/components/request/tests/request.rs
+++ b/components/request/tests/request.rs
@@ -176,18 +176,18 @@
 #[test]
 fn a_duplicate_waits_then_gets_the_first_answer() {
     let now = SystemTime::now();
-    let mut memory = Memory::new(60 * SECOND, 10);
+    let mut memory = Memory::new(60 * SECOND, 10, 1000);
     let key = parsed(now);
     assert_eq!(memory.begin(&key, now), Begin::First);
     assert_eq!(memory.begin(&key, now), Begin::Running);
-    memory.answered(&key, "booked");
+    memory.answered(&key, "booked", 6);
     assert_eq!(memory.begin(&key, now), Begin::Answered("booked"));
 }
 
 #[test]
 fn what_surely_did_not_run_may_run_later_and_what_is_unknown_never_does() {
     let now = SystemTime::now();
-    let mut memory: Memory<()> = Memory::new(60 * SECOND, 10);
+    let mut memory: Memory<()> = Memory::new(60 * SECOND, 10, 1000);
     let key = parsed(now);
     memory.begin(&key, now);
     memory.not_run(&key);
@@ -199,10 +199,10 @@
 #[test]
 fn beyond_the_window_a_key_is_unknown_and_the_memory_is_bounded() {
     let now = SystemTime::now();
-    let mut memory = Memory::new(60 * SECOND, 2);
+    let mut memory = Memory::new(60 * SECOND, 2, 1000);
     let old = parsed(now);
     memory.begin(&old, now);
-    memory.answered(&old, ());
+    memory.answered(&old, (), 1);
     memory.begin(&parsed(now), now);
     assert_eq!(memory.begin(&parsed(now), now), Begin::Full);
     let later = now + 61 * SECOND;
@@ -210,6 +210,19 @@
     assert_eq!(memory.begin(&parsed(later), later), Begin::First);
 }
 
+#[test]
+fn the_bytes_of_remembered_answers_are_bounded_and_given_back() {
+    let now = SystemTime::now();
+    let mut memory = Memory::new(60 * SECOND, 10, 100);
+    let first = parsed(now);
+    memory.begin(&first, now);
+    memory.answered(&first, (), 100);
+    assert_eq!(memory.begin(&parsed(now), now), Begin::Full);
+    assert_eq!(memory.begin(&first, now), Begin::Answered(()), "what is remembered stays");
+    let later = now + 61 * SECOND;
+    assert_eq!(memory.begin(&parsed(later), later), Begin::First);
+}
+
 fn settled_home(own: &str, count: usize, now: SystemTime) -> Home {
     let mut home = Home::new(own.to_owned(), SECOND, now);
     home.view(hosts(count), now);
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -226,8 +226,11 @@
         /// The version that the asker has.
         since: Version,
     },
-    /// The platform's list of hosts, as last read.
-    List,
+    /// The platform's list of hosts, when it is newer than this version of it.
+    List {
+        /// The version that the asker has.
+        since: u64,
+    },
     /// A new claim on a partition; answered with what is held of it.
     Announce {
         /// The partition.
@@ -299,7 +302,7 @@
     Configuration(Delta<EntryKey, Entry>),
     /// To `Facts`.
     Facts(Delta<FactKey, Fact>),
-    /// To `List`: its version and lines.
+    /// To `List`, when there is a newer one: its version and lines.
     List(u64, Vec<(HostId, Listed)>),
     /// To `Announce`.
     Inventory(InventoryAnswer),
@@ -309,7 +312,7 @@
     Started(Vec<StartAnswer>, Version),
     /// To `Reserve`, in the order of the orders: whether all the room is there now.
     Reserved(Vec<bool>),
-    /// To `Stop`, `Acknowledge`, `Keys` and `Wake`.
+    /// To `Stop`, `Acknowledge`, `Keys` and `Wake`, and to `List` when there is no newer one.
     Done,
     /// To `Show`: rows of cells.
     Rows(Vec<Vec<String>>),
