--- a/components/gateway/src/accept.rs
+++ b/components/gateway/src/accept.rs
@@ -9,13 +9,12 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Incoming};
 use model::DataCentreId;
-use request::ClassIndex;
+use request::{Ask, ClassIndex};
 use settings::Class;
 use web::Body;
 
 use crate::dispatch::{Dispatched, dispatch, pass_on};
 use crate::relay::{DEADLINE, MOST_HOPS, Relayed};
-use crate::service::Ask;
 use crate::state::{Gateway, Neighbour};
 use crate::{answer, body, keyed};
 
--- a/components/gateway/src/dispatch.rs
+++ b/components/gateway/src/dispatch.rs
@@ -11,13 +11,13 @@
 use http::{HeaderMap, HeaderName, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
-use request::Refusal;
+use request::{Ask, Refusal};
 use web::Body;
 
 use crate::answer;
 use crate::body::Outgoing;
 use crate::link::{Connection, Sent};
-use crate::service::{Ask, Service, Slot};
+use crate::service::{Service, Slot};
 
 /// Answers up to this size are read whole before they are passed on: their slot is free at once, however
 /// slowly the caller reads.
--- a/components/gateway/src/keyed.rs
+++ b/components/gateway/src/keyed.rs
@@ -13,14 +13,13 @@
 use member::winner;
 use model::DataCentreId;
 use parking_lot::Mutex;
-use request::{Begin, ClassIndex, Key, Memory, Standing};
+use request::{Ask, Begin, ClassIndex, Key, Memory, Standing};
 use tokio::sync::watch;
 use web::Body;
 
 use crate::accept::{Checked, Source, hosts_in, may_relay};
 use crate::dispatch::{Dispatched, Unread, clean, dispatch, read_whole};
 use crate::relay::Relayed;
-use crate::service::Ask;
 use crate::state::{Gateway, SKEW};
 use crate::{answer, body};
 
--- a/components/gateway/src/service.rs
+++ b/components/gateway/src/service.rs
@@ -4,10 +4,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use model::workload::Priority;
-use model::{HostId, TeamId};
+use model::HostId;
 use parking_lot::Mutex;
-use request::{Budget, Instance, Offer, Pick, Pool, Queue, Refusal, Ticket, Why};
+use request::{Ask, Budget, Instance, Offer, Pick, Pool, Queue, Refusal, Room, Ticket, Why};
 use tokio::sync::oneshot;
 
 use crate::link::Links;
@@ -32,14 +31,6 @@
     pub(crate) links: Links,
 }
 
-/// Who asks for a slot, and until when it is of use.
-#[derive(Clone, Debug)]
-pub(crate) struct Ask {
-    pub(crate) team: TeamId,
-    pub(crate) priority: Priority,
-    pub(crate) deadline: Instant,
-}
-
 impl Service {
     pub(crate) fn new(own: HostId, limits: &settings::Requests, gain_after: Duration) -> Service {
         let state = State {
@@ -89,10 +80,8 @@
             if state.pool.instances() == 0 {
                 return Err(Refusal { why: Why::NoInstance, retry_after: Duration::from_secs(1) });
             }
-            let free = state.pool.has_free(now);
-            let slots = state.pool.capacity().0;
-            let mean = state.pool.mean_seconds().map(Duration::from_secs_f64);
-            match state.queue.offer(&ask.team, ask.priority, ask.deadline, slots, free, mean, now) {
+            let room = state.room(now);
+            match state.queue.offer(ask, &room, now) {
                 Offer::Refused(refusal) => return Err(refusal),
                 Offer::Run => return state.take(now).map(|pick| self.clone().guard(pick)),
                 Offer::Wait(ticket) => {
@@ -147,6 +136,11 @@
         self.grant_waiting(now);
     }
 
+    fn room(&mut self, now: Instant) -> Room {
+        let free = self.pool.has_free(now);
+        Room { slots: self.pool.capacity().0, free, answer: self.pool.mean_seconds().map(Duration::from_secs_f64) }
+    }
+
     fn take(&mut self, now: Instant) -> Grant {
         self.pool.pick(None, now).ok_or(Refusal { why: Why::NoShare, retry_after: Duration::from_secs(1) })
     }
@@ -207,7 +201,7 @@
             return;
         }
         let mut state = self.service.state.lock();
-        state.queue.leave(&self.ask.team, self.ask.priority, self.ticket);
+        state.queue.leave(&self.ask, self.ticket);
         state.waiters.remove(&self.ticket);
         // A grant may have come at the last moment; its slot goes to the next.
         if let Ok(Ok(pick)) = self.receiver.try_recv() {
--- a/components/node/src/answer.rs
+++ b/components/node/src/answer.rs
@@ -49,9 +49,5 @@
             }
             Answer::Done
         }
-        Request::Wake { .. } => {
-            shared.look_again.notify_one();
-            Answer::Done
-        }
     }
 }
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -19,6 +19,7 @@
 mod peers;
 mod pull;
 mod recovery;
+mod room;
 mod schedule;
 mod send;
 mod services;
--- a/components/node/src/schedule.rs
+++ b/components/node/src/schedule.rs
@@ -1,16 +1,17 @@
 //! Lets waiting work start: one pass over all partitions owned here, urgent work first, fair between teams.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use jobs::Claimant;
 use model::task::{Attempt, Id};
-use model::workload::{Kind, Priority, Workload};
+use model::workload::{Kind, Workload};
 use model::{Epoch, Partition, Reason, Resources, TeamId, WorkerId, WorkloadId};
-use place::{Candidate, Cell, Choice, Demand, Policy, Siblings, Usage, Victim, Worker};
+use place::{Cell, Choice, Demand, Policy, Siblings, Usage, Worker};
 use wire::{ReserveOrder, StartOrder, TaskFact, TaskState};
 
+use crate::room::{Keeping, make_room, reservation, use_kept};
 use crate::shared::Shared;
 use crate::{recovery, send};
 
@@ -18,48 +19,28 @@
 const LOOK: Duration = Duration::from_millis(500);
 /// Two passes keep at least this distance.
 const SPACING: Duration = Duration::from_millis(5);
-/// Batch work that has waited for so long gets room kept for it as it becomes free.
-const RESERVE_AFTER: Duration = Duration::from_secs(30);
-/// Urgent work that finds no room stops patient work after so long.
-const PREEMPT_AFTER: Duration = Duration::from_millis(200);
-/// Room that has not become free after so long is looked for anew.
-const KEEP: Duration = Duration::from_secs(20);
 /// Tasks of one workload ordered in one pass, so that no pass gets long.
-const MOST_ORDERS: usize = 512;
-/// Longer runs without a checkpoint count alike; as a power of two of seconds, half a year.
-const LONGEST_UNSAVED: u8 = 24;
-/// The first of these many priorities in the seniority of a reservation.
-const SENIORITY_BITS: u32 = 60;
+pub(crate) const MOST_ORDERS: usize = 512;
 
 /// Work of one workload that waits, with what the decision needs.
-struct Waiting {
-    partition: Partition,
-    epoch: Epoch,
-    claimant: Claimant,
-    workload: Workload,
+pub(crate) struct Waiting {
+    pub(crate) partition: Partition,
+    pub(crate) epoch: Epoch,
+    pub(crate) claimant: Claimant,
+    pub(crate) workload: Workload,
     avoided: Vec<WorkerId>,
-    accepted_ms: u64,
+    pub(crate) accepted_ms: u64,
 }
 
 /// Start orders made in one pass.
-type Orders = BTreeMap<(Partition, Epoch), Vec<StartOrder>>;
-
-/// Room that is kept for a workload at workers, until it has become free there.
-struct Kept {
-    since: Instant,
-    /// Tasks to start on each worker.
-    places: BTreeMap<WorkerId, u32>,
-}
-
-/// What is kept for workloads, by name.
-type Keeping = HashMap<WorkloadId, Kept>;
+pub(crate) type Orders = BTreeMap<(Partition, Epoch), Vec<StartOrder>>;
 
 /// The view that one pass decides on.
-struct Pass {
-    now: Instant,
-    cell: Cell,
+pub(crate) struct Pass {
+    pub(crate) now: Instant,
+    pub(crate) cell: Cell,
     usage: HashMap<TeamId, Usage>,
-    tasks: Vec<(Id, Attempt, TaskFact)>,
+    pub(crate) tasks: Vec<(Id, Attempt, TaskFact)>,
     total: Resources,
     /// Sizes that found no room in this pass: the same or larger ones need not look.
     full: Vec<(Resources, Choice)>,
@@ -80,9 +61,7 @@
 async fn pass(shared: &Arc<Shared>, keeping: &mut Keeping) {
     let now = Instant::now();
     let waiting = waiting(shared, now).await;
-    keeping.retain(|name, kept| {
-        now.duration_since(kept.since) < KEEP && waiting.iter().any(|one| one.workload.name == *name)
-    });
+    keeping.retain(|name, kept| kept.is_fresh(now) && waiting.iter().any(|one| one.workload.name == *name));
     if waiting.is_empty() {
         return;
     }
@@ -155,7 +134,7 @@
     }
 
     /// How many more tasks of this size the team may have.
-    fn allowance(&self, team: &TeamId, each: &Resources, wanted: usize) -> usize {
+    pub(crate) fn allowance(&self, team: &TeamId, each: &Resources, wanted: usize) -> usize {
         let Some(usage) = self.usage.get(team) else { return wanted };
         let mut sum = usage.used;
         let Some(quota) = usage.quota else { return wanted };
@@ -293,7 +272,14 @@
 }
 
 /// Orders one task and takes its room in this pass's view.
-fn order_one(shared: &Shared, pass: &mut Pass, one: &Waiting, position: u32, at: usize, orders: &mut Orders) -> bool {
+pub(crate) fn order_one(
+    shared: &Shared,
+    pass: &mut Pass,
+    one: &Waiting,
+    position: u32,
+    at: usize,
+    orders: &mut Orders,
+) -> bool {
     let worker = pass.cell.id(at).clone();
     let now = Instant::now();
     let order = shared.partitions.with(one.partition, |owned| {
@@ -350,114 +336,3 @@
     let order = |(at, resources)| reservation(one, pass.cell.id(at).clone(), resources, Vec::new());
     sums.into_iter().map(order).collect()
 }
-
-fn reservation(one: &Waiting, worker: WorkerId, resources: Resources, victims: Vec<(Id, Attempt)>) -> ReserveOrder {
-    ReserveOrder { worker, workload: one.workload.name.clone(), resources, seniority: seniority(one), victims }
-}
-
-/// Lower is more senior: by priority, then by time of acceptance. The same at every host.
-fn seniority(one: &Waiting) -> u64 {
-    let tier = match one.workload.priority {
-        Priority::Urgent => 0,
-        Priority::Normal => 1,
-        Priority::Patient => 2,
-    };
-    (tier << SENIORITY_BITS) | (one.accepted_ms & ((1 << SENIORITY_BITS) - 1))
-}
-
-/// Starts tasks on the workers where the kept room has become free, and keeps the rest.
-async fn use_kept(shared: &Arc<Shared>, pass: &mut Pass, keeping: &mut Keeping, one: &Waiting, orders: &mut Orders) {
-    let Some(kept) = keeping.get_mut(&one.workload.name) else { return };
-    let each = &one.workload.each;
-    let renewed =
-        kept.places.iter().map(|(worker, count)| reservation(one, worker.clone(), times(each, *count), Vec::new()));
-    let there = send::reservations(shared, one.partition, one.epoch, renewed.collect()).await;
-    let allowed = pass.allowance(&one.workload.team, each, one.claimant.positions.len());
-    let mut positions = one.claimant.positions[..allowed].iter();
-    for worker in there {
-        let Some(at) = pass.cell.find(&worker) else { continue };
-        let count = kept.places.remove(&worker).unwrap_or(0);
-        for position in positions.by_ref().take(count as usize) {
-            order_one(shared, pass, one, *position, at, orders);
-        }
-    }
-    if kept.places.is_empty() {
-        keeping.remove(&one.workload.name);
-    }
-}
-
-fn times(each: &Resources, count: u32) -> Resources {
-    Resources {
-        cpu_milli: each.cpu_milli.saturating_mul(count),
-        memory_mib: each.memory_mib.saturating_mul(count),
-        accelerators: each.accelerators.saturating_mul(count),
-    }
-}
-
-/// For work that found no room: stops patient work for urgent work, and keeps room for what waits long.
-async fn make_room(shared: &Arc<Shared>, pass: &Pass, keeping: &mut Keeping, one: &Waiting) {
-    let waited = pass.now.saturating_duration_since(one.claimant.since);
-    let urgent = one.workload.priority == Priority::Urgent && waited >= PREEMPT_AFTER;
-    if !urgent && waited < RESERVE_AFTER {
-        return;
-    }
-    let mut candidates = candidates(pass, urgent);
-    let mut chosen: BTreeMap<WorkerId, (u32, Vec<(Id, Attempt)>)> = BTreeMap::new();
-    for _ in one.claimant.positions.iter().take(MOST_ORDERS) {
-        let Some(preemption) = place::preempt(&candidates, &one.workload.each) else { break };
-        let victims: BTreeSet<(Id, Attempt)> =
-            preemption.victims.iter().map(|victim| (victim.task.clone(), victim.attempt)).collect();
-        for candidate in candidates.iter_mut().filter(|candidate| candidate.worker == preemption.worker) {
-            use_up(candidate, &victims, &one.workload.each);
-        }
-        let place = chosen.entry(preemption.worker).or_default();
-        place.0 += 1;
-        if urgent {
-            place.1.extend(victims);
-        }
-    }
-    if chosen.is_empty() {
-        return;
-    }
-    let stopped: usize = chosen.values().map(|(_, victims)| victims.len()).sum();
-    if stopped > 0 {
-        events::emit!(shared.log, events::TASK_PREEMPTED, "for" => &one.workload.name, "stopped" => stopped);
-    }
-    let places = chosen.iter().map(|(worker, (count, _))| (worker.clone(), *count)).collect();
-    keeping.insert(one.workload.name.clone(), Kept { since: pass.now, places });
-    let reservations = chosen
-        .into_iter()
-        .map(|(worker, (count, victims))| reservation(one, worker, times(&one.workload.each, count), victims));
-    send::reservations(shared, one.partition, one.epoch, reservations.collect()).await;
-}
-
-/// Workers with what could make room there: for urgent work the patient tasks that may be stopped; for work
-/// that only waits long all tasks that will end by themselves.
-fn candidates(pass: &Pass, urgent: bool) -> Vec<Candidate> {
-    let mut by_worker: HashMap<&WorkerId, Vec<Victim>> = HashMap::new();
-    for (task, attempt, fact) in &pass.tasks {
-        let ends = matches!(fact.state, TaskState::Running(None) | TaskState::Starting);
-        let patient = fact.patient && matches!(fact.state, TaskState::Running(_) | TaskState::Starting);
-        if (urgent && patient) || (!urgent && ends) {
-            let unsaved = Duration::from_secs(1 << fact.unsaved.min(LONGEST_UNSAVED));
-            let victim = Victim { task: task.clone(), attempt: *attempt, resources: fact.resources, unsaved };
-            by_worker.entry(&fact.worker).or_default().push(victim);
-        }
-    }
-    (0..pass.cell.len())
-        .filter(|at| pass.cell.is_open(*at))
-        .map(|at| {
-            let worker = pass.cell.id(at).clone();
-            let patient = by_worker.remove(&worker).unwrap_or_default();
-            Candidate { worker, free: pass.cell.free(at), patient }
-        })
-        .collect()
-}
-
-fn use_up(candidate: &mut Candidate, victims: &BTreeSet<(Id, Attempt)>, size: &Resources) {
-    for victim in candidate.patient.iter().filter(|victim| victims.contains(&(victim.task.clone(), victim.attempt))) {
-        candidate.free = candidate.free.checked_add(&victim.resources).unwrap_or(candidate.free);
-    }
-    candidate.patient.retain(|victim| !victims.contains(&(victim.task.clone(), victim.attempt)));
-    candidate.free = candidate.free.saturating_sub(size);
-}
--- a/components/request/src/lib.rs
+++ b/components/request/src/lib.rs
@@ -14,5 +14,5 @@
 pub use home::{Home, Standing};
 pub use keys::{Begin, Key, KeyFault, Memory};
 pub use pool::{Instance, Pick, Pool, allot};
-pub use queue::{Offer, Queue, Refusal, Ticket, Why};
+pub use queue::{Ask, Offer, Queue, Refusal, Room, Ticket, Why};
 pub use retry::Budget;
--- a/components/request/src/queue.rs
+++ b/components/request/src/queue.rs
@@ -52,6 +52,28 @@
     pub retry_after: Duration,
 }
 
+/// Who asks for a slot, and until when it is of use.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// The team that sent the request.
+    pub team: TeamId,
+    /// Its class's place in the queue.
+    pub priority: Priority,
+    /// When its caller stops waiting.
+    pub deadline: Instant,
+}
+
+/// What an entry host can do for a service now.
+#[derive(Clone, Copy, Debug)]
+pub struct Room {
+    /// Requests that it may run at once.
+    pub slots: u32,
+    /// Whether a slot is free.
+    pub free: bool,
+    /// The usual time of an answer; `None` before the first.
+    pub answer: Option<Duration>,
+}
+
 /// What becomes of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Offer {
@@ -146,38 +168,27 @@
         self.len() == 0
     }
 
-    /// Offers a request. `slots` is how many run at once at this host, `free` whether one is free now, and
-    /// `answer` the usual time of an answer.
-    #[allow(clippy::too_many_arguments)]
-    pub fn offer(
-        &mut self,
-        team: &TeamId,
-        priority: Priority,
-        deadline: Instant,
-        slots: u32,
-        free: bool,
-        answer: Option<Duration>,
-        now: Instant,
-    ) -> Offer {
-        let answer = answer.unwrap_or(UNSEEN);
-        let ahead = self.ahead(team, priority);
-        if free && ahead == 0 {
-            return self.run(deadline, answer, now);
+    /// Offers a request.
+    pub fn offer(&mut self, ask: &Ask, room: &Room, now: Instant) -> Offer {
+        let answer = room.answer.unwrap_or(UNSEEN);
+        let ahead = self.ahead(&ask.team, ask.priority);
+        if room.free && ahead == 0 {
+            return self.run(ask.deadline, answer, now);
         }
-        let drain = wait(self.len() + 1, slots, answer);
-        if slots == 0 {
+        let drain = wait(self.len() + 1, room.slots, answer);
+        if room.slots == 0 {
             return refuse(Why::NoShare, Duration::from_secs(1));
         }
         if self.len() >= self.most {
             return refuse(Why::Full, drain);
         }
-        let expected = wait(ahead + 1, slots, answer) + answer.mul_f64(SAFETY);
-        if now + expected > deadline {
+        let expected = wait(ahead + 1, room.slots, answer) + answer.mul_f64(SAFETY);
+        if now + expected > ask.deadline {
             return refuse(Why::TooLate, drain);
         }
         self.last += 1;
-        let waiting = Waiting { ticket: self.last, deadline };
-        self.tiers.entry(priority).or_default().push(team, waiting);
+        let waiting = Waiting { ticket: self.last, deadline: ask.deadline };
+        self.tiers.entry(ask.priority).or_default().push(&ask.team, waiting);
         Offer::Wait(self.last)
     }
 
@@ -210,8 +221,8 @@
     }
 
     /// Takes a request out whose caller went away or whose deadline came. Tells whether it still waited.
-    pub fn leave(&mut self, team: &TeamId, priority: Priority, ticket: Ticket) -> bool {
-        self.tiers.get_mut(&priority).is_some_and(|tier| tier.remove(team, ticket))
+    pub fn leave(&mut self, ask: &Ask, ticket: Ticket) -> bool {
+        self.tiers.get_mut(&ask.priority).is_some_and(|tier| tier.remove(&ask.team, ticket))
     }
 
     /// When a caller that is refused now should come back.
--- a/components/request/tests/request.rs
+++ b/components/request/tests/request.rs
@@ -5,7 +5,7 @@
 use model::workload::Priority;
 use proptest::prelude::*;
 use request::{
-    Begin, Budget, Classes, Home, Instance, Key, KeyFault, Memory, Offer, Pool, Queue, Standing, Why, allot,
+    Ask, Begin, Budget, Classes, Home, Instance, Key, KeyFault, Memory, Offer, Pool, Queue, Room, Standing, Why, allot,
 };
 use uuid::{NoContext, Timestamp, Uuid};
 
@@ -16,6 +16,15 @@
     (0..count).map(|at| format!("entry-{at}")).collect()
 }
 
+fn ask(team: &str, priority: Priority, deadline: Instant) -> Ask {
+    Ask { team: team.to_owned(), priority, deadline }
+}
+
+/// No slot is free; an answer usually takes so many milliseconds.
+fn room(slots: u32, answer: u32) -> Room {
+    Room { slots, free: false, answer: Some(answer * MILLI) }
+}
+
 fn key_made(at: SystemTime) -> String {
     let since = at.duration_since(SystemTime::UNIX_EPOCH).unwrap();
     Uuid::new_v7(Timestamp::from_unix(NoContext, since.as_secs(), since.subsec_nanos())).to_string()
@@ -38,9 +47,8 @@
 fn a_request_that_cannot_be_answered_in_time_is_refused_at_once_with_a_worked_out_time() {
     let now = Instant::now();
     let mut queue = Queue::new(100);
-    let mut offer = |deadline: Duration| {
-        queue.offer(&"rail".to_owned(), Priority::Urgent, now + deadline, 2, false, Some(100 * MILLI), now)
-    };
+    let mut offer =
+        |deadline: Duration| queue.offer(&ask("rail", Priority::Urgent, now + deadline), &room(2, 100), now);
     for _ in 0..4 {
         assert!(matches!(offer(SECOND), Offer::Wait(_)));
     }
@@ -53,9 +61,7 @@
 fn patient_requests_never_delay_urgent_ones() {
     let now = Instant::now();
     let mut queue = Queue::new(100);
-    let mut offer = |priority, deadline| {
-        queue.offer(&"rail".to_owned(), priority, now + deadline, 1, false, Some(100 * MILLI), now)
-    };
+    let mut offer = |priority, deadline| queue.offer(&ask("rail", priority, now + deadline), &room(1, 100), now);
     for _ in 0..50 {
         assert!(matches!(offer(Priority::Patient, 60 * SECOND), Offer::Wait(_)));
     }
@@ -67,9 +73,7 @@
 fn a_flood_by_one_team_does_not_delay_another() {
     let now = Instant::now();
     let mut queue = Queue::new(1000);
-    let mut offer = |team: &str| {
-        queue.offer(&team.to_owned(), Priority::Normal, now + 100 * SECOND, 1, false, Some(100 * MILLI), now)
-    };
+    let mut offer = |team: &str| queue.offer(&ask(team, Priority::Normal, now + 100 * SECOND), &room(1, 100), now);
     for _ in 0..500 {
         offer("flood");
     }
@@ -81,8 +85,8 @@
 fn a_request_whose_deadline_came_while_it_waited_is_not_run() {
     let now = Instant::now();
     let mut queue = Queue::new(10);
-    let team = "rail".to_owned();
-    let Offer::Wait(late) = queue.offer(&team, Priority::Normal, now + SECOND, 1, false, None, now) else { panic!() };
+    let asked = ask("rail", Priority::Normal, now + SECOND);
+    let Offer::Wait(late) = queue.offer(&asked, &room(1, 10), now) else { panic!("nothing is ahead of it") };
     assert_eq!(queue.next(None, now + 2 * SECOND), (None, vec![late]));
 }
 
@@ -90,10 +94,8 @@
 fn a_slot_is_not_wasted_on_a_request_that_has_too_little_time_left() {
     let now = Instant::now();
     let mut queue = Queue::new(10);
-    let mut offer = |team: &str, deadline: Duration| {
-        let answer = Some(100 * MILLI);
-        queue.offer(&team.to_owned(), Priority::Normal, now + deadline, 4, false, answer, now)
-    };
+    let mut offer =
+        |team: &str, deadline: Duration| queue.offer(&ask(team, Priority::Normal, now + deadline), &room(4, 100), now);
     let (Offer::Wait(short), Offer::Wait(long)) = (offer("a", 250 * MILLI), offer("b", SECOND)) else { panic!() };
     assert_eq!(queue.next(Some(100 * MILLI), now + 120 * MILLI), (Some(long), vec![short]));
 }
@@ -342,7 +344,7 @@
                 Step::Offer(tier, team, deadline) => {
                     let priority = [Priority::Urgent, Priority::Normal, Priority::Patient][tier as usize];
                     let deadline = now + deadline as u32 * MILLI;
-                    let offer = queue.offer(&team.to_string(), priority, deadline, 2, false, Some(MILLI), now);
+                    let offer = queue.offer(&ask(&team.to_string(), priority, deadline), &room(2, 1), now);
                     if let Offer::Wait(ticket) = offer {
                         waiting.insert(ticket, deadline);
                     }
--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -5,4 +5,4 @@
 mod server;
 
 pub use client::{Client, Fault};
-pub use server::{Body, empty, full, json, read_limited, serve};
+pub use server::{Body, full, json, read_limited, serve};
--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -33,11 +33,6 @@
     Full::new(bytes.into()).map_err(|never| match never {}).boxed()
 }
 
-/// A body without a byte.
-pub fn empty() -> Body {
-    full(Bytes::new())
-}
-
 /// An answer with a JSON body.
 pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<Body> {
     let bytes = serde_json::to_vec(value).unwrap_or_default();
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -4,7 +4,7 @@
 
 use board::{Delta, Version};
 use model::task::{Attempt, End, Id};
-use model::{CommandId, DataCentreId, Epoch, HostId, Partition, RackId, Resources, Revision, WorkerId, WorkloadId};
+use model::{DataCentreId, Epoch, HostId, Partition, RackId, Resources, Revision, WorkerId, WorkloadId};
 use serde::{Deserialize, Serialize};
 
 /// A key of the configuration: the platform's key below the cell's prefix.
@@ -286,13 +286,6 @@
         /// Whether the asked host has got all of them with this.
         last: bool,
     },
-    /// The state of a workload changed: look at it now.
-    Wake {
-        /// The workload.
-        workload: WorkloadId,
-        /// The command that changed it.
-        command: CommandId,
-    },
 }
 
 /// The answer to a request.
@@ -312,7 +305,7 @@
     Started(Vec<StartAnswer>, Version),
     /// To `Reserve`, in the order of the orders: whether all the room is there now.
     Reserved(Vec<bool>),
-    /// To `Stop`, `Acknowledge`, `Keys` and `Wake`, and to `List` when there is no newer one.
+    /// To `Stop`, `Acknowledge` and `Keys`, and to `List` when there is no newer one.
     Done,
     /// To `Show`: rows of cells.
     Rows(Vec<Vec<String>>),
