--- a/bins/walkhookd/examples/starts/main.rs
+++ b/bins/walkhookd/examples/starts/main.rs
@@ -28,6 +28,47 @@
 async fn measure() {
     bursts().await;
     urgent().await;
+    cancels().await;
+}
+
+/// A wave of cancels through all hosts at once, of work that waits on a full cell.
+async fn cancels() {
+    const PLANS: usize = 20;
+    const EACH: usize = 50;
+    let cell = Cell::start_at(&[("gt-1", 3, 4)], DEFAULT).await;
+    cell.submit(0, &support::batch("full", 4 * support::CORES, 1, "run 1h")).await;
+    until("the cell is full", || async { started(&cell) == 4 * support::CORES as usize }).await;
+    for plan in 0..PLANS {
+        let lines = (0..EACH).map(|at| {
+            format!("  - {{ name: w-{plan}-{at}, team: rail, kind: batch, instances: 10, each: {{ processors: 1, memory: 1GiB }}, run: run 1s }}")
+        });
+        let text = format!("workloads:\n{}\n", lines.collect::<Vec<_>>().join("\n"));
+        cell.submit(plan % 3, &text).await;
+    }
+    let names: Vec<String> = (0..PLANS).flat_map(|plan| (0..EACH).map(move |at| format!("w-{plan}-{at}"))).collect();
+    for host in 0..3 {
+        cell.until_rows(host, "show workloads", names.len() + 1).await;
+    }
+    let writes = |cell: &Cell| cell.platform.counts().calls.get("/v3/kv/txn").copied().unwrap_or(0);
+    let (began, before) = (Instant::now(), writes(&cell));
+    let cancel = |(at, name): (usize, &String)| {
+        let statement = format!("cancel workload {name}");
+        let cell = &cell;
+        async move { cell.ask(at % 3, &statement, None).await.is_some_and(|outcome| outcome.status == api::Status::Done) }
+    };
+    let outcomes = futures_util::future::join_all(names.iter().enumerate().map(cancel)).await;
+    let done = outcomes.iter().filter(|done| **done).count();
+    let took = began.elapsed().as_secs_f64();
+    let used = writes(&cell) - before;
+    println!(
+        "\n{} cancels at once through three hosts: {done} done in {took:.2} s, {used} platform writes",
+        names.len()
+    );
+    cell.execute(0, "cancel workload full").await;
+    cell.submit(0, &support::batch("after", 16, 1, "run 100ms")).await;
+    until("the next work runs", || async { cell.starts().keys().any(|task| task.workload == "after") }).await;
+    let late = cell.starts().keys().filter(|task| task.workload.starts_with("w-")).count();
+    println!("cancelled tasks started: {late} of {}", names.len() * 10);
 }
 
 /// How long urgent work waits on a cell that is full of patient work.
