--- a/components/gateway/src/keyed.rs
+++ b/components/gateway/src/keyed.rs
@@ -28,9 +28,10 @@
 const MAX_BODY: usize = 1024 * 1024;
 /// Shards of the memory, each under its own lock.
 const SHARDS: usize = 16;
-/// Keys that one shard remembers, and bytes of their answers: 8 MiB in all. Beyond them no new key is taken.
-const MOST_KEYS: usize = 4096;
-const MOST_BYTES: usize = 512 * 1024;
+/// Keys that one shard remembers, and bytes of their answers: 32,768 keys and 4 MiB in all. Beyond them no new key
+/// is taken.
+const MOST_KEYS: usize = 2048;
+const MOST_BYTES: usize = 256 * 1024;
 /// When to ask again after an answer could not be found out.
 const ASK_AGAIN: Duration = Duration::from_secs(1);
 
