--- a/bins/walkhookd/tests/platform.rs
+++ b/bins/walkhookd/tests/platform.rs
@@ -62,6 +62,7 @@
     assert!(won(&left) != won(&right), "{left:?} {right:?}");
     let loser = if won(&left) { &right } else { &left };
     assert_eq!(loser.status, Status::NotDone);
+    assert!(loser.message.contains("changed by command"), "{}", loser.message);
     let wanted = if won(&left) { "3" } else { "5" };
     for host in 0..2 {
         cell.until_rows(host, &format!("show workloads where instances = {wanted}"), 1).await;
--- a/components/jobs/tests/book.rs
+++ b/components/jobs/tests/book.rs
@@ -1,36 +1,16 @@
 //! The owner's book: what may start, what must stop, what is durable before it is forgotten.
 
-use std::collections::BTreeMap;
-use std::time::{Duration, Instant, SystemTime};
+mod support;
+
+use std::time::{Duration, Instant};
 
 use jobs::{Book, Note, Phase};
 use model::task::{Attempt, End, Id};
-use model::workload::{Intent, Kind, Priority, Progress, Record, Versioned, Workload};
+use model::workload::{Intent, Kind, Progress};
 use model::{Reason, Resources};
+use support::versioned;
 use wire::{TaskFact, TaskState};
 
-fn versioned(name: &str, kind: Kind, count: u32, revision: u64) -> Versioned {
-    let workload = Workload {
-        name: name.to_owned(),
-        team: "rail".to_owned(),
-        kind,
-        priority: Priority::Normal,
-        instances: count,
-        each: Resources::new(1, 1024, 0),
-        run: "run".to_owned(),
-        run_time: None,
-    };
-    let record = Record {
-        workload,
-        intent: Intent::Run,
-        command: Default::default(),
-        life: 1,
-        shares: BTreeMap::from([("gt-1".to_owned(), count)]),
-        accepted_at: SystemTime::UNIX_EPOCH,
-    };
-    Versioned { record, revision }
-}
-
 fn book(now: Instant, kind: Kind, count: u32) -> Book {
     let mut book = Book::new(5, "gt-1".to_owned());
     book.workers(10);
--- a/components/jobs/tests/two_places.rs
+++ b/components/jobs/tests/two_places.rs
@@ -1,14 +1,17 @@
 //! A task never runs in two places at once, whatever is lost, restarted or taken over, in any order.
 
+mod support;
+
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 
 use jobs::Book;
 use ledger::{Commit, Ledger, Limits};
 use model::task::{Attempt, End, Id};
-use model::workload::{Intent, Kind, Priority, Progress, Record, Versioned, Workload};
+use model::workload::{Kind, Progress};
 use model::{Reason, Resources};
 use proptest::prelude::*;
+use support::versioned;
 use wire::{Fact, FactKey, StartOrder};
 use worker::{Command, Report, Run, Task};
 
@@ -90,35 +93,13 @@
     started: u64,
 }
 
-fn versioned() -> Versioned {
-    let workload = Workload {
-        name: "plan".to_owned(),
-        team: "rail".to_owned(),
-        kind: Kind::Batch,
-        priority: Priority::Normal,
-        instances: TASKS,
-        each: Resources::new(1, 1024, 0),
-        run: "run".to_owned(),
-        run_time: None,
-    };
-    let record = Record {
-        workload,
-        intent: Intent::Run,
-        command: Default::default(),
-        life: 1,
-        shares: BTreeMap::from([("gt-1".to_owned(), TASKS)]),
-        accepted_at: SystemTime::UNIX_EPOCH,
-    };
-    Versioned { record, revision: 1 }
-}
-
 impl World {
     fn new() -> World {
         let now = Instant::now();
         let workers = (0..WORKERS).map(|at| Held::new(&format!("w{at}"), now)).collect();
         let mut book = Book::new(1, "gt-1".to_owned());
         book.workers(WORKERS);
-        book.apply(versioned(), None, true, now);
+        book.apply(versioned("plan", Kind::Batch, TASKS, 1), None, true, now);
         World { now, workers, book, durable: Progress::default(), started: 0 }
     }
 
@@ -202,7 +183,7 @@
     fn new_owner(&mut self) {
         self.book = Book::new(self.book.epoch() + 1, "gt-1".to_owned());
         self.book.workers(WORKERS);
-        self.book.apply(versioned(), Some(&self.durable), false, self.now);
+        self.book.apply(versioned("plan", Kind::Batch, TASKS, 1), Some(&self.durable), false, self.now);
         self.observe();
         self.book.all_accounted(self.now);
     }
--- a/components/node/src/commands.rs
+++ b/components/node/src/commands.rs
@@ -11,6 +11,7 @@
 use place::{Cell, Worker};
 use platform::Use;
 use query::{Assignment, Statement, Subject};
+use serde::Deserialize;
 
 use crate::commit::{Change, Committed, settle};
 use crate::keys::{self, Drain, Place, Receipt, Team};
@@ -39,9 +40,8 @@
         Ok(change) => change,
         Err(why) => return refuse(shared, &command, why, None),
     };
-    let message = change.message.clone();
-    let committed = shared.committer.commit(change).await;
-    conclude(shared, &command, message, committed).await
+    let committed = shared.committer.commit(change.clone()).await;
+    conclude(shared, &command, &change, committed).await
 }
 
 /// A record that another entry host accepted a moment ago may not have come here yet: before it is said that
@@ -77,17 +77,18 @@
     Outcome { retry_after_ms, ..Outcome::not_done(why) }
 }
 
-async fn conclude(shared: &Arc<Shared>, command: &Command, message: String, committed: Committed) -> Outcome {
+async fn conclude(shared: &Arc<Shared>, command: &Command, change: &Change, committed: Committed) -> Outcome {
     match committed {
         Committed::Done(revision) => {
             events::emit!(shared.log, events::COMMAND_DONE, "command" => command.command.to_string(), "revision" => revision);
             let here = shared.configuration.reached(revision, IN_FORCE).await;
             let note = if here { "" } else { " (durable, but not in force at this entry host yet)" };
-            Outcome { revision: Some(revision), ..Outcome::done(format!("{message}{note}")) }
+            Outcome { revision: Some(revision), ..Outcome::done(format!("{}{note}", change.message)) }
         }
         Committed::Before(receipt) => from_receipt(receipt),
         Committed::Conflict => {
-            refuse(shared, command, "changed by another command in the meantime; look again".to_owned(), None)
+            let why = changed_by(shared, change).await;
+            refuse(shared, command, why, None)
         }
         Committed::NotDone(why) => refuse(shared, command, why, Some(RETRY_AFTER)),
         Committed::Unknown(why) => {
@@ -97,6 +98,30 @@
     }
 }
 
+/// What every record that operators write has.
+#[derive(Deserialize)]
+struct Written {
+    command: CommandId,
+}
+
+/// Which other command came in between.
+async fn changed_by(shared: &Shared, change: &Change) -> String {
+    let prefix = keys::prefix(&shared.settings.cell);
+    for (place, expected) in &change.expects {
+        let key = format!("{prefix}{}", place.key());
+        let Ok(entry) = shared.store.get(Use::Acceptance, &key).await else { break };
+        if entry.mod_revision == *expected {
+            continue;
+        }
+        let by = match keys::decode::<Written>(&entry.value) {
+            Ok(written) => format!("changed by command {}", written.command),
+            Err(_) => "removed".to_owned(),
+        };
+        return format!("{} has revision {}, not {expected}: {by}", place.key(), entry.mod_revision);
+    }
+    "changed by another command in the meantime; look again".to_owned()
+}
+
 fn from_receipt(receipt: Receipt) -> Outcome {
     if receipt.done { Outcome::done(receipt.message) } else { Outcome::not_done(receipt.message) }
 }
