Let a refusal speak only for its size; drop events and metrics that nothing wrote

A workload that avoids workers which failed it noted its refusal for the whole cell, so equal work of others was not looked at in that pass; and a larger task took over the reason of a smaller one, also where it can never run. Refusals are a small type of their own in place now, with a test. Events 104, 406 and 601 and the metrics queue_seconds and tasks were described but never written; their numbers stay unused. The refusal over a quota was built in two places.

--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -18,8 +18,6 @@
     STOPPING = 102, Info, "planned stop begins";
     /// The process ends.
     STOPPED = 103, Info, "stopped";
-    /// An address can't be listened on.
-    LISTEN_FAILED = 104, Error, "can't listen";
     /// The process did not run for longer than its bound.
     PAUSED = 105, Warning, "the process was paused; authority is confirmed anew";
     /// An entry host is live.
@@ -50,8 +48,6 @@
     WORKER_BACK = 404, Info, "worker answers again";
     /// All tasks of a silent worker have surely ended.
     WORKER_LAPSED = 405, Warning, "leases on a silent worker have lapsed; its tasks have ended";
-    /// A worker was restarted empty.
-    WORKER_RESTARTED = 406, Warning, "worker was restarted; its earlier tasks have ended";
     /// A worker fails tasks of different workloads.
     WORKER_PROBATION = 407, Warning, "worker on probation";
     /// A worker passed its trial.
@@ -70,8 +66,6 @@
     TASK_PARKED = 506, Warning, "task parked";
     /// Patient tasks were stopped for urgent work.
     TASK_PREEMPTED = 507, Info, "patient attempts stopped for urgent work";
-    /// A request's answer broke off.
-    ANSWER_BROKEN = 601, Warning, "answer of a backend server broke off";
     /// The home of keys has lost its authority for a while.
     KEYS_UNCERTAIN = 602, Warning, "a quorum has not heard this host lately; unrepeatable requests get no answer from it";
     /// An operator's command was carried out.
--- a/components/metrics/src/lib.rs
+++ b/components/metrics/src/lib.rs
@@ -45,8 +45,6 @@
     pub requests: Family<Request, Counter>,
     /// Seconds from receipt to the head of the answer.
     pub request_seconds: Histograms<Tenant>,
-    /// Seconds that a request waited for a slot.
-    pub queue_seconds: Histograms<Tenant>,
     /// Seconds from acceptance of a task to its start.
     pub start_seconds: Histograms<Tenant>,
     /// Seconds that one placement decision took.
@@ -55,8 +53,6 @@
     pub platform_calls: Family<Usage, Counter>,
     /// Bytes sent and received between entry hosts.
     pub control_bytes: Family<Usage, Counter>,
-    /// Tasks by state, of the partitions owned here.
-    pub tasks: Family<Usage, Gauge>,
     /// Workers held here.
     pub workers: Gauge,
     /// Processor time of this process, in milliseconds.
@@ -75,12 +71,10 @@
         Metrics {
             requests: Family::default(),
             request_seconds: Family::new_with_constructor(seconds),
-            queue_seconds: Family::new_with_constructor(seconds),
             start_seconds: Family::new_with_constructor(seconds),
             decision_seconds: Histogram::new(exponential_buckets(0.000_000_5, 2.0, 20)),
             platform_calls: Family::default(),
             control_bytes: Family::default(),
-            tasks: Family::default(),
             workers: Gauge::default(),
             cpu_milliseconds: Gauge::default(),
             resident_bytes: Gauge::default(),
@@ -94,12 +88,10 @@
         let mut registry = Registry::with_prefix("walkhook");
         registry.register("requests", "Requests by class, team and outcome", self.requests.clone());
         registry.register("request_seconds", "From receipt to the answer's head", self.request_seconds.clone());
-        registry.register("queue_seconds", "Wait for a slot", self.queue_seconds.clone());
         registry.register("start_seconds", "From acceptance of a task to its start", self.start_seconds.clone());
         registry.register("decision_seconds", "One placement decision", self.decision_seconds.clone());
         registry.register("platform_calls", "Calls to the platform", self.platform_calls.clone());
         registry.register("control_bytes", "Bytes between entry hosts", self.control_bytes.clone());
-        registry.register("tasks", "Tasks of the partitions owned here", self.tasks.clone());
         registry.register("workers", "Workers held here", self.workers.clone());
         registry.register("cpu_milliseconds", "Processor time of this process", self.cpu_milliseconds.clone());
         registry.register("resident_bytes", "Resident memory of this process", self.resident_bytes.clone());
--- a/components/node/src/schedule.rs
+++ b/components/node/src/schedule.rs
@@ -8,7 +8,7 @@
 use model::task::{Attempt, Id};
 use model::workload::{Kind, Workload};
 use model::{Epoch, Partition, Reason, Resources, TeamId, WorkerId, WorkloadId};
-use place::{Cell, Choice, Demand, Policy, Siblings, Usage, Worker};
+use place::{Cell, Choice, Demand, Policy, Refusals, Siblings, Usage, Worker};
 use wire::{ReserveOrder, StartOrder, TaskFact, TaskState};
 
 use crate::room::{Keeping, make_room, reservation, use_kept};
@@ -42,8 +42,7 @@
     usage: HashMap<TeamId, Usage>,
     pub(crate) tasks: Vec<(Id, Attempt, TaskFact)>,
     total: Resources,
-    /// Sizes that found no room in this pass: the same or larger ones need not look.
-    full: Vec<(Resources, Choice)>,
+    refusals: Refusals,
 }
 
 /// Looks at waiting work until the process ends.
@@ -117,7 +116,7 @@
         }
         let tasks = shared.facts.tasks();
         let usage = usage(shared, &tasks);
-        Pass { now, cell, usage, tasks, total, full: Vec::new() }
+        Pass { now, cell, usage, tasks, total, refusals: Refusals::default() }
     }
 
     fn order(&self, waiting: &[Waiting]) -> Vec<usize> {
@@ -152,8 +151,10 @@
         usage.used = usage.used.checked_add(each).unwrap_or(usage.used);
     }
 
-    fn known_full(&self, each: &Resources) -> Option<&Choice> {
-        self.full.iter().find(|(size, _)| size.fits_in(each)).map(|(_, choice)| choice)
+    /// The refusal of work whose team has used up its quota.
+    fn over_quota(&self, team: &TeamId) -> Choice {
+        let quota = self.usage.get(team).and_then(|usage| usage.quota).unwrap_or_default();
+        Choice::Waiting(Reason::OverQuota { team: team.clone(), quota })
     }
 }
 
@@ -230,8 +231,7 @@
     let mut siblings = siblings(pass, workload);
     for position in &positions[..allowed] {
         if workload.kind == Kind::Batch
-            && one.avoided.is_empty()
-            && let Some(choice) = pass.known_full(&workload.each)
+            && let Some(choice) = pass.refusals.find(&workload.each)
         {
             return Some(choice.clone());
         }
@@ -239,7 +239,7 @@
         let choice = place::choose(&pass.cell, &demand, &siblings);
         shared.metrics.decision_seconds.observe(began.elapsed().as_secs_f64());
         let Choice::Placed(at) = choice else {
-            pass.full.push((workload.each, choice.clone()));
+            pass.refusals.note(workload.each, &choice, one.avoided.is_empty());
             return Some(choice);
         };
         if !order_one(shared, pass, one, *position, at, orders) {
@@ -248,8 +248,7 @@
         siblings.add(&pass.cell, at);
     }
     if allowed < positions.len() {
-        let quota = pass.usage.get(&workload.team).and_then(|usage| usage.quota).unwrap_or_default();
-        return Some(Choice::Waiting(Reason::OverQuota { team: workload.team.clone(), quota }));
+        return Some(pass.over_quota(&workload.team));
     }
     None
 }
@@ -299,8 +298,7 @@
     let workload = &one.workload;
     let count = one.claimant.positions.len();
     if pass.allowance(&workload.team, &workload.each, count) < count {
-        let quota = pass.usage.get(&workload.team).and_then(|usage| usage.quota).unwrap_or_default();
-        return Some(Choice::Waiting(Reason::OverQuota { team: workload.team.clone(), quota }));
+        return Some(pass.over_quota(&workload.team));
     }
     let began = Instant::now();
     let placed = place::gang(&mut pass.cell, &demand(workload), count as u32);
--- a/components/place/src/lib.rs
+++ b/components/place/src/lib.rs
@@ -7,8 +7,10 @@
 mod choose;
 mod order;
 mod preempt;
+mod refusals;
 
 pub use cell::{Cell, Worker, WorkerIndex};
 pub use choose::{Choice, Demand, Policy, Siblings, choose, gang, never_fits};
 pub use order::{Claimant, Rank, Usage, order};
 pub use preempt::{Candidate, Preemption, Victim, preempt};
+pub use refusals::Refusals;
--- a/components/place/tests/place.rs
+++ b/components/place/tests/place.rs
@@ -7,7 +7,8 @@
 use model::workload::{Kind, Priority};
 use model::{Reason, Resources};
 use place::{
-    Candidate, Cell, Choice, Claimant, Demand, Policy, Siblings, Usage, Victim, Worker, choose, gang, order, preempt,
+    Candidate, Cell, Choice, Claimant, Demand, Policy, Refusals, Siblings, Usage, Victim, Worker, choose, gang, order,
+    preempt,
 };
 use proptest::prelude::*;
 
@@ -61,6 +62,18 @@
     assert_eq!(choose(&cell, &demand(Kind::Batch, 1), &Siblings::default()), Choice::Waiting(Reason::NoWorkers));
 }
 
+#[test]
+fn a_refusal_speaks_only_for_its_size_and_only_when_all_workers_were_asked() {
+    let refusal = Choice::Waiting(Reason::NoWorkers);
+    let (small, large) = (Resources::new(1, 1024, 0), Resources::new(2, 1024, 0));
+    let mut refusals = Refusals::default();
+    refusals.note(small, &refusal, false);
+    assert_eq!(refusals.find(&small), None, "some workers were closed to that workload alone");
+    refusals.note(small, &refusal, true);
+    assert_eq!(refusals.find(&small), Some(&refusal));
+    assert_eq!(refusals.find(&large), None, "it may be one that can never run");
+}
+
 #[test]
 fn a_gang_is_placed_whole_or_leaves_nothing_behind() {
     let mut cell = Cell::new([worker("a", "a", 16), worker("b", "a", 16)]);
