--- /dev/null
+++ b/components/entry/src/edge.rs
@@ -0,0 +1,176 @@
+//! What an entry host needs from outside: the store, workers, the adviser and the list of workers.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use sched::{End, Info, Running, Start};
+use thiserror::Error;
+use work::{Attempt, Config, Task, Term, Unit, WorkerId};
+
+/// Why a call brought no result.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum Fault {
+    /// The other side has done nothing: no connection, or it said so.
+    #[error("not done: {0}")]
+    NotDone(String),
+    /// Whether it was done is not known.
+    #[error("no answer: {0}")]
+    Unknown(String),
+    /// The answer makes no sense.
+    #[error("malformed answer: {0}")]
+    Malformed(String),
+}
+
+/// Id of a lease in the store.
+pub type LeaseId = u64;
+
+/// A value in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Item {
+    /// Its key.
+    pub key: String,
+    /// Its value.
+    pub value: Vec<u8>,
+    /// Revision of its last change.
+    pub revision: u64,
+}
+
+/// A value to write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Put {
+    /// Its key.
+    pub key: String,
+    /// Its value.
+    pub value: Vec<u8>,
+    /// Lease that it goes with; 0 for none.
+    pub lease: LeaseId,
+}
+
+/// Changes that are made all or not at all.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Transaction {
+    /// Keys that must have these revisions; 0 stands for an absent key.
+    pub expected: Vec<(String, u64)>,
+    /// Values to write.
+    pub puts: Vec<Put>,
+    /// Keys to remove.
+    pub removes: Vec<String>,
+}
+
+/// What became of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Commit {
+    /// It was done at this revision.
+    Done(u64),
+    /// It was not done: a key has another revision. The present values of the expected keys.
+    Conflict(Vec<Item>),
+    /// It was not done: there is no such lease.
+    NoLease,
+}
+
+/// The platform's key-value service.
+#[async_trait]
+pub trait Store: Send + Sync {
+    /// Reads one key.
+    async fn get(&self, key: &str) -> Result<Option<Item>, Fault>;
+    /// Reads all keys of a prefix, page by page; not a snapshot.
+    async fn range(&self, prefix: &str) -> Result<Vec<Item>, Fault>;
+    /// Waits until a key of the prefix changes after `revision`. Returns the revision to go on from; one that lies
+    /// before unknown changes when history is gone.
+    async fn changed(&self, prefix: &str, revision: u64, wait: Duration) -> Result<u64, Fault>;
+    /// Carries out a transaction.
+    async fn commit(&self, transaction: &Transaction) -> Result<Commit, Fault>;
+    /// Creates a lease.
+    async fn lease(&self, ttl: Duration) -> Result<LeaseId, Fault>;
+    /// Renews a lease. Whether it still exists.
+    async fn keep(&self, lease: LeaseId) -> Result<bool, Fault>;
+    /// Ends a lease; its keys go with it.
+    async fn end(&self, lease: LeaseId) -> Result<(), Fault>;
+}
+
+/// What the operator and the workers write to the platform.
+#[async_trait]
+pub trait Directory: Send + Sync {
+    /// Reads the configuration, if there is one.
+    async fn config(&self) -> Result<Option<Config>, Fault>;
+    /// Waits until the configuration may have changed after `revision`; see [`Store::changed`].
+    async fn config_changed(&self, revision: u64, wait: Duration) -> Result<u64, Fault>;
+    /// Reads the list of workers.
+    async fn workers(&self) -> Result<BTreeMap<WorkerId, Info>, Fault>;
+}
+
+/// A renewal of a worker's leases.
+#[derive(Clone, Debug)]
+pub struct Renewal {
+    /// Term of the leader; a worker takes nothing of a lower one any more.
+    pub term: Term,
+    /// End of the leases, on the worker's clock; `None` to learn that clock first.
+    pub until: Option<Duration>,
+    /// Ends up to this number are acknowledged.
+    pub acked: u64,
+    /// How long the answer may wait for an end.
+    pub wait: Duration,
+}
+
+/// A worker's answer to a renewal.
+#[derive(Clone, Debug)]
+pub struct Held {
+    /// The worker's clock.
+    pub clock: Duration,
+    /// All that runs.
+    pub running: Vec<Running>,
+    /// Ends not acknowledged.
+    pub ended: Vec<End>,
+}
+
+/// What a worker made of a call.
+#[derive(Clone, Debug)]
+pub enum Reply<T> {
+    /// It was taken.
+    Done(T),
+    /// Another leader has a higher term.
+    Fenced,
+    /// Another life is at this address.
+    OtherLife,
+    /// It was refused and nothing was done.
+    Refused(Refusal),
+}
+
+/// Why a start was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// There is no room, the run is old, the order came late, or it is malformed.
+    Other,
+    /// The ticket doesn't hold.
+    Ticket,
+    /// The worker is unhealthy.
+    Unhealthy,
+}
+
+/// Where to reach one life of a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// The life.
+    pub id: WorkerId,
+    /// Address and port.
+    pub address: String,
+}
+
+/// The workers.
+#[async_trait]
+pub trait Workers: Send + Sync {
+    /// Renews leases, acknowledges ends, and lists what runs.
+    async fn renew(&self, target: &Target, renewal: &Renewal) -> Result<Reply<Held>, Fault>;
+    /// Starts a run whose lease ends at `until` on the worker's clock.
+    async fn start(&self, target: &Target, term: Term, until: Duration, start: &Start) -> Result<Reply<()>, Fault>;
+    /// Stops a run; one that isn't there is refused from then on.
+    async fn stop(&self, target: &Target, term: Term, task: Task, attempt: Attempt) -> Result<Reply<()>, Fault>;
+}
+
+/// The service that knows which workers may run a step.
+#[async_trait]
+pub trait Adviser: Send + Sync {
+    /// Who of `workers` may run the unit, each with the text of its ticket.
+    async fn advise(&self, unit: Unit, workers: &[WorkerId]) -> Result<Vec<(WorkerId, String)>, Fault>;
+}
--- /dev/null
+++ b/components/entry/src/election.rs
@@ -0,0 +1,283 @@
+//! Who leads: a record in the store under a lease, and a counter of terms that changes only by compare-and-swap.
+//!
+//! The record tells others where the leader is. The authority is the counter: each part of the log is written in one
+//! transaction with it, so that a leader that was replaced can't write any more.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context, bail};
+use events::emit;
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpStream;
+use work::Term;
+
+use crate::edge::{Commit, Fault, Item, LeaseId, Put, Transaction};
+use crate::host::{Host, Link, Role};
+use crate::message::{Answer, Call, Leader};
+use crate::peers::handle;
+use crate::reign::{Reign, Seat};
+
+/// Key of the leader's record.
+pub(crate) const LEADER_KEY: &str = "walkhook/leader";
+/// Key of the counter of terms.
+pub(crate) const CHAIN_KEY: &str = "walkhook/chain";
+/// A watch that brought nothing is renewed after this time.
+const WATCH: Duration = Duration::from_secs(20);
+/// A connection to another host is given up after this time.
+const CONNECT: Duration = Duration::from_millis(400);
+/// Pause after a failed attempt.
+const PAUSE: Duration = Duration::from_millis(100);
+/// A follower asks the leader for a sign of life this often.
+const PING: Duration = Duration::from_millis(300);
+/// Unanswered signs of life after which the link is given up.
+const PINGS_MISSED: u32 = 3;
+/// Hosts that see the leader gone wait up to this long, so that they don't all claim at once.
+const SPREAD: Duration = Duration::from_millis(40);
+
+/// The counter of terms, and the number of the log's next part.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Chain {
+    pub term: Term,
+    pub next: u64,
+}
+
+/// Follows the leader's record, and claims leadership when there is none.
+pub(crate) async fn run(host: Arc<Host>) {
+    let mut seen = 0;
+    loop {
+        let found = host.edges.store.get(LEADER_KEY).await;
+        match found {
+            Ok(Some(item)) => {
+                let leader = read_leader(&host, &item);
+                seen = item.revision;
+                match leader {
+                    Some(leader) => follow(&host, leader).await,
+                    None => claim_if_free(&host).await,
+                }
+            }
+            Ok(None) => vacancy(&host).await,
+            Err(_) => {
+                tokio::time::sleep(PAUSE).await;
+                continue;
+            }
+        }
+        let waited = host.edges.store.changed(LEADER_KEY, seen, WATCH).await;
+        match waited {
+            Ok(revision) => seen = revision,
+            Err(_) => tokio::time::sleep(PAUSE).await,
+        }
+    }
+}
+
+fn read_leader(host: &Host, item: &Item) -> Option<Leader> {
+    match postcard::from_bytes(&item.value) {
+        Ok(leader) => Some(leader),
+        Err(fault) => {
+            emit!(host.log, events::RECORD_UNREADABLE, "key" => LEADER_KEY, "fault" => fault.to_string());
+            None
+        }
+    }
+}
+
+/// Links to the leader that the store names, unless that is known already.
+async fn follow(host: &Arc<Host>, leader: Leader) {
+    if leader.host == host.settings.host {
+        let own = leader.life == host.settings.life;
+        let leading = matches!(host.role(), Role::Leading(reign) if reign.term == leader.term);
+        if !(own && leading) {
+            // The record is of an earlier life of this process, which surely has ended.
+            claim_if_free(host).await;
+        }
+        return;
+    }
+    if let Role::Leading(reign) = host.role()
+        && leader.term > reign.term
+    {
+        reign.depose("a newer leader is in the store");
+        host.set_role(Role::Nobody);
+    }
+    if let Role::Following(current, link) = host.role()
+        && current == leader
+        && !link.is_down()
+    {
+        return;
+    }
+    connect(host, leader).await;
+}
+
+/// Links to a leader and keeps asking for signs of life.
+pub(crate) async fn connect(host: &Arc<Host>, leader: Leader) {
+    let Some(link) = dial(host, &leader).await else {
+        if !matches!(host.role(), Role::Nobody | Role::Leading(_)) {
+            host.set_role(Role::Nobody);
+        }
+        return;
+    };
+    let hello = Call::Hello { host: host.settings.host.clone() };
+    match link.call(hello, CONNECT).await {
+        Ok(Answer::Done) => {}
+        Ok(_) => {
+            link.close();
+            emit!(host.log, events::LEADER_DENIES, "leader" => &leader.host, "term" => leader.term);
+            if leader.host != host.settings.host {
+                // A new life is at the leader's address: the one that led is gone.
+                host.set_role(Role::Nobody);
+                claim_if_free(host).await;
+            }
+            return;
+        }
+        Err(_) => {
+            link.close();
+            return;
+        }
+    }
+    let before = host.role();
+    if let Role::Following(old, old_link) = &before
+        && *old != leader
+    {
+        // The old leader may be cut off from the store: it learns from its followers that it was replaced.
+        let old_link = old_link.clone();
+        let newer = Call::Newer(leader.clone());
+        tokio::spawn(async move {
+            let _ = old_link.call(newer, CONNECT).await;
+            old_link.close();
+        });
+    }
+    host.set_role(Role::Following(leader.clone(), link.clone()));
+    tokio::spawn(watch_link(host.clone(), leader, link));
+}
+
+/// Links to a leader that another host has named. Boxed, since links answer calls that lead here.
+pub(crate) fn redirect(host: Arc<Host>, leader: Leader) -> Pin<Box<dyn Future<Output = ()> + Send>> {
+    Box::pin(async move { connect(&host, leader).await })
+}
+
+async fn dial(host: &Arc<Host>, leader: &Leader) -> Option<Arc<Link>> {
+    let stream = tokio::time::timeout(CONNECT, TcpStream::connect(&leader.address)).await.ok()?.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let host = host.clone();
+    Some(Link::spawn(stream, move |link, call| handle(host.clone(), link, call)))
+}
+
+/// Boxed: a link that breaks is dialled again, and the new one is watched likewise.
+fn watch_link(host: Arc<Host>, leader: Leader, link: Arc<Link>) -> Pin<Box<dyn Future<Output = ()> + Send>> {
+    Box::pin(keep_link(host, leader, link))
+}
+
+async fn keep_link(host: Arc<Host>, leader: Leader, link: Arc<Link>) {
+    let mut missed = 0;
+    while missed < PINGS_MISSED {
+        tokio::select! {
+            () = link.down() => break,
+            () = tokio::time::sleep(PING) => {}
+        }
+        match link.call(Call::Ping, PING).await {
+            Ok(_) => missed = 0,
+            Err(_) => missed += 1,
+        }
+    }
+    link.close();
+    let current = matches!(host.role(), Role::Following(known, _) if known == leader);
+    if !current {
+        return;
+    }
+    host.set_role(Role::Nobody);
+    // The leader may only have been restarted, or its host cut off for a moment.
+    while matches!(host.role(), Role::Nobody) && !host.stopping() {
+        connect(&host, leader.clone()).await;
+        tokio::time::sleep(PAUSE).await;
+        match host.edges.store.get(LEADER_KEY).await {
+            Ok(Some(item)) if read_leader(&host, &item).is_some_and(|now| now == leader) => {}
+            // The loop that follows the record takes over.
+            _ => return,
+        }
+    }
+}
+
+/// There is no leader's record: asks the leader that is still known whether it lives, and claims otherwise.
+async fn vacancy(host: &Arc<Host>) {
+    match host.role() {
+        Role::Leading(reign) => reign.restore_record().await,
+        Role::Following(_, link) => {
+            let alive = link.call(Call::Missing, PING).await;
+            if alive != Ok(Answer::Done) {
+                claim_if_free(host).await;
+            }
+        }
+        Role::Nobody => claim_if_free(host).await,
+    }
+}
+
+/// Claims leadership, unless this host is about to stop.
+async fn claim_if_free(host: &Arc<Host>) {
+    if host.stopping() || matches!(host.role(), Role::Leading(_)) {
+        return;
+    }
+    let spread = rand::rng().random_range(Duration::ZERO..SPREAD);
+    tokio::time::sleep(spread).await;
+    if let Err(fault) = claim(host).await {
+        emit!(host.log, events::CLAIM_FAILED, "fault" => format!("{fault:#}"));
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+async fn claim(host: &Arc<Host>) -> anyhow::Result<()> {
+    let store = &host.edges.store;
+    let record = store.get(LEADER_KEY).await.context("reading the leader's record")?;
+    let chain = store.get(CHAIN_KEY).await.context("reading the counter of terms")?;
+    let (revision, old) = match &chain {
+        None => (0, Chain::default()),
+        Some(item) => (item.revision, postcard::from_bytes(&item.value).context("the counter of terms")?),
+    };
+    let lease = store.lease(host.settings.lease_ttl).await.context("creating a lease")?;
+    let chain = Chain { term: old.term + 1, next: old.next };
+    let leader = Leader {
+        host: host.settings.host.clone(),
+        life: host.settings.life,
+        address: host.settings.address.clone(),
+        term: chain.term,
+    };
+    let confirmed = host.started.elapsed();
+    let transaction = Transaction {
+        expected: vec![
+            (CHAIN_KEY.to_owned(), revision),
+            (LEADER_KEY.to_owned(), record.map_or(0, |item| item.revision)),
+        ],
+        puts: vec![chain_put(&chain)?, leader_put(&leader, lease)?],
+        removes: Vec::new(),
+    };
+    let revision = match store.commit(&transaction).await {
+        Ok(Commit::Done(revision)) => revision,
+        Ok(Commit::Conflict(_)) => bail!("another host was faster"),
+        Ok(Commit::NoLease) => bail!("the lease has run out"),
+        Err(Fault::Unknown(fault)) => claimed(host, &chain, &leader).await.context(fault)?,
+        Err(fault) => return Err(fault.into()),
+    };
+    emit!(host.log, events::CLAIMED, "term" => chain.term, "revision" => revision);
+    let seat = Seat { chain, revision, lease, leader, confirmed };
+    let reign = Reign::begin(host.clone(), seat).await.context("reading the log")?;
+    host.set_role(Role::Leading(reign));
+    Ok(())
+}
+
+/// Whether a claim without an answer was done.
+async fn claimed(host: &Host, chain: &Chain, leader: &Leader) -> anyhow::Result<u64> {
+    let item = host.edges.store.get(CHAIN_KEY).await?.context("no counter of terms")?;
+    let now: Chain = postcard::from_bytes(&item.value)?;
+    let record = host.edges.store.get(LEADER_KEY).await?.context("no leader's record")?;
+    if now != *chain || read_leader(host, &record).as_ref() != Some(leader) {
+        bail!("the claim was not done");
+    }
+    Ok(item.revision)
+}
+
+pub(crate) fn chain_put(chain: &Chain) -> anyhow::Result<Put> {
+    Ok(Put { key: CHAIN_KEY.to_owned(), value: postcard::to_stdvec(chain)?, lease: 0 })
+}
+
+pub(crate) fn leader_put(leader: &Leader, lease: LeaseId) -> anyhow::Result<Put> {
+    Ok(Put { key: LEADER_KEY.to_owned(), value: postcard::to_stdvec(leader)?, lease })
+}
--- /dev/null
+++ b/components/entry/src/host.rs
@@ -0,0 +1,213 @@
+//! One entry host: what it knows of the configuration and of the leader, and how calls reach the leader.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use events::emit;
+use parking_lot::Mutex;
+use slog::Logger;
+use tokio::sync::watch;
+use work::Config;
+
+use crate::edge::{Adviser, Directory, Store, Workers};
+use crate::message::{Answer, Call, Leader};
+use crate::reign::Reign;
+
+/// A link between entry hosts.
+pub type Link = link::Link<Call, Answer>;
+
+/// Settings of an entry host.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of the host.
+    pub host: String,
+    /// Unique to this life of the process.
+    pub life: u64,
+    /// Where other hosts reach it.
+    pub address: String,
+    /// Bounds for the decisions.
+    pub limits: sched::Limits,
+    /// Time to live of the leader's lease in the store.
+    pub lease_ttl: Duration,
+}
+
+/// The outside of an entry host.
+#[derive(Clone)]
+pub struct Edges {
+    /// The key-value service.
+    pub store: Arc<dyn Store>,
+    /// Configuration and list of workers.
+    pub directory: Arc<dyn Directory>,
+    /// The workers.
+    pub workers: Arc<dyn Workers>,
+    /// The adviser, where there is one.
+    pub adviser: Option<Arc<dyn Adviser>>,
+}
+
+/// Who leads, as far as this host knows.
+#[derive(Clone)]
+pub enum Role {
+    /// Nobody is known to.
+    Nobody,
+    /// This host.
+    Leading(Arc<Reign>),
+    /// Another host, to which there is a link.
+    Following(Leader, Arc<Link>),
+}
+
+/// One entry host.
+pub struct Host {
+    /// Its settings.
+    pub settings: Settings,
+    /// Its outside.
+    pub edges: Edges,
+    /// Its log.
+    pub log: Logger,
+    /// Zero of its steady clock.
+    pub started: Instant,
+    config: watch::Sender<Arc<Config>>,
+    role: watch::Sender<Role>,
+    /// Links of followers, while it leads.
+    pub(crate) followers: Mutex<Vec<Follower>>,
+    stopping: watch::Sender<bool>,
+}
+
+/// A follower's link.
+#[derive(Clone)]
+pub(crate) struct Follower {
+    pub host: String,
+    pub link: Arc<Link>,
+}
+
+/// Pause before a call is tried again when there is no leader to take it.
+const RETRY_PAUSE: Duration = Duration::from_millis(40);
+/// The leader answers states and counts at once: after this time it is taken for gone.
+const QUICK_ANSWER: Duration = Duration::from_millis(700);
+
+impl Host {
+    /// Puts a host together; nothing runs yet.
+    pub fn new(settings: Settings, edges: Edges, log: Logger) -> Arc<Host> {
+        Arc::new(Host {
+            settings,
+            edges,
+            log,
+            started: Instant::now(),
+            config: watch::Sender::new(Arc::new(Config::default())),
+            role: watch::Sender::new(Role::Nobody),
+            followers: Mutex::new(Vec::new()),
+            stopping: watch::Sender::new(false),
+        })
+    }
+
+    /// The time on this host's clocks.
+    pub fn clock(&self) -> sched::Clock {
+        let wall = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+        sched::Clock { now: self.started.elapsed(), wall }
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Arc<Config> {
+        self.config.borrow().clone()
+    }
+
+    /// Follows the configuration.
+    pub fn configs(&self) -> watch::Receiver<Arc<Config>> {
+        self.config.subscribe()
+    }
+
+    /// Takes a configuration if it is newer; from the store, or from another host.
+    pub fn take_config(&self, config: Config, source: &'static str) -> bool {
+        let version = config.version;
+        let queues = config.queues.len();
+        let newer = self.config.send_if_modified(|current| {
+            if version <= current.version {
+                return false;
+            }
+            *current = Arc::new(config);
+            true
+        });
+        if newer {
+            emit!(self.log, events::CONFIG_IN_FORCE, "version" => version, "queues" => queues, "source" => source);
+        }
+        newer
+    }
+
+    /// Who leads.
+    pub fn role(&self) -> Role {
+        self.role.borrow().clone()
+    }
+
+    pub(crate) fn set_role(&self, role: Role) {
+        match &role {
+            Role::Nobody => emit!(self.log, events::LEADER_LOST),
+            Role::Leading(reign) => emit!(self.log, events::LEADER_KNOWN, "leader" => &self.settings.host,
+                "term" => reign.term),
+            Role::Following(leader, _) => emit!(self.log, events::LEADER_KNOWN, "leader" => &leader.host,
+                "term" => leader.term),
+        }
+        self.role.send_replace(role);
+    }
+
+    pub(crate) fn roles(&self) -> watch::Receiver<Role> {
+        self.role.subscribe()
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+
+    /// Begins a planned stop: gives leadership up and takes no more of it.
+    pub async fn stop(&self) {
+        self.stopping.send_replace(true);
+        if let Role::Leading(reign) = self.role() {
+            reign.hand_over().await;
+            self.set_role(Role::Nobody);
+        }
+    }
+
+    /// Whether callers can be served: there is a configuration, and a way to the leader.
+    pub fn ready(&self) -> bool {
+        !self.stopping() && self.config().version > 0 && !matches!(self.role(), Role::Nobody)
+    }
+
+    /// Asks the leader, whoever that is, until `until`. Asks again when the leader changes: all calls may be
+    /// repeated.
+    pub async fn ask(&self, call: Call, until: Instant) -> Answer {
+        let mut sent = false;
+        let mut roles = self.roles();
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return if sent { Answer::Unknown } else { Answer::NotLeader };
+            }
+            let role = roles.borrow_and_update().clone();
+            let answer = match role {
+                Role::Nobody => None,
+                Role::Leading(reign) => Some(reign.answer(call.clone()).await),
+                Role::Following(_, link) => {
+                    let outcome = link.call(call.clone(), left.min(patience(&call))).await;
+                    sent |= outcome != Err(link::Fault::Down);
+                    outcome.ok()
+                }
+            };
+            match answer {
+                None | Some(Answer::NotLeader) => {}
+                // A leader that was replaced can't tell; the next one can.
+                Some(Answer::Unknown) => sent = true,
+                Some(answer) => return answer,
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            // Either wakes the loop: a new leader, or time to try again.
+            let _ = tokio::time::timeout(RETRY_PAUSE.min(left), roles.changed()).await;
+        }
+    }
+}
+
+/// How long an answer of the leader may take.
+fn patience(call: &Call) -> Duration {
+    match call {
+        Call::Submit { wait, .. } | Call::Cancel { wait, .. } => *wait + QUICK_ANSWER,
+        _ => QUICK_ANSWER,
+    }
+}
--- /dev/null
+++ b/components/entry/src/lib.rs
@@ -0,0 +1,32 @@
+//! An entry host for callers' jobs: takes calls, follows or is the leader.
+//!
+//! Every host runs the same program. One of them leads: it decides, orders workers and writes the log. The others
+//! pass calls on to it, and ask the adviser for it.
+
+mod edge;
+mod election;
+mod follow;
+mod host;
+mod message;
+mod peers;
+mod reign;
+
+use std::sync::Arc;
+
+use tokio::net::TcpListener;
+
+pub use edge::{
+    Adviser, Commit, Directory, Fault, Held, Item, LeaseId, Put, Refusal, Renewal, Reply, Store, Target, Transaction,
+    Workers,
+};
+pub use host::{Edges, Host, Link, Role, Settings};
+pub use message::{Answer, Call, Leader};
+pub use reign::Reign;
+
+/// Runs a host in the background, with `listener` for links of other hosts.
+pub fn spawn(host: &Arc<Host>, listener: TcpListener) {
+    tokio::spawn(peers::listen(host.clone(), listener));
+    tokio::spawn(peers::push_config(host.clone()));
+    tokio::spawn(follow::config(host.clone()));
+    tokio::spawn(election::run(host.clone()));
+}
--- /dev/null
+++ b/components/entry/src/message.rs
@@ -0,0 +1,95 @@
+//! What entry hosts say to each other.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use work::{Config, Job, JobId, QueueName, State, Term, Unit, WorkerId};
+
+/// The leader, as its record in the store and its followers' messages name it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Leader {
+    /// Name of its host.
+    pub host: String,
+    /// Life of its process.
+    pub life: u64,
+    /// Where it takes links.
+    pub address: String,
+    /// Its term.
+    pub term: Term,
+}
+
+/// A call from one entry host to another.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Call {
+    /// A follower makes itself known, and asks whether this is the leader.
+    Hello {
+        /// Its host.
+        host: String,
+    },
+    /// A follower asks whether the leader still is there.
+    Ping,
+    /// A follower sees no leader in the store.
+    Missing,
+    /// A newer leader is known.
+    Newer(Leader),
+    /// A caller's job.
+    Submit {
+        /// Its queue.
+        queue: QueueName,
+        /// Its id.
+        id: JobId,
+        /// The job.
+        job: Box<Job>,
+        /// How long its caller waits for the answer.
+        wait: Duration,
+    },
+    /// A job's state.
+    State {
+        /// The job.
+        id: JobId,
+    },
+    /// Cancels a job.
+    Cancel {
+        /// The job.
+        id: JobId,
+        /// How long its caller waits for the answer.
+        wait: Duration,
+    },
+    /// Jobs of a queue that wait.
+    Waiting {
+        /// The queue.
+        queue: QueueName,
+    },
+    /// The leader asks a follower to ask the adviser.
+    Advise {
+        /// The unit.
+        unit: Unit,
+        /// Workers to name.
+        workers: Vec<WorkerId>,
+    },
+    /// The newest configuration that the sender knows.
+    Config(Config),
+}
+
+/// An answer to a call.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Answer {
+    /// Taken note of.
+    Done,
+    /// This host doesn't lead, or isn't certain to; nothing was done.
+    NotLeader,
+    /// The job is accepted and kept.
+    Accepted,
+    /// The job was not taken and never runs; it may come again after this time.
+    Refused(Duration),
+    /// What became of the call is not known.
+    Unknown,
+    /// A job's state; `None` when there is no such job.
+    State(Option<State>),
+    /// Whether there was such a job; it is cancelled, or had ended before.
+    Cancelled(bool),
+    /// Number of jobs that wait.
+    Waiting(usize),
+    /// Workers that may run a step, with their tickets; `None` when the adviser didn't answer.
+    Advice(Option<Vec<(WorkerId, String)>>),
+}
--- /dev/null
+++ b/components/entry/src/peers.rs
@@ -0,0 +1,109 @@
+//! Answers the calls of other entry hosts.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use events::emit;
+use tokio::net::TcpListener;
+
+use crate::election;
+use crate::host::{Follower, Host, Link, Role};
+use crate::message::{Answer, Call};
+
+/// After a failed accept (no file descriptors left, say) the loop pauses instead of spinning.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// How long a host may take over a pushed configuration.
+const PUSH: Duration = Duration::from_millis(800);
+
+/// Takes links of other hosts.
+pub(crate) async fn listen(host: Arc<Host>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if let Err(fault) = stream.set_nodelay(true) {
+            emit!(host.log, events::MESSAGE_REFUSED, "fault" => fault.to_string());
+            continue;
+        }
+        let host = host.clone();
+        Link::spawn(stream, move |link, call| handle(host.clone(), link, call));
+    }
+}
+
+/// Sends each newer configuration to all hosts that are linked: the store may turn some of them away.
+pub(crate) async fn push_config(host: Arc<Host>) {
+    let mut configs = host.configs();
+    while configs.changed().await.is_ok() {
+        let config = configs.borrow_and_update().clone();
+        for link in links(&host) {
+            let call = Call::Config((*config).clone());
+            tokio::spawn(async move { link.call(call, PUSH).await });
+        }
+    }
+}
+
+fn links(host: &Host) -> Vec<Arc<Link>> {
+    let mut links: Vec<Arc<Link>> = host.followers.lock().iter().map(|follower| follower.link.clone()).collect();
+    if let Role::Following(_, link) = host.role() {
+        links.push(link);
+    }
+    links
+}
+
+/// Answers one call.
+pub(crate) async fn handle(host: Arc<Host>, link: Arc<Link>, call: Call) -> Answer {
+    match call {
+        Call::Hello { host: name } => hello(&host, name, link),
+        Call::Ping => Answer::Done,
+        Call::Config(config) => {
+            host.take_config(config, "host");
+            Answer::Done
+        }
+        Call::Newer(leader) => {
+            if let Role::Leading(reign) = host.role()
+                && leader.term > reign.term
+            {
+                reign.depose("a follower knows a newer leader");
+                host.set_role(Role::Nobody);
+                tokio::spawn(election::redirect(host.clone(), leader));
+            }
+            Answer::Done
+        }
+        Call::Missing => match host.role() {
+            Role::Leading(reign) if reign.confirmed() => {
+                reign.restore_record().await;
+                Answer::Done
+            }
+            _ => Answer::NotLeader,
+        },
+        Call::Advise { unit, workers } => {
+            let Some(adviser) = &host.edges.adviser else { return Answer::Advice(None) };
+            match adviser.advise(unit, &workers).await {
+                Ok(healthy) => Answer::Advice(Some(healthy)),
+                Err(fault) => {
+                    emit!(host.log, events::ADVICE_FAILED, "unit" => unit.to_string(), "fault" => fault.to_string());
+                    Answer::Advice(None)
+                }
+            }
+        }
+        call => match host.role() {
+            Role::Leading(reign) => reign.answer(call).await,
+            _ => Answer::NotLeader,
+        },
+    }
+}
+
+fn hello(host: &Arc<Host>, name: String, link: Arc<Link>) -> Answer {
+    let Role::Leading(_) = host.role() else { return Answer::NotLeader };
+    let mut followers = host.followers.lock();
+    followers.retain(|follower| !follower.link.is_down() && follower.host != name);
+    followers.push(Follower { host: name, link: link.clone() });
+    drop(followers);
+    let config = host.config();
+    if config.version > 0 {
+        let call = Call::Config((*config).clone());
+        tokio::spawn(async move { link.call(call, PUSH).await });
+    }
+    Answer::Done
+}
--- /dev/null
+++ b/components/entry/src/reign.rs
@@ -0,0 +1,273 @@
+//! One reign: the time during which this host leads, from its claim to its replacement.
+
+mod agent;
+mod ask;
+mod commit;
+mod duties;
+mod orders;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use events::emit;
+use parking_lot::Mutex;
+use sched::Engine;
+use tokio::sync::{Notify, watch};
+use tokio::task::AbortHandle;
+use work::{Job, JobId, Record, Term, WorkerId};
+
+use crate::edge::LeaseId;
+use crate::election::Chain;
+use crate::host::Host;
+use crate::message::{Answer, Call, Leader};
+use ask::Desk;
+
+/// Prefix of the log's parts.
+pub(crate) const LOG_PREFIX: &str = "walkhook/log/";
+/// How long after its last confirmation a leader may still give orders; until then the next one does not repeat what
+/// an unreachable worker may run. Long enough for the store's usual outages.
+pub(crate) const AUTHORITY: Duration = Duration::from_secs(7);
+/// How long after its last confirmation a leader still answers for states and counts.
+const CERTAIN: Duration = Duration::from_millis(2200);
+/// A job whose record isn't written after this time is refused, if that is still possible.
+const WRITE_PATIENCE: Duration = Duration::from_millis(1200);
+/// Callers are told to come back after this time when the store doesn't answer.
+const STORE_RETRY: Duration = Duration::from_secs(1);
+/// A planned stop waits this long for records on their way.
+const FLUSH: Duration = Duration::from_millis(400);
+
+/// What a claim has brought.
+#[derive(Clone, Debug)]
+pub(crate) struct Seat {
+    pub chain: Chain,
+    /// Revision of the counter of terms.
+    pub revision: u64,
+    pub lease: LeaseId,
+    pub leader: Leader,
+    /// Steady time at which the claim was sent.
+    pub confirmed: Duration,
+}
+
+/// A part of the log.
+#[derive(Clone, Debug)]
+pub(crate) struct Part {
+    pub number: u64,
+    pub written: Duration,
+    pub jobs: Vec<JobId>,
+    pub workers: bool,
+}
+
+/// One reign.
+pub struct Reign {
+    /// Its term.
+    pub term: Term,
+    pub(crate) host: Arc<Host>,
+    pub(crate) engine: Mutex<Engine>,
+    pub(crate) seat: Mutex<Seat>,
+    pub(crate) parts: Mutex<Vec<Part>>,
+    /// Milliseconds of the steady clock at the last confirmation.
+    confirmed: AtomicU64,
+    /// Whether the leader's record is to be written anew.
+    pub(crate) restore: AtomicBool,
+    pub(crate) plan: Notify,
+    pub(crate) write: Notify,
+    pub(crate) durable: watch::Sender<u64>,
+    pub(crate) over: watch::Sender<bool>,
+    pub(crate) agents: Mutex<HashMap<WorkerId, agent::Agent>>,
+    pub(crate) desk: Desk,
+    loops: Mutex<Vec<AbortHandle>>,
+}
+
+impl Reign {
+    /// Begins to lead: rebuilds the book from the log.
+    pub(crate) async fn begin(host: Arc<Host>, seat: Seat) -> anyhow::Result<Arc<Reign>> {
+        let items = host.edges.store.range(LOG_PREFIX).await?;
+        let clock = host.clock();
+        let mut engine = Engine::new(host.settings.limits, seat.chain.term, host.config(), clock.now);
+        let mut parts = Vec::new();
+        for item in items {
+            let Some(number) = item.key.strip_prefix(LOG_PREFIX).and_then(|number| number.parse().ok()) else {
+                emit!(host.log, events::RECORD_UNREADABLE, "key" => &item.key, "fault" => "not a part of the log");
+                continue;
+            };
+            let records: Vec<Record> = match postcard::from_bytes(&item.value) {
+                Ok(records) => records,
+                Err(fault) => {
+                    emit!(host.log, events::RECORD_UNREADABLE, "key" => &item.key, "fault" => fault.to_string());
+                    continue;
+                }
+            };
+            parts.push(part(number, clock.now, &records));
+            records.into_iter().for_each(|record| engine.replay(clock, record));
+        }
+        engine.replayed(clock);
+        emit!(host.log, events::RECOVERED, "term" => seat.chain.term, "parts" => parts.len(),
+            "took_ms" => (host.started.elapsed() - seat.confirmed).as_millis() as u64);
+        let reign = Arc::new(Reign {
+            term: seat.chain.term,
+            engine: Mutex::new(engine),
+            confirmed: AtomicU64::new(seat.confirmed.as_millis() as u64),
+            seat: Mutex::new(seat),
+            parts: Mutex::new(parts),
+            restore: AtomicBool::new(false),
+            plan: Notify::new(),
+            write: Notify::new(),
+            durable: watch::Sender::new(0),
+            over: watch::Sender::new(false),
+            agents: Mutex::new(HashMap::new()),
+            desk: Desk::default(),
+            loops: Mutex::new(Vec::new()),
+            host,
+        });
+        reign.clone().start();
+        Ok(reign)
+    }
+
+    fn start(self: Arc<Reign>) {
+        let handles = vec![
+            tokio::spawn(commit::run(self.clone())).abort_handle(),
+            tokio::spawn(duties::plan(self.clone())).abort_handle(),
+            tokio::spawn(duties::list(self.clone())).abort_handle(),
+            tokio::spawn(duties::lease(self.clone())).abort_handle(),
+            tokio::spawn(duties::config(self.clone())).abort_handle(),
+            tokio::spawn(ask::run(self.clone())).abort_handle(),
+        ];
+        *self.loops.lock() = handles;
+    }
+
+    /// Takes note that nobody else led at this time.
+    pub(crate) fn confirm(&self, at: Duration) {
+        self.confirmed.fetch_max(at.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    fn unconfirmed_for(&self) -> Duration {
+        let confirmed = Duration::from_millis(self.confirmed.load(Ordering::Relaxed));
+        self.host.started.elapsed().saturating_sub(confirmed)
+    }
+
+    /// Whether this host surely leads, for answers to callers.
+    pub fn confirmed(&self) -> bool {
+        !self.is_over() && self.unconfirmed_for() < CERTAIN
+    }
+
+    /// Whether orders may be given to workers.
+    pub(crate) fn authorized(&self) -> bool {
+        !self.is_over() && self.unconfirmed_for() < AUTHORITY
+    }
+
+    pub(crate) fn is_over(&self) -> bool {
+        *self.over.borrow()
+    }
+
+    /// Ends the reign: another leader has taken over.
+    pub fn depose(&self, why: &'static str) {
+        if self.over.send_replace(true) {
+            return;
+        }
+        emit!(self.host.log, events::DEPOSED, "term" => self.term, "why" => why);
+        self.loops.lock().drain(..).for_each(|handle| handle.abort());
+        self.agents.lock().drain().for_each(|(_, agent)| agent.abort());
+    }
+
+    /// Ends the reign in order: writes what is owed, then frees the leader's record.
+    pub(crate) async fn hand_over(&self) {
+        let flushed = async {
+            while self.engine.lock().owes() {
+                self.write.notify_one();
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        if tokio::time::timeout(FLUSH, flushed).await.is_err() {
+            emit!(self.host.log, events::FLUSH_FAILED, "term" => self.term);
+        }
+        self.depose("planned stop");
+        let lease = self.seat.lock().lease;
+        if let Err(fault) = self.host.edges.store.end(lease).await {
+            emit!(self.host.log, events::PLATFORM_FAILED, "call" => "end of the lease", "fault" => fault.to_string());
+        }
+    }
+
+    /// Writes the leader's record anew: it has vanished while this host leads.
+    pub(crate) async fn restore_record(&self) {
+        self.restore.store(true, Ordering::Release);
+        self.write.notify_one();
+    }
+
+    /// Answers a call of a caller, or of a follower for one.
+    pub(crate) async fn answer(&self, call: Call) -> Answer {
+        if self.is_over() {
+            return Answer::NotLeader;
+        }
+        match call {
+            Call::Submit { queue, id, job, wait } => self.submit(queue, id, *job, wait).await,
+            Call::Cancel { id, wait } => self.cancel(id, wait).await,
+            Call::State { id } if self.confirmed() => Answer::State(self.engine.lock().state(id)),
+            Call::Waiting { queue } if self.confirmed() => Answer::Waiting(self.engine.lock().waiting(&queue)),
+            _ => Answer::NotLeader,
+        }
+    }
+
+    async fn submit(&self, queue: String, id: JobId, job: Job, wait: Duration) -> Answer {
+        let position = self.engine.lock().accept(self.host.clock(), id, queue, job);
+        self.write.notify_one();
+        self.plan.notify_one();
+        if !self.wait_durable(position, wait.min(WRITE_PATIENCE)).await {
+            if self.is_over() {
+                return Answer::Unknown;
+            }
+            if self.engine.lock().withdraw(id) {
+                emit!(self.host.log, events::JOB_REFUSED, "job" => work::job_name(id), "why" => "the store is away",
+                    "retry_after_ms" => STORE_RETRY.as_millis() as u64);
+                return Answer::Refused(STORE_RETRY);
+            }
+            if !self.wait_durable(position, wait.saturating_sub(WRITE_PATIENCE)).await {
+                return Answer::Unknown;
+            }
+        }
+        // Another caller of the same id may have given up and taken it back.
+        match self.engine.lock().keeps(id) {
+            true => Answer::Accepted,
+            false => Answer::Refused(STORE_RETRY),
+        }
+    }
+
+    async fn cancel(&self, id: JobId, wait: Duration) -> Answer {
+        let cancelled = self.engine.lock().cancel(self.host.clock(), id);
+        let Some(position) = cancelled else {
+            return if self.confirmed() { Answer::Cancelled(false) } else { Answer::NotLeader };
+        };
+        self.write.notify_one();
+        self.plan.notify_one();
+        match self.wait_durable(position, wait).await {
+            true => Answer::Cancelled(true),
+            false => Answer::Unknown,
+        }
+    }
+
+    /// Waits until a position is durable. Whether it became so.
+    pub(crate) async fn wait_durable(&self, position: u64, wait: Duration) -> bool {
+        let mut durable = self.durable.subscribe();
+        let mut over = self.over.subscribe();
+        let reached = async { durable.wait_for(|durable| *durable >= position).await.is_ok() };
+        tokio::select! {
+            reached = tokio::time::timeout(wait, reached) => reached.unwrap_or(false),
+            _ = over.wait_for(|over| *over) => *self.durable.borrow() >= position,
+        }
+    }
+}
+
+pub(crate) fn part(number: u64, written: Duration, records: &[Record]) -> Part {
+    let accepted = |record: &Record| match record {
+        Record::Accepted { id, .. } => Some(*id),
+        _ => None,
+    };
+    let names_worker = |record: &Record| matches!(record, Record::Worker { .. });
+    Part {
+        number,
+        written,
+        jobs: records.iter().filter_map(accepted).collect(),
+        workers: records.iter().any(names_worker),
+    }
+}
--- /dev/null
+++ b/components/entry/src/reign/ask.rs
@@ -0,0 +1,134 @@
+//! Spreads questions to the adviser over all hosts: it serves each calling host one question at a time.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use events::emit;
+use parking_lot::Mutex;
+use sched::{Question, Ticket};
+use tokio::sync::Notify;
+use work::WorkerId;
+
+use crate::host::Link;
+use crate::message::{Answer, Call};
+use crate::reign::Reign;
+
+/// A question that takes longer must leave one host free for short ones.
+const LONG: Duration = Duration::from_millis(100);
+/// How much longer than expected an answer may take.
+const SLACK: Duration = Duration::from_millis(800);
+/// Pause before a question without an answer may be asked again.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Questions that wait, and hosts that have one to ask.
+#[derive(Default)]
+pub(crate) struct Desk {
+    waiting: Mutex<Vec<Question>>,
+    busy: Mutex<BTreeSet<String>>,
+    wake: Notify,
+}
+
+impl Desk {
+    pub(crate) fn put(&self, question: Question) {
+        self.waiting.lock().push(question);
+        self.wake.notify_one();
+    }
+
+    fn free(&self, host: &str) {
+        self.busy.lock().remove(host);
+        self.wake.notify_one();
+    }
+}
+
+/// A host that can ask the adviser.
+#[derive(Clone)]
+enum Asker {
+    Own(String),
+    Other(String, Arc<Link>),
+}
+
+impl Asker {
+    fn name(&self) -> &str {
+        match self {
+            Asker::Own(name) | Asker::Other(name, _) => name,
+        }
+    }
+}
+
+/// Gives waiting questions to free hosts, the most urgent first.
+pub(crate) async fn run(reign: Arc<Reign>) {
+    loop {
+        reign.desk.wake.notified().await;
+        while let Some((asker, question)) = next(&reign) {
+            reign.desk.busy.lock().insert(asker.name().to_owned());
+            tokio::spawn(ask(reign.clone(), asker, question));
+        }
+    }
+}
+
+fn next(reign: &Reign) -> Option<(Asker, Question)> {
+    let askers = askers(reign);
+    let busy = reign.desk.busy.lock().clone();
+    let free: Vec<&Asker> = askers.iter().filter(|asker| !busy.contains(asker.name())).collect();
+    let asker = (*free.first()?).clone();
+    let mut waiting = reign.desk.waiting.lock();
+    let allowed = |question: &Question| question.cost < LONG || free.len() > 1 || askers.len() == 1;
+    let best = (0..waiting.len())
+        .filter(|index| allowed(&waiting[*index]))
+        .min_by_key(|index| (waiting[*index].priority, *index))?;
+    Some((asker, waiting.remove(best)))
+}
+
+fn askers(reign: &Reign) -> Vec<Asker> {
+    let followers = reign.host.followers.lock();
+    let others = followers.iter().filter(|follower| !follower.link.is_down());
+    let others = others.map(|follower| Asker::Other(follower.host.clone(), follower.link.clone()));
+    others.chain([Asker::Own(reign.host.settings.host.clone())]).collect()
+}
+
+async fn ask(reign: Arc<Reign>, asker: Asker, question: Question) {
+    let sent = reign.host.started.elapsed();
+    let healthy = answer(&reign, &asker, &question).await;
+    let now = reign.host.started.elapsed();
+    emit!(reign.host.log, events::ADVICE, "unit" => question.unit.to_string(), "asker" => asker.name(),
+        "named" => question.workers.len(), "healthy" => healthy.as_ref().map(Vec::len),
+        "took_ms" => (now - sent).as_millis() as u64);
+    match healthy {
+        Some(healthy) => {
+            let until = now + question.validity;
+            let tickets = healthy.into_iter().map(|(worker, text)| (worker, Ticket { text, until })).collect();
+            reign.engine.lock().advised(question.unit, &question.workers, tickets);
+            reign.desk.free(asker.name());
+        }
+        None => {
+            tokio::time::sleep(PAUSE).await;
+            reign.engine.lock().unadvised(question.unit);
+            reign.desk.free(asker.name());
+        }
+    }
+    reign.plan.notify_one();
+}
+
+async fn answer(reign: &Reign, asker: &Asker, question: &Question) -> Option<Vec<(WorkerId, String)>> {
+    match asker {
+        Asker::Own(_) => {
+            let adviser = reign.host.edges.adviser.as_ref()?;
+            match adviser.advise(question.unit, &question.workers).await {
+                Ok(healthy) => Some(healthy),
+                Err(fault) => {
+                    emit!(reign.host.log, events::ADVICE_FAILED, "unit" => question.unit.to_string(),
+                        "fault" => fault.to_string());
+                    None
+                }
+            }
+        }
+        Asker::Other(_, link) => {
+            let call = Call::Advise { unit: question.unit, workers: question.workers.clone() };
+            match link.call(call, question.cost + SLACK).await {
+                Ok(Answer::Advice(healthy)) => healthy,
+                _ => None,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/entry/src/reign/commit.rs
@@ -0,0 +1,200 @@
+//! Writes the log: what is owed goes out in groups, one transaction at a time.
+//!
+//! Each part of the log is written together with the counter of terms, on the condition that nobody else has changed
+//! it. A transaction without an answer is repeated as it was: once it, or its repetition, is done, a late one fails.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use events::emit;
+use work::{Record, job_name};
+
+use crate::edge::{Commit, Fault, Item, Put, Transaction};
+use crate::election::{CHAIN_KEY, Chain, chain_put, leader_put};
+use crate::host::Role;
+use crate::reign::{LOG_PREFIX, Reign, part};
+
+/// Shortest time between two transactions: each has a price, and a group costs no more than one record.
+const PACE: Duration = Duration::from_millis(8);
+/// Most records of one transaction: keeps a part far below the store's largest value.
+const MOST_RECORDS: usize = 150;
+/// Most old parts removed by one transaction: the store takes 32 entries.
+const MOST_REMOVED: usize = 24;
+/// Pause before a transaction is repeated.
+const PAUSE: Duration = Duration::from_millis(60);
+/// Parts are removed this long after the states of their jobs need not be told any more.
+const KEEP_PART: Duration = Duration::from_secs(60);
+
+pub(crate) async fn run(reign: Arc<Reign>) {
+    loop {
+        if !reign.engine.lock().owes() && !reign.restore.load(Ordering::Acquire) {
+            reign.write.notified().await;
+        }
+        clean(&reign);
+        let (records, upto) = reign.engine.lock().take_records(MOST_RECORDS);
+        let restore = reign.restore.swap(false, Ordering::AcqRel);
+        if records.is_empty() && !restore {
+            continue;
+        }
+        if !write(&reign, records, upto, restore).await {
+            return;
+        }
+        tokio::time::sleep(PACE).await;
+    }
+}
+
+/// Writes one part of the log. Whether this host still leads.
+async fn write(reign: &Arc<Reign>, records: Vec<Record>, upto: u64, restore: bool) -> bool {
+    if restore && !renew_lease(reign).await {
+        reign.restore.store(true, Ordering::Release);
+    }
+    let removed = removable(reign, upto);
+    let seat = reign.seat.lock().clone();
+    let next = Chain { term: seat.chain.term, next: seat.chain.next + 1 };
+    let transaction = match transaction(&seat.chain, seat.revision, &next, &records, &removed) {
+        Ok(mut transaction) => {
+            if restore && let Ok(put) = leader_put(&seat.leader, seat.lease) {
+                transaction.puts.push(put);
+            }
+            transaction
+        }
+        Err(fault) => {
+            emit!(reign.host.log, events::RECORD_UNREADABLE, "key" => LOG_PREFIX, "fault" => fault.to_string());
+            return true;
+        }
+    };
+    let Some((revision, confirmed)) = settle(reign, &transaction, &next).await else { return false };
+    reign.confirm(confirmed);
+    {
+        let mut seat = reign.seat.lock();
+        seat.chain = next;
+        seat.revision = revision;
+    }
+    {
+        let mut parts = reign.parts.lock();
+        parts.retain(|part| !removed.contains(&part.number));
+        if !records.is_empty() {
+            parts.push(part(next.next - 1, reign.host.started.elapsed(), &records));
+        }
+    }
+    reign.engine.lock().written(upto);
+    reign.durable.send_replace(upto);
+    reign.plan.notify_one();
+    records.iter().for_each(|record| log_record(reign, record, revision));
+    true
+}
+
+/// Repeats a transaction until its outcome is known. The revision, and when the successful one was sent.
+async fn settle(reign: &Arc<Reign>, transaction: &Transaction, next: &Chain) -> Option<(u64, Duration)> {
+    loop {
+        let sent = reign.host.started.elapsed();
+        match reign.host.edges.store.commit(transaction).await {
+            Ok(Commit::Done(revision)) => return Some((revision, sent)),
+            Ok(Commit::Conflict(items)) => match done_before(&items, next) {
+                Some(revision) => return Some((revision, sent)),
+                None => {
+                    reign.depose("the counter of terms was changed by another host");
+                    reign.host.set_role(Role::Nobody);
+                    return None;
+                }
+            },
+            // Only the leader's record is under a lease; it is written again on its own.
+            Ok(Commit::NoLease) => {
+                reign.restore.store(true, Ordering::Release);
+                let mut bare = transaction.clone();
+                bare.puts.retain(|put| put.lease == 0);
+                return Box::pin(settle(reign, &bare, next)).await;
+            }
+            Err(fault @ (Fault::NotDone(_) | Fault::Unknown(_) | Fault::Malformed(_))) => {
+                emit!(reign.host.log, events::WRITE_UNSETTLED, "part" => next.next - 1, "fault" => fault.to_string());
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Whether a conflict shows that this very transaction was done before.
+fn done_before(items: &[Item], next: &Chain) -> Option<u64> {
+    let item = items.iter().find(|item| item.key == CHAIN_KEY)?;
+    let now: Chain = postcard::from_bytes(&item.value).ok()?;
+    (now == *next).then_some(item.revision)
+}
+
+fn transaction(
+    chain: &Chain,
+    revision: u64,
+    next: &Chain,
+    records: &[Record],
+    removed: &[u64],
+) -> anyhow::Result<Transaction> {
+    let mut puts = vec![chain_put(next)?];
+    if !records.is_empty() {
+        puts.push(Put { key: part_key(chain.next), value: postcard::to_stdvec(records)?, lease: 0 });
+    }
+    Ok(Transaction {
+        expected: vec![(CHAIN_KEY.to_owned(), revision)],
+        puts,
+        removes: removed.iter().map(|number| part_key(*number)).collect(),
+    })
+}
+
+fn part_key(number: u64) -> String {
+    format!("{LOG_PREFIX}{number:012}")
+}
+
+async fn renew_lease(reign: &Reign) -> bool {
+    match reign.host.edges.store.lease(reign.host.settings.lease_ttl).await {
+        Ok(lease) => {
+            reign.seat.lock().lease = lease;
+            true
+        }
+        Err(fault) => {
+            emit!(reign.host.log, events::PLATFORM_FAILED, "call" => "lease", "fault" => fault.to_string());
+            false
+        }
+    }
+}
+
+/// Writes anew what is still needed of old parts, so that they can be removed.
+fn clean(reign: &Reign) {
+    let now = reign.host.started.elapsed();
+    let keep = reign.host.settings.limits.keep_ended + KEEP_PART;
+    let mut parts = reign.parts.lock();
+    let mut engine = reign.engine.lock();
+    for part in parts.iter_mut().take(MOST_REMOVED) {
+        if now.saturating_sub(part.written) < keep {
+            break;
+        }
+        std::mem::take(&mut part.jobs).into_iter().for_each(|id| engine.rewrite(id));
+        if std::mem::take(&mut part.workers) {
+            engine.rewrite_workers();
+        }
+    }
+}
+
+/// Old parts whose contents were written anew before this transaction.
+fn removable(reign: &Reign, _upto: u64) -> Vec<u64> {
+    let now = reign.host.started.elapsed();
+    let keep = reign.host.settings.limits.keep_ended + KEEP_PART;
+    if reign.engine.lock().owes() {
+        return Vec::new();
+    }
+    let parts = reign.parts.lock();
+    let old = parts.iter().take_while(|part| now.saturating_sub(part.written) >= keep);
+    old.filter(|part| part.jobs.is_empty() && !part.workers).map(|part| part.number).take(MOST_REMOVED).collect()
+}
+
+fn log_record(reign: &Reign, record: &Record, revision: u64) {
+    let log = &reign.host.log;
+    match record {
+        Record::Accepted { id, queue, job, .. } => emit!(log, events::JOB_ACCEPTED, "job" => job_name(*id),
+            "queue" => queue, "steps" => job.steps.len(), "revision" => revision, "term" => reign.term),
+        Record::Ended { id, outcome } => emit!(log, events::JOB_ENDED, "job" => job_name(*id),
+            "outcome" => format!("{outcome:?}"), "revision" => revision, "term" => reign.term),
+        Record::Worker { id, address } => emit!(log, events::WORKER_RECORDED, "worker" => id, "address" => address),
+        Record::Gone { id } => emit!(log, events::WORKER_GONE, "worker" => id),
+        // The ends themselves are logged when workers report them.
+        Record::Done { .. } | Record::Failed { .. } => {}
+    }
+}
--- /dev/null
+++ b/components/entry/src/reign/duties.rs
@@ -0,0 +1,104 @@
+//! What a leader does all the time: decides, renews its lease, reads the list of workers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use events::emit;
+
+use crate::reign::{Reign, agent, orders};
+
+/// Decisions are made anew at least this often: tickets and due times come without an event.
+const TICK: Duration = Duration::from_millis(50);
+/// Shortest time between two passes: events that come together are decided together.
+const PASS: Duration = Duration::from_millis(2);
+/// The list of workers is read this often: a leaving one must get nothing new after two seconds.
+const LIST: Duration = Duration::from_millis(450);
+/// The lease is renewed this often within its time to live.
+const RENEWALS: u32 = 4;
+/// Ended jobs are looked through this often.
+const FORGET: Duration = Duration::from_secs(5);
+
+/// Decides whenever something has happened.
+pub(crate) async fn plan(reign: Arc<Reign>) {
+    let mut forgotten = Duration::ZERO;
+    loop {
+        // Either wakes the loop.
+        let _ = tokio::time::timeout(TICK, reign.plan.notified()).await;
+        if !reign.authorized() {
+            continue;
+        }
+        let clock = reign.host.clock();
+        let actions = {
+            let mut engine = reign.engine.lock();
+            engine.plan(clock);
+            if clock.now.saturating_sub(forgotten) > FORGET {
+                forgotten = clock.now;
+                engine.forget(clock.now);
+            }
+            engine.take_actions()
+        };
+        actions.into_iter().for_each(|action| orders::carry_out(&reign, action));
+        if reign.engine.lock().owes() {
+            reign.write.notify_one();
+        }
+        tokio::time::sleep(PASS).await;
+    }
+}
+
+/// Reads the list of workers.
+pub(crate) async fn list(reign: Arc<Reign>) {
+    let mut failing = false;
+    loop {
+        match reign.host.edges.directory.workers().await {
+            Ok(workers) => {
+                if std::mem::take(&mut failing) {
+                    emit!(reign.host.log, events::PLATFORM_BACK, "call" => "list of workers");
+                }
+                reign.engine.lock().list(reign.host.clock(), workers);
+                agent::follow(&reign);
+                reign.write.notify_one();
+                reign.plan.notify_one();
+            }
+            Err(fault) => {
+                if !std::mem::replace(&mut failing, true) {
+                    emit!(reign.host.log, events::PLATFORM_FAILED, "call" => "list of workers",
+                        "fault" => fault.to_string());
+                }
+                agent::follow(&reign);
+            }
+        }
+        tokio::time::sleep(LIST).await;
+    }
+}
+
+/// Renews the lease of the leader's record.
+pub(crate) async fn lease(reign: Arc<Reign>) {
+    let every = reign.host.settings.lease_ttl / RENEWALS;
+    loop {
+        tokio::time::sleep(every).await;
+        let lease = reign.seat.lock().lease;
+        let sent = reign.host.started.elapsed();
+        match reign.host.edges.store.keep(lease).await {
+            Ok(true) => reign.confirm(sent),
+            Ok(false) => {
+                emit!(reign.host.log, events::LEASE_LOST, "term" => reign.term);
+                reign.restore_record().await;
+            }
+            Err(fault) => emit!(reign.host.log, events::PLATFORM_FAILED, "call" => "renewal of the lease",
+                "fault" => fault.to_string()),
+        }
+    }
+}
+
+/// Takes newer configurations into the book.
+pub(crate) async fn config(reign: Arc<Reign>) {
+    let mut configs = reign.host.configs();
+    loop {
+        let config = configs.borrow_and_update().clone();
+        reign.engine.lock().configure(config);
+        reign.plan.notify_one();
+        if configs.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/components/entry/src/reign/orders.rs
@@ -0,0 +1,89 @@
+//! Carries out what was decided: starts, stops and questions.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use events::emit;
+use sched::{Action, OrderOutcome, Start};
+use work::{Attempt, Task, WorkerId};
+
+use crate::edge::{Refusal, Reply, Target};
+use crate::host::Role;
+use crate::reign::Reign;
+
+/// Pause before a stop without an answer is sent again.
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// Carries out one action in the background.
+pub(crate) fn carry_out(reign: &Arc<Reign>, action: Action) {
+    match action {
+        Action::Start(worker, start) => {
+            tokio::spawn(start_run(reign.clone(), worker, start));
+        }
+        Action::Stop(worker, task, attempt) => {
+            tokio::spawn(stop_run(reign.clone(), worker, task, attempt));
+        }
+        Action::Ask(question) => reign.desk.put(question),
+        Action::Forget(worker) => {
+            if let Some(agent) = reign.agents.lock().remove(&worker) {
+                agent.abort();
+            }
+        }
+    }
+}
+
+fn target(reign: &Reign, worker: &str) -> Option<Target> {
+    reign.agents.lock().get(worker).map(|agent| agent.target.clone())
+}
+
+async fn start_run(reign: Arc<Reign>, worker: WorkerId, start: Start) {
+    let outcome = send_start(&reign, &worker, &start).await;
+    emit!(reign.host.log, events::RUN_STARTED, "task" => start.task.to_string(), "attempt" => start.attempt,
+        "worker" => &worker, "outcome" => format!("{outcome:?}"), "term" => reign.term);
+    let clock = reign.host.clock();
+    reign.engine.lock().ordered(clock, &worker, start.task, start.attempt, outcome);
+    reign.plan.notify_one();
+}
+
+async fn send_start(reign: &Arc<Reign>, worker: &WorkerId, start: &Start) -> OrderOutcome {
+    let now = reign.host.started.elapsed();
+    let lease = reign.agents.lock().get(worker).map(|agent| (agent.target.clone(), agent.lease.clone()));
+    let Some((target, lease)) = lease else { return OrderOutcome::Refused };
+    let until = lease.lock().extend(now, reign.host.settings.limits.max_lease);
+    let Some(until) = until else { return OrderOutcome::Refused };
+    if !reign.authorized() {
+        return OrderOutcome::Refused;
+    }
+    match reign.host.edges.workers.start(&target, reign.term, until, start).await {
+        Ok(Reply::Done(())) => OrderOutcome::Started,
+        Ok(Reply::Fenced) => {
+            reign.depose("a worker knows a newer leader");
+            reign.host.set_role(Role::Nobody);
+            OrderOutcome::Refused
+        }
+        Ok(Reply::OtherLife) => OrderOutcome::Refused,
+        Ok(Reply::Refused(Refusal::Ticket)) => OrderOutcome::Ticket,
+        Ok(Reply::Refused(Refusal::Unhealthy)) => OrderOutcome::Unhealthy,
+        Ok(Reply::Refused(Refusal::Other)) => OrderOutcome::Refused,
+        Err(crate::edge::Fault::NotDone(_)) => OrderOutcome::Unhealthy,
+        Err(_) => OrderOutcome::Unknown,
+    }
+}
+
+/// Sends a stop until it is answered, or the worker's life is over.
+async fn stop_run(reign: Arc<Reign>, worker: WorkerId, task: Task, attempt: Attempt) {
+    while !reign.is_over() {
+        let Some(target) = target(&reign, &worker) else { return };
+        match reign.host.edges.workers.stop(&target, reign.term, task, attempt).await {
+            Ok(Reply::Done(())) => {
+                emit!(reign.host.log, events::RUN_STOPPED, "task" => task.to_string(), "attempt" => attempt,
+                    "worker" => &worker, "term" => reign.term);
+                reign.engine.lock().stopped(&worker, task, attempt);
+                reign.plan.notify_one();
+                return;
+            }
+            Ok(Reply::Fenced | Reply::OtherLife) => return,
+            Ok(Reply::Refused(_)) | Err(_) => tokio::time::sleep(PAUSE).await,
+        }
+    }
+}
--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -20,6 +20,10 @@
     STOPPED = 103, Info, "stopped";
     /// The process did not run for longer than its bound.
     PAUSED = 105, Warning, "the process was paused; authority is confirmed anew";
+    /// The settings were read again.
+    RELOADED = 106, Info, "settings read again";
+    /// The settings can't be read.
+    RELOAD_FAILED = 107, Warning, "settings can't be read again; the old ones stay";
     /// An entry host is live.
     HOST_LIVE = 201, Info, "entry host is live";
     /// An entry host is leaving.
@@ -38,6 +42,30 @@
     RECORD_UNREADABLE = 304, Error, "record in the configuration can't be read; the last good one stays";
     /// The platform's list changed.
     LIST_CHANGED = 305, Info, "list of hosts changed";
+    /// The configuration is in force on this host.
+    CONFIG_IN_FORCE = 306, Info, "configuration in force on this host";
+    /// The platform answers again.
+    PLATFORM_BACK = 307, Info, "platform answers again";
+    /// The leader is known.
+    LEADER_KNOWN = 310, Info, "leader known";
+    /// No leader is known.
+    LEADER_LOST = 311, Warning, "no leader is known";
+    /// Who was taken for the leader is none.
+    LEADER_DENIES = 312, Info, "the recorded leader does not lead";
+    /// This host has claimed leadership.
+    CLAIMED = 313, Info, "leadership claimed";
+    /// A claim failed.
+    CLAIM_FAILED = 314, Info, "claim of leadership failed";
+    /// The log was read.
+    RECOVERED = 315, Info, "book rebuilt from the log";
+    /// Another host leads.
+    DEPOSED = 316, Warning, "leadership ended";
+    /// Records were not written before a planned stop.
+    FLUSH_FAILED = 317, Warning, "records not written before the planned stop; the workers list them again";
+    /// The leader's record has vanished.
+    LEASE_LOST = 318, Warning, "lease of the leader's record is gone; it is written anew";
+    /// What became of a transaction is not known yet.
+    WRITE_UNSETTLED = 319, Warning, "part of the log not written yet; the transaction is repeated";
     /// A worker is held.
     WORKER_HELD = 401, Info, "worker held";
     /// Another host holds the worker.
@@ -52,6 +80,12 @@
     WORKER_PROBATION = 407, Warning, "worker on probation";
     /// A worker passed its trial.
     WORKER_TRUSTED = 408, Info, "worker passed its trial";
+    /// A worker may get orders.
+    WORKER_RECORDED = 409, Info, "worker recorded; it may get orders";
+    /// A worker's life is over.
+    WORKER_GONE = 410, Info, "worker gone; nothing of it runs";
+    /// Another life is at a worker's address.
+    WORKER_REPLACED = 411, Info, "another life is at the worker's address";
     /// A partition is owned.
     PARTITION_OWNED = 501, Info, "partition owned";
     /// A partition was given up.
@@ -68,6 +102,24 @@
     TASK_PREEMPTED = 507, Info, "patient attempts stopped for urgent work";
     /// The home of keys has lost its authority for a while.
     KEYS_UNCERTAIN = 602, Warning, "a quorum has not heard this host lately; unrepeatable requests get no answer from it";
+    /// A caller's job is kept.
+    JOB_ACCEPTED = 610, Info, "job accepted";
+    /// A caller's job was not taken.
+    JOB_REFUSED = 611, Info, "job refused; it has not run";
+    /// A caller's job has ended.
+    JOB_ENDED = 612, Info, "job ended";
+    /// An order to start a run was sent.
+    RUN_STARTED = 613, Info, "start ordered";
+    /// A worker took an order to stop a run.
+    RUN_STOPPED = 614, Info, "stop taken by the worker";
+    /// A worker reported the end of a run.
+    RUN_ENDED = 615, Info, "run ended";
+    /// The adviser was asked.
+    ADVICE = 616, Info, "adviser asked";
+    /// The adviser didn't answer.
+    ADVICE_FAILED = 617, Warning, "adviser did not answer";
+    /// A caller's request was answered.
+    REQUEST_ANSWERED = 618, Info, "caller's request answered";
     /// An operator's command was carried out.
     COMMAND_DONE = 701, Info, "command done";
     /// An operator's command was refused.
--- /dev/null
+++ b/components/link/src/lib.rs
@@ -0,0 +1,187 @@
+//! Calls between entry hosts: both sides of one TCP connection can ask, and answers may overtake each other.
+//!
+//! Frames are length-delimited and encoded by `postcard`. A link that breaks fails all calls that wait on it.
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::marker::PhantomData;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use parking_lot::Mutex;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, mpsc, oneshot};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+/// Largest frame, in bytes: a configuration of some thousand queues fits.
+const MAX_FRAME: usize = 8 * 1024 * 1024;
+/// Frames that may wait to be sent; a caller waits when a peer doesn't read.
+const QUEUED: usize = 1024;
+
+/// Why a call brought no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum Fault {
+    /// The link was down before the call was sent.
+    #[error("the link is down")]
+    Down,
+    /// The call was sent; whether it was carried out is not known.
+    #[error("no answer came")]
+    Unanswered,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+enum Frame<Q, A> {
+    Call(u64, Q),
+    Answer(u64, A),
+}
+
+/// One connection to another entry host.
+pub struct Link<Q, A> {
+    sender: mpsc::Sender<Bytes>,
+    waiting: Mutex<HashMap<u64, oneshot::Sender<A>>>,
+    next: AtomicU64,
+    down: AtomicBool,
+    closed: Notify,
+    calls: PhantomData<fn(Q)>,
+}
+
+impl<Q, A> Link<Q, A>
+where
+    Q: Serialize + DeserializeOwned + Send + 'static,
+    A: Serialize + DeserializeOwned + Send + 'static,
+{
+    /// Runs a link on a connection. `handler` answers the other side's calls, each in a task of its own.
+    pub fn spawn<H, F>(stream: TcpStream, handler: H) -> Arc<Link<Q, A>>
+    where
+        H: Fn(Arc<Link<Q, A>>, Q) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = A> + Send + 'static,
+    {
+        let (sender, receiver) = mpsc::channel(QUEUED);
+        let link = Arc::new(Link {
+            sender,
+            waiting: Mutex::new(HashMap::new()),
+            next: AtomicU64::new(0),
+            down: AtomicBool::new(false),
+            closed: Notify::new(),
+            calls: PhantomData,
+        });
+        tokio::spawn(run(link.clone(), stream, receiver, handler));
+        link
+    }
+
+    /// Asks the other side. Waits for the answer at most `timeout`.
+    pub async fn call(&self, call: Q, timeout: Duration) -> Result<A, Fault> {
+        if self.is_down() {
+            return Err(Fault::Down);
+        }
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let bytes = encode(&Frame::<Q, A>::Call(number, call)).ok_or(Fault::Down)?;
+        let (answer, answered) = oneshot::channel();
+        self.waiting.lock().insert(number, answer);
+        if self.sender.send(bytes).await.is_err() {
+            self.waiting.lock().remove(&number);
+            return Err(Fault::Down);
+        }
+        // Closing fails all that wait; a call that came in between must not wait for ever.
+        if self.is_down() {
+            self.waiting.lock().remove(&number);
+            return Err(Fault::Unanswered);
+        }
+        let outcome = tokio::time::timeout(timeout, answered).await;
+        self.waiting.lock().remove(&number);
+        match outcome {
+            Ok(Ok(answer)) => Ok(answer),
+            _ => Err(Fault::Unanswered),
+        }
+    }
+
+    /// Whether the connection has ended.
+    pub fn is_down(&self) -> bool {
+        self.down.load(Ordering::Acquire)
+    }
+
+    /// Waits until the connection has ended.
+    pub async fn down(&self) {
+        loop {
+            let closed = self.closed.notified();
+            if self.is_down() {
+                return;
+            }
+            closed.await;
+        }
+    }
+
+    /// Ends the connection.
+    pub fn close(&self) {
+        self.down.store(true, Ordering::Release);
+        self.waiting.lock().clear();
+        self.closed.notify_waiters();
+    }
+}
+
+fn encode<T: Serialize>(frame: &T) -> Option<Bytes> {
+    postcard::to_stdvec(frame).ok().map(Bytes::from)
+}
+
+async fn run<Q, A, H, F>(link: Arc<Link<Q, A>>, stream: TcpStream, mut receiver: mpsc::Receiver<Bytes>, handler: H)
+where
+    Q: Serialize + DeserializeOwned + Send + 'static,
+    A: Serialize + DeserializeOwned + Send + 'static,
+    H: Fn(Arc<Link<Q, A>>, Q) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = A> + Send + 'static,
+{
+    let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME).new_codec();
+    let (mut sink, mut source) = Framed::new(stream, codec).split();
+    let write = async {
+        while let Some(bytes) = receiver.recv().await {
+            if sink.feed(bytes).await.is_err() {
+                return;
+            }
+            // Frames that already wait go out in one write.
+            while let Ok(more) = receiver.try_recv() {
+                if sink.feed(more).await.is_err() {
+                    return;
+                }
+            }
+            if sink.flush().await.is_err() {
+                return;
+            }
+        }
+    };
+    let read = async {
+        while let Some(Ok(bytes)) = source.next().await {
+            match postcard::from_bytes::<Frame<Q, A>>(&bytes) {
+                Ok(Frame::Call(number, call)) => {
+                    let (link, handler) = (link.clone(), handler.clone());
+                    tokio::spawn(async move {
+                        let answer = handler(link.clone(), call).await;
+                        if let Some(bytes) = encode(&Frame::<Q, A>::Answer(number, answer)) {
+                            // A link that went down meanwhile needs no answer.
+                            let _ = link.sender.send(bytes).await;
+                        }
+                    });
+                }
+                Ok(Frame::Answer(number, answer)) => {
+                    if let Some(waiting) = link.waiting.lock().remove(&number) {
+                        // The caller may have given up.
+                        let _ = waiting.send(answer);
+                    }
+                }
+                // The other side speaks another version: nothing of it can be trusted.
+                Err(_) => return,
+            }
+        }
+    };
+    tokio::select! {
+        () = write => {}
+        () = read => {}
+        () = link.down() => {}
+    }
+    link.close();
+}
--- /dev/null
+++ b/components/sched/src/advice.rs
@@ -0,0 +1,208 @@
+//! Which workers may run a unit: what the adviser said, and what to ask it next.
+//!
+//! Who may run a unit never changes; only tickets run out. So the first question names enough workers to find room
+//! on, and later ones only those that are known to do.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use work::{Advice, QueueName, Unit, WorkerId};
+
+use crate::engine::{Clock, Engine};
+use crate::limits::TICKET_MARGIN;
+use crate::place::{Place, Room};
+
+/// Permission to start the tasks of a unit on one worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ticket {
+    /// What a start brings.
+    pub text: String,
+    /// Until when it holds, on this process's steady clock.
+    pub until: Duration,
+}
+
+/// What is known of a unit's workers.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Known {
+    /// Workers that were named in an answered question.
+    pub asked: BTreeSet<WorkerId>,
+    /// Those that may run it, each with its last ticket.
+    pub healthy: BTreeMap<WorkerId, Ticket>,
+    /// Whether a question is under way.
+    pub asking: bool,
+}
+
+/// A question to the adviser.
+#[derive(Clone, Debug)]
+pub struct Question {
+    /// The unit.
+    pub unit: Unit,
+    /// Workers to name.
+    pub workers: Vec<WorkerId>,
+    /// How long the adviser will take.
+    pub cost: Duration,
+    /// Priority of the queue; 0 goes first.
+    pub priority: u32,
+    /// How long the tickets hold.
+    pub validity: Duration,
+}
+
+/// Shares of the named workers that could run a unit, by queue.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Shares(BTreeMap<QueueName, (f64, f64)>);
+
+/// Share expected before the first answers: below what most queues show, so that questions name enough.
+const FIRST_SHARE: f64 = 0.4;
+/// Weight of the expectation against answers, in named workers.
+const FIRST_WEIGHT: f64 = 20.0;
+/// Names are added until the room expected on healthy workers is this many times what the unit needs.
+const SPARE_ROOM: f64 = 2.0;
+/// Fewest workers named in a first question.
+const FEWEST_NAMED: usize = 6;
+/// Most workers that a question may name: a bound of the adviser.
+const MOST_NAMED: usize = 100;
+/// What a worker without room at the moment counts for, in tasks: its room may come back soon.
+const ROOM_LATER: f64 = 0.3;
+
+impl Shares {
+    fn get(&self, queue: &str) -> f64 {
+        let (named, good) = self.0.get(queue).copied().unwrap_or_default();
+        (FIRST_SHARE * FIRST_WEIGHT + good) / (FIRST_WEIGHT + named)
+    }
+
+    fn add(&mut self, queue: &str, named: usize, good: usize) {
+        let sums = self.0.entry(queue.to_owned()).or_default();
+        sums.0 += named as f64;
+        sums.1 += good as f64;
+    }
+}
+
+impl Known {
+    /// Whether a start on this worker may be sent now.
+    pub(crate) fn allows(&self, worker: &str, now: Duration) -> bool {
+        self.healthy.get(worker).is_some_and(|ticket| ticket.until > now + TICKET_MARGIN)
+    }
+}
+
+impl Engine {
+    /// Takes in the adviser's answer: who of `asked` may run the unit.
+    pub fn advised(&mut self, unit: Unit, asked: &[WorkerId], healthy: Vec<(WorkerId, Ticket)>) {
+        let queue = self.jobs.get(&unit.job).map(|entry| entry.queue.clone());
+        if let Some(queue) = queue {
+            let fresh = self.unit(unit).map_or(0, |state| state.known.asked.len());
+            if fresh == 0 {
+                self.shares.add(&queue, asked.len(), healthy.len());
+            }
+        }
+        let Some(state) = self.unit_mut(unit) else { return };
+        state.known.asking = false;
+        state.known.asked.extend(asked.iter().cloned());
+        state.known.healthy.extend(healthy);
+    }
+
+    /// A question got no answer.
+    pub fn unadvised(&mut self, unit: Unit) {
+        if let Some(state) = self.unit_mut(unit) {
+            state.known.asking = false;
+        }
+    }
+
+    pub(crate) fn drop_ticket(&mut self, unit: Unit, worker: &str) {
+        if let Some(state) = self.unit_mut(unit)
+            && let Some(ticket) = state.known.healthy.get_mut(worker)
+        {
+            ticket.until = Duration::ZERO;
+        }
+    }
+
+    /// The next question for a unit that needs `tasks` more places, if one would help.
+    pub(crate) fn question(
+        &self,
+        clock: Clock,
+        unit: Unit,
+        advice: Advice,
+        tasks: usize,
+        room: &Room,
+    ) -> Option<Question> {
+        let entry = self.jobs.get(&unit.job)?;
+        let state = self.unit(unit)?;
+        if state.known.asking {
+            return None;
+        }
+        let step = entry.step(unit.step)?;
+        let need = crate::ends::taken_room(step);
+        let queue = self.config.queue(&entry.queue)?;
+        let slots = |place: &Place| place.slots(&need);
+        let fitting = |place: &&Place| place.suits(queue, step);
+        let expired: Vec<&Place> = room
+            .places
+            .iter()
+            .filter(fitting)
+            .filter(|place| state.known.healthy.contains_key(&place.id) && !state.known.allows(&place.id, clock.now))
+            .filter(|place| slots(place) > 0)
+            .collect();
+        let known_room: usize = room
+            .places
+            .iter()
+            .filter(fitting)
+            .filter(|place| state.known.healthy.contains_key(&place.id))
+            .map(slots)
+            .sum();
+        let enough = if step.gang { known_room >= tasks } else { !expired.is_empty() };
+        let workers = match enough {
+            true => renewed(expired, tasks, slots),
+            false => self.unasked(state.known.asked.iter().collect(), &entry.queue, tasks, room, |place| {
+                fitting(&place).then(|| slots(place))
+            }),
+        };
+        if workers.is_empty() {
+            return None;
+        }
+        let cost = advice.base + advice.per_worker * workers.len() as u32;
+        Some(Question { unit, workers, cost, priority: queue.priority, validity: advice.validity })
+    }
+
+    fn unasked(
+        &self,
+        asked: BTreeSet<&WorkerId>,
+        queue: &str,
+        tasks: usize,
+        room: &Room,
+        slots: impl Fn(&Place) -> Option<usize>,
+    ) -> Vec<WorkerId> {
+        let share = self.shares.get(queue);
+        let mut open: Vec<(usize, &Place)> = room
+            .places
+            .iter()
+            .filter(|place| !asked.contains(&place.id))
+            .filter_map(|place| slots(place).map(|slots| (slots, place)))
+            .collect();
+        open.sort_by_key(|(slots, _)| std::cmp::Reverse(*slots));
+        let mut expected = 0.0;
+        let mut workers = Vec::new();
+        for (slots, place) in open {
+            let enough = expected >= SPARE_ROOM * tasks as f64 && workers.len() >= FEWEST_NAMED;
+            if enough || workers.len() == MOST_NAMED {
+                break;
+            }
+            expected += share * (slots as f64).max(ROOM_LATER);
+            workers.push(place.id.clone());
+        }
+        workers
+    }
+}
+
+/// Known workers whose tickets are to be renewed: those with most room, until it is enough.
+fn renewed(mut places: Vec<&Place>, tasks: usize, slots: impl Fn(&Place) -> usize) -> Vec<WorkerId> {
+    places.sort_by_key(|place| std::cmp::Reverse(slots(place)));
+    let mut found = 0.0;
+    let mut workers = Vec::new();
+    for place in places {
+        if found >= SPARE_ROOM * tasks as f64 || workers.len() == MOST_NAMED {
+            break;
+        }
+        found += slots(place) as f64;
+        workers.push(place.id.clone());
+    }
+    workers
+}
--- /dev/null
+++ b/components/sched/src/ends.rs
@@ -0,0 +1,244 @@
+//! Reports of workers: adopts what runs, takes in ends, notices what is missing.
+
+use std::collections::BTreeSet;
+
+use model::Resources;
+use work::{Attempt, Outcome, Record, Step, Task, WorkerId};
+
+use crate::engine::{Action, Clock, Engine};
+use crate::entry;
+use crate::worker::{Contact, End, How, Phase, Report, Run, Running};
+
+/// Failures in a row, of any tasks, after which a worker is avoided.
+const FAILURES_IN_A_ROW: u32 = 3;
+/// How long it is avoided; then it is tried again.
+const AVOIDED: std::time::Duration = std::time::Duration::from_secs(4);
+
+impl Engine {
+    /// Takes in a worker's answer to a renewal under this reign's term.
+    pub fn report(&mut self, clock: Clock, id: &str, report: Report) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.contact = Contact::Held;
+        worker.heard = clock.now;
+        let taken = worker.taken;
+        for end in report.ended.iter().filter(|end| end.number > taken) {
+            self.ended(clock, id, end);
+        }
+        for running in &report.running {
+            self.running(clock, id, running);
+        }
+        self.missing(clock, id, &report);
+    }
+
+    fn ended(&mut self, clock: Clock, id: &str, end: &End) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.taken = end.number;
+        }
+        if !end.saved.is_empty() {
+            self.keep_saved(end.task, &end.saved);
+        }
+        match end.how {
+            How::Done => self.done(clock, id, end.task),
+            How::Failed => self.failed(clock, id, end.task, end.attempt),
+            How::Stopped | How::Lapsed | How::Broken | How::Alone => {}
+        }
+        self.release(clock, id, end.task, end.attempt);
+        let position = self.position();
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.pending.push_back((end.number, position));
+        }
+        let durable = self.durable;
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.acknowledge(durable);
+        }
+    }
+
+    fn keep_saved(&mut self, task: Task, saved: &str) {
+        let gang = self.step(task).is_some_and(|step| step.gang);
+        let Some(unit) = self.unit_mut(task.unit) else { return };
+        if gang {
+            unit.saved = saved.to_owned();
+        }
+        if let Some(state) = unit.tasks.get_mut(task.index as usize) {
+            state.saved = saved.to_owned();
+        }
+    }
+
+    pub(crate) fn step(&self, task: Task) -> Option<&Step> {
+        self.jobs.get(&task.unit.job)?.step(task.unit.step)
+    }
+
+    fn done(&mut self, clock: Clock, id: &str, task: Task) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.failures = 0;
+        }
+        let Some(step) = self.step(task) else { return };
+        if step.lasting {
+            return;
+        }
+        let gang = step.gang;
+        let Some(unit) = self.unit_mut(task.unit) else { return };
+        let Some(state) = unit.tasks.get(task.index as usize) else { return };
+        if state.phase == entry::Phase::Done {
+            return;
+        }
+        let indices = if gang { 0..unit.tasks.len() } else { task.index as usize..task.index as usize + 1 };
+        let mut elsewhere = Vec::new();
+        for index in indices {
+            if let entry::Phase::Held(worker, attempt) = &unit.tasks[index].phase
+                && !gang
+                && worker != id
+            {
+                elsewhere.push((worker.clone(), *attempt));
+            }
+            unit.set(index, entry::Phase::Done);
+        }
+        self.record(Record::Done { task });
+        elsewhere.into_iter().for_each(|(worker, attempt)| self.stop_run(&worker, task, attempt));
+        self.finish(clock, task.unit.job);
+    }
+
+    /// Ends a job all of whose tasks are done.
+    pub(crate) fn finish(&mut self, clock: Clock, id: work::JobId) {
+        let complete = self.jobs.get(&id).is_some_and(|entry| entry.outcome.is_none() && entry.complete());
+        if complete {
+            self.end(clock, id, Outcome::Completed);
+        }
+    }
+
+    fn failed(&mut self, clock: Clock, id: &str, task: Task, attempt: Attempt) {
+        self.distrust(clock, id);
+        let Some(entry) = self.jobs.get(&task.unit.job) else { return };
+        let Some(step) = entry.step(task.unit.step) else { return };
+        let (gang, lasting, ended) = (step.gang, step.lasting, entry.outcome.is_some());
+        let most = self.config.queue(&entry.queue).map_or(u32::MAX, |queue| queue.max_attempts);
+        let Some(unit) = self.unit_mut(task.unit) else { return };
+        let Some(state) = unit.tasks.get_mut(task.index as usize) else { return };
+        if lasting || ended || state.phase == entry::Phase::Done {
+            return;
+        }
+        let failed = if gang { &mut unit.failed } else { &mut state.failed };
+        if failed.contains(&attempt) {
+            return;
+        }
+        failed.push(attempt);
+        let spent = failed.len() >= most as usize;
+        self.record(Record::Failed { task, attempt });
+        if spent {
+            self.end(clock, task.unit.job, Outcome::Failed);
+            self.stop_all(task.unit.job);
+        }
+    }
+
+    fn distrust(&mut self, clock: Clock, id: &str) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.failures += 1;
+        if worker.failures >= FAILURES_IN_A_ROW {
+            worker.avoid_until = clock.now + AVOIDED;
+        }
+    }
+
+    fn running(&mut self, clock: Clock, id: &str, row: &Running) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if let Some(run) = worker.runs.get_mut(&(row.task, row.attempt)) {
+            if run.percent != row.percent {
+                run.percent = row.percent;
+                run.moved = clock.now;
+            }
+            if !row.saved.is_empty() {
+                self.keep_saved(row.task, &row.saved);
+            }
+            return;
+        }
+        self.adopt(clock, id, row);
+    }
+
+    /// Takes over a run that another leader started, or stops it where its task needs none.
+    fn adopt(&mut self, clock: Clock, id: &str, row: &Running) {
+        let need = self.step(row.task).map_or(Resources::ZERO, taken_room);
+        let wanted = self.jobs.get(&row.task.unit.job).is_some_and(|entry| entry.outcome.is_none())
+            && self
+                .unit(row.task.unit)
+                .and_then(|unit| unit.tasks.get(row.task.index as usize))
+                .is_some_and(|task| task.phase == entry::Phase::Pending);
+        let mark = self.next_mark();
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let run = Run { phase: Phase::Running(mark), need, since: clock.now, percent: row.percent, moved: clock.now };
+        worker.take(row.task, row.attempt, run);
+        if !wanted {
+            self.stop_run(id, row.task, row.attempt);
+            return;
+        }
+        let held = entry::Phase::Held(id.to_owned(), row.attempt);
+        if let Some(unit) = self.unit_mut(row.task.unit) {
+            unit.set(row.task.index as usize, held);
+        }
+        if let Some(entry) = self.jobs.get_mut(&row.task.unit.job) {
+            entry.begun = true;
+        }
+        if !row.saved.is_empty() {
+            self.keep_saved(row.task, &row.saved);
+        }
+    }
+
+    /// Releases runs that must have shown in this report and don't.
+    fn missing(&mut self, clock: Clock, id: &str, report: &Report) {
+        let shown: BTreeSet<(Task, Attempt)> = report.running.iter().map(|row| (row.task, row.attempt)).collect();
+        let Some(worker) = self.workers.get(id) else { return };
+        let lost: Vec<(Task, Attempt)> = worker
+            .runs
+            .iter()
+            .filter(|(key, run)| !shown.contains(*key) && must_show(run.phase, report.mark))
+            .map(|(key, _)| *key)
+            .collect();
+        lost.into_iter().for_each(|(task, attempt)| self.release(clock, id, task, attempt));
+    }
+
+    /// Stops what is left of gangs that lost a member.
+    pub(crate) fn stop_broken_gangs(&mut self) {
+        let mut broken: Vec<(WorkerId, Task, Attempt)> = Vec::new();
+        for id in &self.live {
+            let Some(entry) = self.jobs.get(id) else { continue };
+            if entry.inherited && !self.settled {
+                continue;
+            }
+            for ((round, step), unit) in &entry.units {
+                if unit.pending == 0 || unit.pending + unit.done == unit.tasks.len() {
+                    continue;
+                }
+                if !entry.step(*step).is_some_and(|step| step.gang) {
+                    continue;
+                }
+                let name = work::Unit { job: *id, round: *round, step: *step };
+                for (index, task) in unit.tasks.iter().enumerate() {
+                    if let entry::Phase::Held(worker, attempt) = &task.phase {
+                        broken.push((worker.clone(), Task { unit: name, index: index as u32 }, *attempt));
+                    }
+                }
+            }
+        }
+        broken.into_iter().for_each(|(worker, task, attempt)| self.stop_run(&worker, task, attempt));
+    }
+
+    /// Whether a stop of this run is to be sent again after a new contact.
+    pub fn stops_owed(&self, id: &str) -> Vec<Action> {
+        let Some(worker) = self.workers.get(id) else { return Vec::new() };
+        let stopping = worker.runs.iter().filter(|(_, run)| run.phase == Phase::Stopping);
+        stopping.map(|((task, attempt), _)| Action::Stop(id.to_owned(), *task, *attempt)).collect()
+    }
+}
+
+/// What a task of a step takes of its worker's room.
+pub(crate) fn taken_room(step: &Step) -> Resources {
+    match step.fills {
+        true => Resources { cpu_milli: 0, ..step.need },
+        false => step.need,
+    }
+}
+
+fn must_show(phase: Phase, mark: u64) -> bool {
+    match phase {
+        Phase::Running(settled) | Phase::Stopped(settled) => settled <= mark,
+        Phase::Starting | Phase::Stopping => false,
+    }
+}
--- /dev/null
+++ b/components/sched/src/engine.rs
@@ -0,0 +1,316 @@
+//! The book of one leader: jobs, workers, and what is owed to the log.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use work::{Attempt, Config, Job, JobId, Outcome, QueueName, Record, State, Task, Term, Unit, WorkerId};
+
+use crate::advice::{Question, Shares};
+use crate::entry::{Accepted, Ended, Entry, Phase, UnitState};
+use crate::limits::Limits;
+use crate::worker::{Contact, Info, Worker};
+
+/// The time of an event.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Clock {
+    /// Steady time since the process started.
+    pub now: Duration,
+    /// Time of day, since 1970. Only due times are compared with it.
+    pub wall: Duration,
+}
+
+/// An order to start a run.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// The task.
+    pub task: Task,
+    /// The run.
+    pub attempt: Attempt,
+    /// The job, with the text for the worker.
+    pub job: Arc<Job>,
+    /// Checkpoint to go on from; empty for none.
+    pub saved: String,
+    /// Permission of the adviser, where the queue has one.
+    pub ticket: Option<String>,
+}
+
+/// What is to be done outside.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Start a run on a worker.
+    Start(WorkerId, Start),
+    /// Stop a run on a worker; repeated until it is answered or the worker lapses.
+    Stop(WorkerId, Task, Attempt),
+    /// Ask the adviser who may run a unit.
+    Ask(Question),
+    /// A worker's life is over; nothing more is to be sent to it.
+    Forget(WorkerId),
+}
+
+/// Attempts of one task in one reign; a term's attempts are all above those of the terms before.
+const ATTEMPTS_A_TERM: u64 = 1000;
+
+/// The leader's book and decisions.
+pub struct Engine {
+    pub(crate) limits: Limits,
+    pub(crate) term: Term,
+    pub(crate) reign: Duration,
+    pub(crate) config: Arc<Config>,
+    pub(crate) workers: BTreeMap<WorkerId, Worker>,
+    pub(crate) jobs: BTreeMap<JobId, Entry>,
+    /// Jobs that haven't ended.
+    pub(crate) live: BTreeSet<JobId>,
+    /// Whether everything that earlier leaders started is known or has surely ended.
+    pub(crate) settled: bool,
+    pub(crate) shares: Shares,
+    pub(crate) actions: Vec<Action>,
+    records: VecDeque<(u64, Record)>,
+    position: u64,
+    pub(crate) durable: u64,
+    mark: u64,
+}
+
+impl Engine {
+    /// Starts an empty book.
+    pub fn new(limits: Limits, term: Term, config: Arc<Config>, now: Duration) -> Engine {
+        Engine {
+            limits,
+            term,
+            reign: now,
+            config,
+            workers: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            live: BTreeSet::new(),
+            settled: false,
+            shares: Shares::default(),
+            actions: Vec::new(),
+            records: VecDeque::new(),
+            position: 0,
+            durable: 0,
+            mark: 0,
+        }
+    }
+
+    /// Takes a newer configuration.
+    pub fn configure(&mut self, config: Arc<Config>) {
+        if config.version > self.config.version {
+            self.config = config;
+        }
+    }
+
+    /// Takes the platform's list of workers.
+    pub fn list(&mut self, clock: Clock, listed: BTreeMap<WorkerId, Info>) {
+        for (id, worker) in &mut self.workers {
+            if !listed.contains_key(id) {
+                worker.missing.get_or_insert(clock.now);
+            }
+        }
+        let replaced: Vec<WorkerId> = self
+            .workers
+            .iter()
+            .filter(|(id, old)| !listed.contains_key(*id) && listed.values().any(|new| new.address == old.info.address))
+            .map(|(id, _)| id.clone())
+            .collect();
+        replaced.iter().for_each(|id| self.gone(clock, id));
+        for (id, info) in listed {
+            self.enlist(clock, id, info);
+        }
+    }
+
+    fn enlist(&mut self, clock: Clock, id: WorkerId, info: Info) {
+        if let Some(worker) = self.workers.get_mut(&id) {
+            worker.missing = None;
+            // A worker that is leaving never stays after all.
+            let draining = worker.info.draining || info.draining;
+            worker.info = Info { draining, ..info };
+            worker.recount();
+            return;
+        }
+        let position = self.record(Record::Worker { id: id.clone(), address: info.address.clone() });
+        self.workers.insert(id, Worker::new(info, None, position, clock.now));
+    }
+
+    /// Workers to renew: id and address.
+    pub fn addresses(&self) -> Vec<(WorkerId, String)> {
+        self.workers.iter().map(|(id, worker)| (id.clone(), worker.info.address.clone())).collect()
+    }
+
+    /// The highest end of a worker that may be acknowledged.
+    pub fn acked(&self, worker: &str) -> u64 {
+        self.workers.get(worker).map_or(0, |worker| worker.acked)
+    }
+
+    /// Counts settled orders: a report whose renewal was sent at this mark shows what was settled before.
+    pub fn mark(&self) -> u64 {
+        self.mark
+    }
+
+    pub(crate) fn next_mark(&mut self) -> u64 {
+        self.mark += 1;
+        self.mark
+    }
+
+    /// Accepts a job; it counts once the returned position is durable. A known id stays the job that it is.
+    pub fn accept(&mut self, clock: Clock, id: JobId, queue: QueueName, job: Job) -> u64 {
+        if self.jobs.contains_key(&id) {
+            return self.accepted_position(id);
+        }
+        let record = Record::Accepted { id, queue: queue.clone(), at: clock.wall, job: job.clone() };
+        let position = self.record(record);
+        let accepted = Accepted { now: clock.now, wall: clock.wall, position };
+        self.insert(id, queue, Arc::new(job), accepted, false);
+        position
+    }
+
+    pub(crate) fn insert(&mut self, id: JobId, queue: String, job: Arc<Job>, accepted: Accepted, inherited: bool) {
+        let units = BTreeMap::new();
+        let entry = Entry { queue, job, accepted, inherited, begun: false, outcome: None, units, opened: 0 };
+        self.jobs.insert(id, entry);
+        self.live.insert(id);
+    }
+
+    fn accepted_position(&self, id: JobId) -> u64 {
+        self.jobs.get(&id).map_or(0, |entry| entry.accepted.position)
+    }
+
+    /// Takes back a job whose record wasn't given to the log yet. Whether it was.
+    pub fn withdraw(&mut self, id: JobId) -> bool {
+        let waiting = |record: &(u64, Record)| matches!(&record.1, Record::Accepted { id: other, .. } if *other == id);
+        let Some(index) = self.records.iter().position(waiting) else { return false };
+        self.records.remove(index);
+        self.jobs.remove(&id);
+        self.live.remove(&id);
+        true
+    }
+
+    /// The state of a job, when it is known.
+    pub fn state(&self, id: JobId) -> Option<State> {
+        let entry = self.jobs.get(&id)?;
+        match entry.outcome {
+            Some(ended) if ended.position <= self.durable => Some(State::Ended(ended.outcome)),
+            _ if entry.begun => Some(State::Running),
+            _ => Some(State::Queued),
+        }
+    }
+
+    /// Accepted jobs of a queue none of whose tasks has begun.
+    pub fn waiting(&self, queue: &str) -> usize {
+        let waits = |entry: &&Entry| entry.queue == queue && !entry.begun && entry.job.schedule.is_none();
+        self.live.iter().filter_map(|id| self.jobs.get(id)).filter(waits).count()
+    }
+
+    /// Adds a record to the log. Returns its position.
+    pub(crate) fn record(&mut self, record: Record) -> u64 {
+        self.position += 1;
+        self.records.push_back((self.position, record));
+        self.position
+    }
+
+    /// Position of the newest record.
+    pub(crate) fn position(&self) -> u64 {
+        self.position
+    }
+
+    /// Whether records wait for the log.
+    pub fn owes(&self) -> bool {
+        !self.records.is_empty()
+    }
+
+    /// Takes at most `most` records for the log, with the position that is durable once they are written.
+    pub fn take_records(&mut self, most: usize) -> (Vec<Record>, u64) {
+        let count = most.min(self.records.len());
+        let taken: Vec<Record> = self.records.drain(..count).map(|(_, record)| record).collect();
+        let upto = self.records.front().map_or(self.position, |(position, _)| position - 1);
+        (taken, upto)
+    }
+
+    /// Everything up to `position` is written.
+    pub fn written(&mut self, position: u64) {
+        self.durable = self.durable.max(position);
+        let durable = self.durable;
+        self.workers.values_mut().for_each(|worker| worker.acknowledge(durable));
+    }
+
+    /// Takes the orders and questions that have come up.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    pub(crate) fn end(&mut self, clock: Clock, id: JobId, outcome: Outcome) -> u64 {
+        let position = self.record(Record::Ended { id, outcome });
+        if let Some(entry) = self.jobs.get_mut(&id) {
+            entry.outcome = Some(Ended { outcome, position, at: clock.now });
+        }
+        self.live.remove(&id);
+        position
+    }
+
+    pub(crate) fn unit_mut(&mut self, unit: Unit) -> Option<&mut UnitState> {
+        self.jobs.get_mut(&unit.job)?.units.get_mut(&(unit.round, unit.step))
+    }
+
+    pub(crate) fn unit(&self, unit: Unit) -> Option<&UnitState> {
+        self.jobs.get(&unit.job)?.units.get(&(unit.round, unit.step))
+    }
+
+    /// The next attempt number of a task or, with `starts` of its gang, of a gang.
+    pub(crate) fn attempt(&self, starts: u64) -> Attempt {
+        (self.term - 1) * ATTEMPTS_A_TERM + starts + 1
+    }
+
+    /// A worker's life is over: nothing runs there.
+    pub(crate) fn gone(&mut self, clock: Clock, id: &str) {
+        self.vacate(clock, id);
+        if self.workers.remove(id).is_some() {
+            self.record(Record::Gone { id: id.to_owned() });
+            self.actions.push(Action::Forget(id.to_owned()));
+        }
+    }
+
+    /// The worker answered that another life is at its address.
+    pub fn superseded(&mut self, clock: Clock, id: &str) {
+        self.gone(clock, id);
+    }
+
+    /// A worker's leases have surely run out.
+    pub fn lapsed(&mut self, clock: Clock, id: &str) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.contact = Contact::Lapsed;
+        let missing = worker.missing.is_some();
+        self.vacate(clock, id);
+        if missing {
+            self.gone(clock, id);
+        }
+    }
+
+    fn vacate(&mut self, clock: Clock, id: &str) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let runs = std::mem::take(&mut worker.runs);
+        worker.recount();
+        for (task, attempt) in runs.into_keys() {
+            self.free_task(clock, task, id, attempt);
+        }
+    }
+
+    /// A run has ended without its task being done: the task waits again, if this was its run.
+    pub(crate) fn free_task(&mut self, _clock: Clock, task: Task, worker: &str, attempt: Attempt) {
+        let Some(unit) = self.unit_mut(task.unit) else { return };
+        let index = task.index as usize;
+        let held = unit.tasks.get(index).is_some_and(|state| state.phase == Phase::Held(worker.to_owned(), attempt));
+        if held {
+            unit.set(index, Phase::Pending);
+        }
+    }
+
+    /// Forgets ended jobs whose state need not be told any more.
+    pub fn forget(&mut self, now: Duration) {
+        let keep = self.limits.keep_ended;
+        self.jobs.retain(|_, entry| entry.outcome.is_none_or(|ended| now.saturating_sub(ended.at) < keep));
+    }
+
+    /// Whether a job is still kept.
+    pub fn keeps(&self, id: JobId) -> bool {
+        self.jobs.contains_key(&id)
+    }
+}
--- /dev/null
+++ b/components/sched/src/lib.rs
@@ -0,0 +1,24 @@
+//! The scheduler of callers' jobs: decisions without sockets and without a clock.
+//!
+//! Events go in with their time (reports of workers, outcomes of orders, accepted jobs, advice); orders, questions
+//! and records for the log come out. Nothing here waits or fails: what can't be decided now stays as it is until the
+//! next event.
+
+mod advice;
+mod cancel;
+mod ends;
+mod engine;
+mod entry;
+mod limits;
+mod order;
+mod place;
+mod rank;
+mod restore;
+mod worker;
+
+pub use advice::{Question, Ticket};
+pub use engine::{Action, Clock, Engine, Start};
+pub use limits::Limits;
+pub use order::Outcome as OrderOutcome;
+pub use restore::Kept;
+pub use worker::{End, How, Info, Report, Running};
--- /dev/null
+++ b/components/sched/src/limits.rs
@@ -0,0 +1,32 @@
+//! Bounds that the decisions reckon with.
+
+use std::time::Duration;
+
+/// Bounds of the platform on which the workers run.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Longest lease of what runs on a worker.
+    pub max_lease: Duration,
+    /// How much longer a task takes away from its data, or spread over racks.
+    pub remote_penalty: f64,
+    /// Time from a stop to the end of what was stopped.
+    pub stop_timeout: Duration,
+    /// How long the state of an ended job can be asked for.
+    pub keep_ended: Duration,
+    /// How much earlier than due a round may start.
+    pub early: Duration,
+}
+
+/// A worker's clock may run this much slow: leases last so much longer by ours.
+pub(crate) const CLOCK_SLACK: f64 = 1.02;
+/// Added to the time after which an unreachable worker's tasks have surely ended: covers timers that fire late.
+pub(crate) const LAPSE_MARGIN: Duration = Duration::from_millis(100);
+/// A ticket must hold this much longer when a start is sent: the order takes a few milliseconds on its way.
+pub(crate) const TICKET_MARGIN: Duration = Duration::from_millis(60);
+
+impl Limits {
+    /// Time after which everything that another leader started and nobody renewed has surely ended.
+    pub(crate) fn surely_lapsed(&self) -> Duration {
+        self.max_lease.mul_f64(CLOCK_SLACK) + LAPSE_MARGIN
+    }
+}
--- /dev/null
+++ b/components/sched/src/order.rs
@@ -0,0 +1,85 @@
+//! Outcomes of orders to workers.
+
+use work::{Attempt, Task};
+
+use crate::engine::{Action, Clock, Engine};
+use crate::worker::Phase;
+
+/// What became of an order to start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The run is there.
+    Started,
+    /// The worker refused it and has done nothing.
+    Refused,
+    /// The worker took the ticket for no longer valid.
+    Ticket,
+    /// The worker is unhealthy and has done nothing.
+    Unhealthy,
+    /// There was no answer: it may start now or later.
+    Unknown,
+}
+
+/// A worker that refused as unhealthy is left alone this long.
+const UNHEALTHY_PAUSE: std::time::Duration = std::time::Duration::from_secs(1);
+
+impl Engine {
+    /// Takes in what became of a start.
+    pub fn ordered(&mut self, clock: Clock, id: &str, task: Task, attempt: Attempt, outcome: Outcome) {
+        match outcome {
+            Outcome::Started => self.confirmed(id, task, attempt),
+            Outcome::Unknown => self.stop_run(id, task, attempt),
+            Outcome::Refused | Outcome::Ticket | Outcome::Unhealthy => {
+                if outcome == Outcome::Ticket {
+                    self.drop_ticket(task.unit, id);
+                }
+                if outcome == Outcome::Unhealthy
+                    && let Some(worker) = self.workers.get_mut(id)
+                {
+                    worker.avoid_until = clock.now + UNHEALTHY_PAUSE;
+                }
+                self.release(clock, id, task, attempt);
+            }
+        }
+    }
+
+    fn confirmed(&mut self, id: &str, task: Task, attempt: Attempt) {
+        let mark = self.next_mark();
+        if let Some(entry) = self.jobs.get_mut(&task.unit.job) {
+            entry.begun = true;
+        }
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if let Some(run) = worker.runs.get_mut(&(task, attempt))
+            && run.phase == Phase::Starting
+        {
+            run.phase = Phase::Running(mark);
+        }
+    }
+
+    /// Orders a stop, unless one is under way.
+    pub(crate) fn stop_run(&mut self, id: &str, task: Task, attempt: Attempt) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let Some(run) = worker.runs.get_mut(&(task, attempt)) else { return };
+        if matches!(run.phase, Phase::Stopping | Phase::Stopped(_)) {
+            return;
+        }
+        run.phase = Phase::Stopping;
+        self.actions.push(Action::Stop(id.to_owned(), task, attempt));
+    }
+
+    /// The worker took a stop: the run ends soon, or never begins.
+    pub fn stopped(&mut self, id: &str, task: Task, attempt: Attempt) {
+        let mark = self.next_mark();
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        if let Some(run) = worker.runs.get_mut(&(task, attempt)) {
+            run.phase = Phase::Stopped(mark);
+        }
+    }
+
+    /// A run is certainly not there any more.
+    pub(crate) fn release(&mut self, clock: Clock, id: &str, task: Task, attempt: Attempt) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.release(task, attempt);
+        self.free_task(clock, task, id, attempt);
+    }
+}
--- /dev/null
+++ b/components/sched/src/rank.rs
@@ -0,0 +1,91 @@
+//! In which order units are served.
+
+use std::time::Duration;
+
+use work::{Job, Queue, Unit};
+
+use crate::engine::{Clock, Engine};
+use crate::entry::Entry;
+
+/// A job that ends after this many times its objective earns nothing more.
+const LATE_OBJECTIVES: u32 = 3;
+
+/// How much a job still earns by running now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Tier {
+    /// It can meet its objective.
+    OnTime,
+    /// It is late, but not too late to be of use.
+    Late,
+    /// Nobody waits for it any more; it is done on room that nobody else wants.
+    Overdue,
+}
+
+/// A unit with tasks that wait for a place.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Candidate {
+    pub unit: Unit,
+    key: (Tier, u32, Duration),
+}
+
+impl Engine {
+    /// Units that could start tasks, the most urgent first.
+    pub(crate) fn candidates(&self, clock: Clock) -> Vec<Candidate> {
+        let mut found = Vec::new();
+        for id in &self.live {
+            let Some(entry) = self.jobs.get(id) else { continue };
+            if entry.accepted.position > self.durable && entry.units.is_empty() {
+                continue;
+            }
+            let Some(queue) = self.config.queue(&entry.queue) else { continue };
+            for ((round, step), unit) in &entry.units {
+                if unit.pending == 0 || !entry.unblocked(*round, *step) {
+                    continue;
+                }
+                let key = self.key(clock, entry, queue, *round);
+                found.push(Candidate { unit: Unit { job: *id, round: *round, step: *step }, key });
+            }
+        }
+        found.sort_by_key(|candidate| (candidate.key, candidate.unit));
+        found
+    }
+
+    fn key(&self, clock: Clock, entry: &Entry, queue: &Queue, round: u32) -> (Tier, u32, Duration) {
+        let begun = match entry.job.schedule {
+            Some(_) => clock.now.saturating_sub(clock.wall.saturating_sub(entry.job.due(round))),
+            None => entry.accepted.now,
+        };
+        let chain = chain(&entry.job);
+        let objective = chain.mul_f64(queue.stretch) + queue.objective;
+        let waited = clock.now.saturating_sub(begun);
+        let tier = if waited + remaining(entry, round) <= objective {
+            Tier::OnTime
+        } else if waited <= objective * LATE_OBJECTIVES {
+            Tier::Late
+        } else {
+            Tier::Overdue
+        };
+        (tier, queue.priority, begun)
+    }
+}
+
+/// The longest chain of steps, by the caller's estimates.
+fn chain(job: &Job) -> Duration {
+    let mut ends: Vec<Duration> = Vec::new();
+    for step in &job.steps {
+        let start = step.after.iter().filter_map(|on| ends.get(usize::from(*on))).max().copied().unwrap_or_default();
+        ends.push(start + step.estimate);
+    }
+    ends.into_iter().max().unwrap_or_default()
+}
+
+/// The longest chain of steps that aren't done yet.
+fn remaining(entry: &Entry, round: u32) -> Duration {
+    let mut ends: Vec<Duration> = Vec::new();
+    for (number, step) in entry.job.steps.iter().enumerate() {
+        let start = step.after.iter().filter_map(|on| ends.get(usize::from(*on))).max().copied().unwrap_or_default();
+        let done = entry.units.get(&(round, number as u16)).is_some_and(|unit| unit.complete());
+        ends.push(if done { start } else { start + step.estimate });
+    }
+    ends.into_iter().max().unwrap_or_default()
+}
--- /dev/null
+++ b/components/sched/src/restore.rs
@@ -0,0 +1,157 @@
+//! Rebuilds the book from the log, and writes a job anew when its part of the log is removed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use work::{JobId, Outcome, Record, Task, Unit};
+
+use crate::engine::{Clock, Engine};
+use crate::entry::{Accepted, Ended, Entry, Phase, UnitState};
+use crate::worker::{Info, Worker};
+
+/// What a part of the log holds that may be needed for long.
+#[derive(Clone, Debug, Default)]
+pub struct Kept {
+    /// Jobs accepted in it.
+    pub jobs: Vec<JobId>,
+}
+
+impl Engine {
+    /// Replays a record that an earlier leader, or an earlier part of this reign, has written.
+    pub fn replay(&mut self, clock: Clock, record: Record) {
+        match record {
+            Record::Accepted { id, queue, at, job } => self.replay_job(clock, id, queue, at, job),
+            Record::Done { task } => self.replay_done(task),
+            Record::Failed { task, attempt } => self.replay_failed(task, attempt),
+            Record::Ended { id, outcome } => self.replay_end(clock, id, outcome),
+            Record::Worker { id, address } => {
+                let info = Info { address, ..unlisted() };
+                let worker = Worker::new(info, Some(clock.now), 0, clock.now);
+                self.workers.entry(id).or_insert(worker);
+            }
+            Record::Gone { id } => {
+                self.workers.remove(&id);
+            }
+        }
+    }
+
+    /// Ends jobs that the log shows as done without a record of their end.
+    pub fn replayed(&mut self, clock: Clock) {
+        let ids: Vec<JobId> = self.live.iter().copied().collect();
+        ids.into_iter().for_each(|id| self.finish(clock, id));
+    }
+
+    fn replay_job(&mut self, clock: Clock, id: JobId, queue: String, at: Duration, job: work::Job) {
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        // Ages count from acceptance; the steady clock of this process may be younger than the job.
+        let age = clock.wall.saturating_sub(at);
+        let accepted = Accepted { now: clock.now.saturating_sub(age), wall: at, position: 0 };
+        self.insert(id, queue, Arc::new(job), accepted, true);
+        if let Some(entry) = self.jobs.get_mut(&id)
+            && entry.job.schedule.is_none()
+        {
+            open_round(entry, 0);
+        }
+    }
+
+    fn replay_unit(&mut self, unit: Unit) -> Option<&mut UnitState> {
+        let entry = self.jobs.get_mut(&unit.job)?;
+        while entry.opened <= unit.round && entry.opened < entry.job.rounds() {
+            let round = entry.opened;
+            open_round(entry, round);
+        }
+        entry.begun = true;
+        entry.units.get_mut(&(unit.round, unit.step))
+    }
+
+    fn replay_done(&mut self, task: Task) {
+        let gang = self.step(task).is_some_and(|step| step.gang);
+        let Some(unit) = self.replay_unit(task.unit) else { return };
+        let indices = if gang { 0..unit.tasks.len() } else { task.index as usize..task.index as usize + 1 };
+        indices.for_each(|index| unit.set(index, Phase::Done));
+    }
+
+    fn replay_failed(&mut self, task: Task, attempt: u64) {
+        let gang = self.step(task).is_some_and(|step| step.gang);
+        let Some(unit) = self.replay_unit(task.unit) else { return };
+        let Some(state) = unit.tasks.get_mut(task.index as usize) else { return };
+        let failed = if gang { &mut unit.failed } else { &mut state.failed };
+        if !failed.contains(&attempt) {
+            failed.push(attempt);
+        }
+    }
+
+    fn replay_end(&mut self, clock: Clock, id: JobId, outcome: Outcome) {
+        let Some(entry) = self.jobs.get_mut(&id) else { return };
+        entry.outcome = Some(Ended { outcome, position: 0, at: clock.now });
+        entry.begun = true;
+        self.live.remove(&id);
+    }
+
+    /// Everything that must be kept of a job, as new records. Nothing for a job that is no longer kept.
+    pub fn rewrite(&mut self, id: JobId) {
+        let Some(entry) = self.jobs.get(&id) else { return };
+        let mut records = vec![Record::Accepted {
+            id,
+            queue: entry.queue.clone(),
+            at: entry.accepted.wall,
+            job: (*entry.job).clone(),
+        }];
+        for ((round, step), unit) in &entry.units {
+            let name = Unit { job: id, round: *round, step: *step };
+            records.extend(unit_records(name, unit));
+        }
+        if let Some(ended) = entry.outcome {
+            records.push(Record::Ended { id, outcome: ended.outcome });
+        }
+        records.into_iter().for_each(|record| {
+            self.record(record);
+        });
+    }
+
+    /// Names all workers anew in the log.
+    pub fn rewrite_workers(&mut self) {
+        let named: Vec<Record> = self
+            .workers
+            .iter()
+            .map(|(id, worker)| Record::Worker { id: id.clone(), address: worker.info.address.clone() })
+            .collect();
+        named.into_iter().for_each(|record| {
+            self.record(record);
+        });
+    }
+}
+
+fn unit_records(name: Unit, unit: &UnitState) -> Vec<Record> {
+    let mut records = Vec::new();
+    for (index, task) in unit.tasks.iter().enumerate() {
+        let task_name = Task { unit: name, index: index as u32 };
+        if task.phase == Phase::Done {
+            records.push(Record::Done { task: task_name });
+        }
+        records.extend(task.failed.iter().map(|attempt| Record::Failed { task: task_name, attempt: *attempt }));
+    }
+    let gang = Task { unit: name, index: 0 };
+    records.extend(unit.failed.iter().map(|attempt| Record::Failed { task: gang, attempt: *attempt }));
+    records
+}
+
+fn open_round(entry: &mut Entry, round: u32) {
+    let units = entry.job.steps.iter().enumerate();
+    entry.units.extend(units.map(|(number, step)| ((round, number as u16), UnitState::new(step))));
+    entry.opened = round + 1;
+}
+
+/// A worker that the log names and the list doesn't: it is renewed, but gets no work.
+fn unlisted() -> Info {
+    Info {
+        address: String::new(),
+        pool: String::new(),
+        zone: String::new(),
+        labels: Vec::new(),
+        capacity: model::Resources::ZERO,
+        draining: false,
+    }
+}
--- /dev/null
+++ b/components/sched/src/worker.rs
@@ -0,0 +1,210 @@
+//! Workers as the leader knows them: what they offer, and every run that may be there.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use model::Resources;
+use work::{Attempt, Task};
+
+/// A worker that is missing in the list is used this much longer, if it answers: its entry may be on its way back.
+const LIST_GRACE: Duration = Duration::from_millis(2500);
+/// A worker that hasn't answered for so long gets no new work: three renewals have failed.
+const SILENCE: Duration = Duration::from_millis(1200);
+
+/// What a worker says of itself in the platform's list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Info {
+    /// Where it takes orders: address and port.
+    pub address: String,
+    /// Pool that it belongs to.
+    pub pool: String,
+    /// Data centre.
+    pub zone: String,
+    /// Labels: its kind first, its rack last.
+    pub labels: Vec<String>,
+    /// What it offers.
+    pub capacity: Resources,
+    /// Whether it is about to leave.
+    pub draining: bool,
+}
+
+impl Info {
+    /// The rack, by which data and gangs are placed.
+    pub fn rack(&self) -> &str {
+        self.labels.last().map_or("", String::as_str)
+    }
+}
+
+/// A run that a worker lists as running.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Running {
+    /// The task.
+    pub task: Task,
+    /// The run.
+    pub attempt: Attempt,
+    /// Its last checkpoint; empty for none.
+    pub saved: String,
+    /// Its progress, in percent.
+    pub percent: u8,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum How {
+    /// The task is done.
+    Done,
+    /// It failed, by its own fault or the worker's.
+    Failed,
+    /// It was stopped.
+    Stopped,
+    /// Its lease ran out.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// The other members of its gang didn't come in time.
+    Alone,
+}
+
+/// An end that a worker lists until it is acknowledged.
+#[derive(Clone, Debug, PartialEq)]
+pub struct End {
+    /// Rises from 1 in each life of a worker.
+    pub number: u64,
+    /// The task.
+    pub task: Task,
+    /// The run.
+    pub attempt: Attempt,
+    /// How it ended.
+    pub how: How,
+    /// Its last checkpoint; empty for none.
+    pub saved: String,
+}
+
+/// What a worker answers to a renewal of its leases.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Report {
+    /// [`crate::Engine::mark`] when the renewal was sent: what was settled before must show.
+    pub mark: u64,
+    /// All that runs there.
+    pub running: Vec<Running>,
+    /// Ends not acknowledged yet, in the order of their numbers.
+    pub ended: Vec<End>,
+}
+
+/// What is known of a run on a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// The start was sent.
+    Starting,
+    /// The worker confirmed it, at this mark.
+    Running(u64),
+    /// A stop is on its way; what the start did doesn't matter any more.
+    Stopping,
+    /// The worker took the stop, at this mark.
+    Stopped(u64),
+}
+
+/// A run that is, or may be, on a worker. It takes room until its end is certain.
+#[derive(Clone, Debug)]
+pub(crate) struct Run {
+    pub phase: Phase,
+    pub need: Resources,
+    pub since: Duration,
+    pub percent: u8,
+    /// When the percentage last rose.
+    pub moved: Duration,
+}
+
+/// Whether orders can be given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Contact {
+    /// It hasn't answered in this reign: an earlier leader may have started anything there.
+    Unknown,
+    /// It has answered under this reign's term, so that no earlier leader's orders are taken any more.
+    Held,
+    /// It hasn't answered for so long that its leases have run out. Nothing runs there.
+    Lapsed,
+}
+
+/// One life of a worker.
+#[derive(Clone, Debug)]
+pub(crate) struct Worker {
+    pub info: Info,
+    pub contact: Contact,
+    /// Since when the platform's list lacks it; `None` while it is listed.
+    pub missing: Option<Duration>,
+    /// Position of the record that names it; it gets orders only when that is durable.
+    pub position: u64,
+    /// When it last answered.
+    pub heard: Duration,
+    pub free: Resources,
+    pub runs: BTreeMap<(Task, Attempt), Run>,
+    /// Highest end that was taken in.
+    pub taken: u64,
+    /// Ends that wait for their records: number, and position of the records.
+    pub pending: VecDeque<(u64, u64)>,
+    /// Highest end that may be acknowledged.
+    pub acked: u64,
+    /// Runs that failed since the last one that was done.
+    pub failures: u32,
+    /// Until when it is avoided.
+    pub avoid_until: Duration,
+}
+
+impl Worker {
+    pub(crate) fn new(info: Info, missing: Option<Duration>, position: u64, now: Duration) -> Worker {
+        Worker {
+            free: info.capacity,
+            info,
+            contact: Contact::Unknown,
+            missing,
+            position,
+            heard: now,
+            runs: BTreeMap::new(),
+            taken: 0,
+            pending: VecDeque::new(),
+            acked: 0,
+            failures: 0,
+            avoid_until: Duration::ZERO,
+        }
+    }
+
+    /// Takes the room of a run.
+    pub(crate) fn take(&mut self, task: Task, attempt: Attempt, run: Run) {
+        self.free = self.free.saturating_sub(&run.need);
+        self.runs.insert((task, attempt), run);
+    }
+
+    /// Whether it may get new work.
+    ///
+    /// Entries that ran out while the store was away come back a little later: a worker that answers meanwhile
+    /// goes on being used.
+    pub(crate) fn usable(&self, now: Duration, durable: u64) -> bool {
+        let listed = self.missing.is_none_or(|since| now.saturating_sub(since) < LIST_GRACE);
+        let heard = now.saturating_sub(self.heard) < SILENCE;
+        listed && heard && self.contact == Contact::Held && !self.info.draining && self.position <= durable
+    }
+
+    /// Gives the room of a run back, by counting anew: an adopted run may have exceeded the room.
+    pub(crate) fn release(&mut self, task: Task, attempt: Attempt) -> Option<Run> {
+        let run = self.runs.remove(&(task, attempt))?;
+        self.recount();
+        Some(run)
+    }
+
+    /// Counts the free room anew.
+    pub(crate) fn recount(&mut self) {
+        self.free = self.runs.values().fold(self.info.capacity, |free, run| free.saturating_sub(&run.need));
+    }
+
+    /// Raises what may be acknowledged to what is durable.
+    pub(crate) fn acknowledge(&mut self, durable: u64) {
+        while let Some((number, position)) = self.pending.front().copied() {
+            if position > durable {
+                return;
+            }
+            self.acked = number;
+            self.pending.pop_front();
+        }
+    }
+}
--- a/components/web/src/client.rs
+++ b/components/web/src/client.rs
@@ -74,6 +74,18 @@
         self.call(Method::GET, url, Bytes::new()).await
     }
 
+    /// Sends a call and reads its whole answer, whatever the status, within `timeout`.
+    pub async fn ask(&self, request: Request<Full<Bytes>>, timeout: Duration) -> Result<(StatusCode, Bytes), Fault> {
+        let exchange = async {
+            let answer = self.pool.request(request).await.map_err(from_pool)?;
+            let status = answer.status();
+            let limited = Limited::new(answer.into_body(), self.limit);
+            let bytes = limited.collect().await.map_err(|fault| Fault::Unknown(fault.to_string()))?.to_bytes();
+            Ok((status, bytes))
+        };
+        tokio::time::timeout(timeout, exchange).await.map_err(|_| Fault::Unknown(format!("none within {timeout:?}")))?
+    }
+
     async fn call<A: DeserializeOwned>(&self, method: Method, url: &str, body: Bytes) -> Result<A, Fault> {
         let mut request = request(method, url, body)?;
         if let Some(bearer) = &self.bearer {
@@ -112,7 +124,8 @@
     }
 }
 
-fn request(method: Method, url: &str, body: Bytes) -> Result<Request<Full<Bytes>>, Fault> {
+/// A request with a JSON body.
+pub fn request(method: Method, url: &str, body: Bytes) -> Result<Request<Full<Bytes>>, Fault> {
     Request::builder()
         .method(method)
         .uri(url)
--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -4,5 +4,5 @@
 mod client;
 mod server;
 
-pub use client::{Client, Fault};
+pub use client::{Client, Fault, request};
 pub use server::{Body, full, json, read_limited, serve};
--- /dev/null
+++ b/components/work/src/record.rs
@@ -0,0 +1,76 @@
+//! What is kept of jobs in the store: an append-only log of records.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Attempt, Job, JobId, QueueName, Task, WorkerId};
+
+/// State of a job as its caller sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum State {
+    /// None of its tasks has begun.
+    Queued,
+    /// At least one task has begun.
+    Running,
+    /// It has ended.
+    Ended(Outcome),
+}
+
+/// How a job ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Outcome {
+    /// All its tasks are done.
+    Completed,
+    /// A task used up its attempts.
+    Failed,
+    /// Its caller cancelled it.
+    Cancelled,
+}
+
+/// One change of what must last. Replaying a record twice changes nothing more.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Record {
+    /// A job was accepted.
+    Accepted {
+        /// Its id.
+        id: JobId,
+        /// Its queue.
+        queue: QueueName,
+        /// When, since 1970, by the accepting host's clock. For ages only.
+        at: Duration,
+        /// The job.
+        job: Job,
+    },
+    /// A task is done.
+    Done {
+        /// The task.
+        task: Task,
+    },
+    /// A run of a task has failed.
+    Failed {
+        /// The task.
+        task: Task,
+        /// The run.
+        attempt: Attempt,
+    },
+    /// A worker may get orders from now on.
+    Worker {
+        /// The worker.
+        id: WorkerId,
+        /// Where it takes orders.
+        address: String,
+    },
+    /// Nothing runs on a worker any more, and nothing ever will.
+    Gone {
+        /// The worker.
+        id: WorkerId,
+    },
+    /// A job has ended.
+    Ended {
+        /// The job.
+        id: JobId,
+        /// How.
+        outcome: Outcome,
+    },
+}
