Leases that were not given don't count; claims replace only the record they saw; refusals in time

Three claims within 40 ms: a claim replaced whatever record it found; now only the one seen when the decision was made. Submissions with little time left ended as 504 since the follower gave up before the leader refused.

--- a/components/entry/src/election.rs
+++ b/components/entry/src/election.rs
@@ -52,9 +52,10 @@
             tokio::time::sleep(PAUSE).await;
             continue;
         };
+        let record = found.item.as_ref().map_or(0, |item| item.revision);
         match found.item.and_then(|item| read_leader(&host, &item)) {
-            Some(leader) => follow(&host, leader).await,
-            None => vacancy(&host).await,
+            Some(leader) => follow(&host, leader, record).await,
+            None => vacancy(&host, record).await,
         }
         if host.edges.store.changed(LEADER_KEY, found.revision, WATCH).await.is_err() {
             tokio::time::sleep(PAUSE).await;
@@ -73,13 +74,13 @@
 }
 
 /// Links to the leader that the store names, unless that is known already.
-async fn follow(host: &Arc<Host>, leader: Leader) {
+async fn follow(host: &Arc<Host>, leader: Leader, record: u64) {
     if leader.host == host.settings.host {
         let own = leader.life == host.settings.life;
         let leading = matches!(host.role(), Role::Leading(reign) if reign.term == leader.term);
         if !(own && leading) {
             // The record is of an earlier life of this process, which surely has ended.
-            claim_if_free(host).await;
+            claim_if_free(host, record).await;
         }
         return;
     }
@@ -95,11 +96,11 @@
     {
         return;
     }
-    connect(host, leader).await;
+    connect(host, leader, Some(record)).await;
 }
 
-/// Links to a leader and keeps asking for signs of life.
-pub(crate) async fn connect(host: &Arc<Host>, leader: Leader) {
+/// Links to a leader and keeps asking for signs of life. `record` is the revision of the record that names it.
+async fn connect(host: &Arc<Host>, leader: Leader, record: Option<u64>) {
     let Some(link) = dial(host, &leader).await else {
         if !matches!(host.role(), Role::Nobody | Role::Leading(_)) {
             host.set_role(Role::Nobody);
@@ -112,10 +113,10 @@
         Ok(_) => {
             link.close();
             emit!(host.log, events::LEADER_DENIES, "leader" => &leader.host, "term" => leader.term);
-            if leader.host != host.settings.host {
-                // A new life is at the leader's address: the one that led is gone.
-                host.set_role(Role::Nobody);
-                claim_if_free(host).await;
+            // A new life is at the leader's address: the one that led is gone.
+            host.set_role(Role::Nobody);
+            if let Some(record) = record {
+                claim_if_free(host, record).await;
             }
             return;
         }
@@ -142,7 +143,7 @@
 
 /// Links to a leader that another host has named. Boxed, since links answer calls that lead here.
 pub(crate) fn redirect(host: Arc<Host>, leader: Leader) -> Pin<Box<dyn Future<Output = ()> + Send>> {
-    Box::pin(async move { connect(&host, leader).await })
+    Box::pin(async move { connect(&host, leader, None).await })
 }
 
 async fn dial(host: &Arc<Host>, leader: &Leader) -> Option<Arc<Link>> {
@@ -177,46 +178,50 @@
     host.set_role(Role::Nobody);
     // The leader may only have been restarted, or its host cut off for a moment.
     while matches!(host.role(), Role::Nobody) && !host.stopping() {
-        connect(&host, leader.clone()).await;
-        tokio::time::sleep(PAUSE).await;
-        match host.edges.store.get(LEADER_KEY).await {
-            Ok(Read { item: Some(item), .. }) if read_leader(&host, &item).is_some_and(|now| now == leader) => {}
+        let found = host.edges.store.get(LEADER_KEY).await;
+        let record = match found {
+            Ok(Read { item: Some(item), .. }) if read_leader(&host, &item).as_ref() == Some(&leader) => {
+                Some(item.revision)
+            }
             // The loop that follows the record takes over.
-            _ => return,
-        }
+            Ok(_) => return,
+            Err(_) => None,
+        };
+        connect(&host, leader.clone(), record).await;
+        tokio::time::sleep(PAUSE).await;
     }
 }
 
 /// There is no leader's record: asks the leader that is still known whether it lives, and claims otherwise.
-async fn vacancy(host: &Arc<Host>) {
+async fn vacancy(host: &Arc<Host>, record: u64) {
     match host.role() {
         Role::Leading(reign) => reign.restore_record().await,
         Role::Following(_, link) => {
             let alive = link.call(Call::Missing, PING).await;
             if alive != Ok(Answer::Done) {
-                claim_if_free(host).await;
+                claim_if_free(host, record).await;
             }
         }
-        Role::Nobody => claim_if_free(host).await,
+        Role::Nobody => claim_if_free(host, record).await,
     }
 }
 
-/// Claims leadership, unless this host is about to stop.
-async fn claim_if_free(host: &Arc<Host>) {
+/// Claims leadership, unless this host is about to stop. `record` is the revision of the record that the claim
+/// replaces, 0 for none: a leader that came in between stays.
+async fn claim_if_free(host: &Arc<Host>, record: u64) {
     if host.stopping() || matches!(host.role(), Role::Leading(_)) {
         return;
     }
     let spread = rand::rng().random_range(Duration::ZERO..SPREAD);
     tokio::time::sleep(spread).await;
-    if let Err(fault) = claim(host).await {
+    if let Err(fault) = claim(host, record).await {
         emit!(host.log, events::CLAIM_FAILED, "fault" => format!("{fault:#}"));
         tokio::time::sleep(PAUSE).await;
     }
 }
 
-async fn claim(host: &Arc<Host>) -> anyhow::Result<()> {
+async fn claim(host: &Arc<Host>, record: u64) -> anyhow::Result<()> {
     let store = &host.edges.store;
-    let record = store.get(LEADER_KEY).await.context("reading the leader's record")?.item;
     let chain = store.get(CHAIN_KEY).await.context("reading the counter of terms")?.item;
     let (revision, old) = match &chain {
         None => (0, Chain::default()),
@@ -234,7 +239,7 @@
     let transaction = Transaction {
         expected: vec![
             (CHAIN_KEY.to_owned(), revision),
-            (LEADER_KEY.to_owned(), record.map_or(0, |item| item.revision)),
+            (LEADER_KEY.to_owned(), record),
         ],
         puts: vec![chain_put(&chain)?, leader_put(&leader, lease)?],
         removes: Vec::new(),
--- a/components/entry/src/reign.rs
+++ b/components/entry/src/reign.rs
@@ -26,13 +26,13 @@
 
 /// Prefix of the log's parts.
 pub(crate) const LOG_PREFIX: &str = "walkhook/log/";
-/// How long after its last confirmation a leader may still give orders; until then the next one does not repeat what
-/// an unreachable worker may run. Long enough for the store's usual outages.
-pub(crate) const AUTHORITY: Duration = Duration::from_secs(7);
 /// How long after its last confirmation a leader still answers for states and counts.
 const CERTAIN: Duration = Duration::from_millis(2200);
-/// A job whose record isn't written after this time is refused, if that is still possible.
-const WRITE_PATIENCE: Duration = Duration::from_millis(1200);
+/// A job whose record isn't written after this time is refused, if that is still possible: the store usually takes
+/// 4 ms, and on slow days up to 300 ms.
+const WRITE_PATIENCE: Duration = Duration::from_millis(700);
+/// Once a transaction has been without an outcome for so long, new jobs are refused at once.
+const STORE_AWAY: Duration = Duration::from_millis(700);
 /// Callers are told to come back after this time when the store doesn't answer.
 const STORE_RETRY: Duration = Duration::from_secs(1);
 /// A planned stop waits this long for records on their way.
@@ -71,6 +71,8 @@
     confirmed: AtomicU64,
     /// Whether the leader's record is to be written anew.
     pub(crate) restore: AtomicBool,
+    /// Since when a transaction has been without an outcome.
+    pub(crate) unsettled: Mutex<Option<Duration>>,
     pub(crate) plan: Notify,
     pub(crate) write: Notify,
     pub(crate) durable: watch::Sender<u64>,
@@ -112,6 +114,7 @@
             seat: Mutex::new(seat),
             parts: Mutex::new(parts),
             restore: AtomicBool::new(false),
+            unsettled: Mutex::new(None),
             plan: Notify::new(),
             write: Notify::new(),
             durable: watch::Sender::new(0),
@@ -154,7 +157,7 @@
 
     /// Whether orders may be given to workers.
     pub(crate) fn authorized(&self) -> bool {
-        !self.is_over() && self.unconfirmed_for() < AUTHORITY
+        !self.is_over() && self.unconfirmed_for() < sched::AUTHORITY
     }
 
     pub(crate) fn is_over(&self) -> bool {
@@ -210,20 +213,35 @@
         }
     }
 
+    /// Whether the store has not answered for so long that it is taken for away.
+    fn store_away(&self) -> bool {
+        let since = *self.unsettled.lock();
+        since.is_some_and(|since| self.host.started.elapsed().saturating_sub(since) > STORE_AWAY)
+    }
+
+    fn refuse(&self, id: JobId) -> Answer {
+        emit!(self.host.log, events::JOB_REFUSED, "job" => work::job_name(id), "why" => "the store is away",
+            "retry_after_ms" => STORE_RETRY.as_millis() as u64, "term" => self.term);
+        Answer::Refused(STORE_RETRY)
+    }
+
     async fn submit(&self, queue: String, id: JobId, job: Job, wait: Duration) -> Answer {
+        if self.store_away() && !self.engine.lock().keeps(id) {
+            return self.refuse(id);
+        }
         let position = self.engine.lock().accept(self.host.clock(), id, queue, job);
         self.write.notify_one();
         self.plan.notify_one();
-        if !self.wait_durable(position, wait.min(WRITE_PATIENCE)).await {
+        // The answer must reach the caller's host before that gives up.
+        let patience = WRITE_PATIENCE.min(wait / 2);
+        if !self.wait_durable(position, patience).await {
             if self.is_over() {
                 return Answer::Unknown;
             }
             if self.engine.lock().withdraw(id) {
-                emit!(self.host.log, events::JOB_REFUSED, "job" => work::job_name(id), "why" => "the store is away",
-                    "retry_after_ms" => STORE_RETRY.as_millis() as u64);
-                return Answer::Refused(STORE_RETRY);
+                return self.refuse(id);
             }
-            if !self.wait_durable(position, wait.saturating_sub(WRITE_PATIENCE)).await {
+            if !self.wait_durable(position, wait.saturating_sub(patience)).await {
                 return Answer::Unknown;
             }
         }
--- a/components/entry/src/reign/agent.rs
+++ b/components/entry/src/reign/agent.rs
@@ -5,13 +5,12 @@
 
 use events::emit;
 use parking_lot::Mutex;
-use sched::Report;
+use sched::{Lease, Report};
 use tokio::task::AbortHandle;
-use work::WorkerId;
 
-use crate::edge::{Held, Renewal, Reply, Target};
+use crate::edge::{Fault, Held, Renewal, Reply, Target};
 use crate::host::Role;
-use crate::reign::{Reign, orders};
+use crate::reign::Reign;
 
 /// How long an answer waits for an end. Also the time between renewals: a cut of 5.5 s must leave a lease of 6 s alive.
 const WAIT: Duration = Duration::from_millis(400);
@@ -19,10 +18,6 @@
 const PAUSE: Duration = Duration::from_millis(100);
 /// Ends that were reported wait this long for their records, so that the next renewal acknowledges them.
 const ACKNOWLEDGE: Duration = Duration::from_millis(150);
-/// A worker's clock may run this much slow.
-const SLOWEST: f64 = 0.98;
-/// Added for timers that fire late.
-const MARGIN: Duration = Duration::from_millis(100);
 
 /// The hold of one worker.
 pub(crate) struct Agent {
@@ -37,38 +32,6 @@
     }
 }
 
-/// What is known of a worker's clock and of the leases that were given there.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Lease {
-    /// A reading of its clock, and when that arrived here.
-    reading: Option<(Duration, Duration)>,
-    /// Latest end that any call has carried, on its clock.
-    until: Duration,
-}
-
-impl Lease {
-    /// The end for a lease given now, on the worker's clock; `None` before its clock is known.
-    pub(crate) fn extend(&mut self, now: Duration, max_lease: Duration) -> Option<Duration> {
-        let (clock, at) = self.reading?;
-        let end = clock + now.saturating_sub(at) + max_lease;
-        self.until = self.until.max(end);
-        Some(end)
-    }
-
-    fn read(&mut self, clock: Duration, now: Duration) {
-        if self.reading.is_none_or(|(latest, _)| clock >= latest) {
-            self.reading = Some((clock, now));
-        }
-    }
-
-    /// Whether every lease has surely run out.
-    fn lapsed(&self, now: Duration) -> bool {
-        let Some((clock, at)) = self.reading else { return false };
-        let least = clock + now.saturating_sub(at + MARGIN).mul_f64(SLOWEST);
-        least > self.until
-    }
-}
-
 /// Holds every worker of the book, and leaves those that are gone.
 pub(crate) fn follow(reign: &Arc<Reign>) {
     let addresses = reign.engine.lock().addresses();
@@ -96,10 +59,16 @@
             let engine = reign.engine.lock();
             (engine.mark(), engine.acked(&target.id))
         };
-        let until = lease.lock().extend(reign.host.started.elapsed(), reign.host.settings.limits.max_lease);
+        let until = lease.lock().end(reign.host.started.elapsed(), reign.host.settings.limits.max_lease);
         let wait = if until.is_some() && !silent { WAIT } else { Duration::ZERO };
         let renewal = Renewal { term: reign.term, until, acked, wait };
-        match reign.host.edges.workers.renew(&target, &renewal).await {
+        let outcome = reign.host.edges.workers.renew(&target, &renewal).await;
+        if let Some(until) = until
+            && !matches!(outcome, Err(Fault::NotDone(_)))
+        {
+            lease.lock().gave(until);
+        }
+        match outcome {
             Ok(Reply::Done(held)) => {
                 if std::mem::take(&mut silent) {
                     emit!(reign.host.log, events::WORKER_BACK, "worker" => &target.id, "lapsed" => lapsed);
@@ -155,10 +124,10 @@
         emit!(reign.host.log, events::RUN_ENDED, "task" => end.task.to_string(), "attempt" => end.attempt,
             "worker" => &target.id, "how" => format!("{:?}", end.how), "number" => end.number);
     }
-    owed_stops(reign, &target.id);
+    // Ends free room, and what was adopted may have to be stopped.
+    reign.plan.notify_one();
     if let Some(newest) = newest {
         reign.write.notify_one();
-        reign.plan.notify_one();
         let mut durable = reign.durable.subscribe();
         let acknowledged = async {
             while reign.engine.lock().acked(&target.id) < newest && durable.changed().await.is_ok() {}
@@ -167,9 +136,3 @@
         let _ = tokio::time::timeout(ACKNOWLEDGE, acknowledged).await;
     }
 }
-
-fn owed_stops(reign: &Arc<Reign>, id: &WorkerId) {
-    let actions = reign.engine.lock().take_actions();
-    actions.into_iter().for_each(|action| orders::carry_out(reign, action));
-    let _ = id;
-}
--- a/components/entry/src/reign/commit.rs
+++ b/components/entry/src/reign/commit.rs
@@ -65,6 +65,9 @@
         }
     };
     let Some((revision, confirmed)) = settle(reign, &transaction, &next).await else { return false };
+    if reign.unsettled.lock().take().is_some() {
+        emit!(reign.host.log, events::PLATFORM_BACK, "call" => "transaction");
+    }
     reign.confirm(confirmed);
     {
         let mut seat = reign.seat.lock();
@@ -87,6 +90,7 @@
 
 /// Repeats a transaction until its outcome is known. The revision, and when the successful one was sent.
 async fn settle(reign: &Arc<Reign>, transaction: &Transaction, next: &Chain) -> Option<(u64, Duration)> {
+    let began = reign.host.started.elapsed();
     loop {
         let sent = reign.host.started.elapsed();
         match reign.host.edges.store.commit(transaction).await {
@@ -107,7 +111,10 @@
                 return Box::pin(settle(reign, &bare, next)).await;
             }
             Err(fault @ (Fault::NotDone(_) | Fault::Unknown(_) | Fault::Malformed(_))) => {
-                emit!(reign.host.log, events::WRITE_UNSETTLED, "part" => next.next - 1, "fault" => fault.to_string());
+                if reign.unsettled.lock().replace(began).is_none() {
+                    emit!(reign.host.log, events::WRITE_UNSETTLED, "part" => next.next - 1,
+                        "fault" => fault.to_string());
+                }
                 tokio::time::sleep(PAUSE).await;
             }
         }
--- a/components/entry/src/reign/orders.rs
+++ b/components/entry/src/reign/orders.rs
@@ -7,7 +7,7 @@
 use sched::{Action, OrderOutcome, Start};
 use work::{Attempt, Task, WorkerId};
 
-use crate::edge::{Refusal, Reply, Target};
+use crate::edge::{Fault, Refusal, Reply, Target};
 use crate::host::Role;
 use crate::reign::Reign;
 
@@ -49,12 +49,16 @@
     let now = reign.host.started.elapsed();
     let lease = reign.agents.lock().get(worker).map(|agent| (agent.target.clone(), agent.lease.clone()));
     let Some((target, lease)) = lease else { return OrderOutcome::Refused };
-    let until = lease.lock().extend(now, reign.host.settings.limits.max_lease);
+    let until = lease.lock().end(now, reign.host.settings.limits.max_lease);
     let Some(until) = until else { return OrderOutcome::Refused };
     if !reign.authorized() {
         return OrderOutcome::Refused;
     }
-    match reign.host.edges.workers.start(&target, reign.term, until, start).await {
+    let outcome = reign.host.edges.workers.start(&target, reign.term, until, start).await;
+    if !matches!(outcome, Err(Fault::NotDone(_))) {
+        lease.lock().gave(until);
+    }
+    match outcome {
         Ok(Reply::Done(())) => OrderOutcome::Started,
         Ok(Reply::Fenced) => {
             reign.depose("a worker knows a newer leader");
@@ -65,7 +69,7 @@
         Ok(Reply::Refused(Refusal::Ticket)) => OrderOutcome::Ticket,
         Ok(Reply::Refused(Refusal::Unhealthy)) => OrderOutcome::Unhealthy,
         Ok(Reply::Refused(Refusal::Other)) => OrderOutcome::Refused,
-        Err(crate::edge::Fault::NotDone(_)) => OrderOutcome::Unhealthy,
+        Err(Fault::NotDone(_)) => OrderOutcome::Unhealthy,
         Err(_) => OrderOutcome::Unknown,
     }
 }
--- a/components/sched/src/ends.rs
+++ b/components/sched/src/ends.rs
@@ -163,7 +163,7 @@
                 .is_some_and(|task| task.phase == entry::Phase::Pending);
         let mark = self.next_mark();
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let run = Run { phase: Phase::Running(mark), need, since: clock.now, percent: row.percent, moved: clock.now };
+        let run = Run { phase: Phase::Running(mark), need, percent: row.percent, moved: clock.now };
         worker.take(row.task, row.attempt, run);
         if !wanted {
             self.stop_run(id, row.task, row.attempt);
--- /dev/null
+++ b/components/sched/src/lease.rs
@@ -0,0 +1,44 @@
+//! When what runs on a worker has surely ended, reckoned by the worker's own clock.
+
+use std::time::Duration;
+
+/// A worker's clock may run this much slow.
+const SLOWEST: f64 = 0.98;
+/// Added for timers that fire late.
+const MARGIN: Duration = Duration::from_millis(100);
+
+/// What is known of a worker's clock and of the leases that were given there.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Lease {
+    /// A reading of its clock, and when that arrived here.
+    reading: Option<(Duration, Duration)>,
+    /// Latest end that a call may have carried there, on its clock.
+    until: Duration,
+}
+
+impl Lease {
+    /// The end for a lease given now, on the worker's clock; `None` before its clock is known.
+    pub fn end(&self, now: Duration, max_lease: Duration) -> Option<Duration> {
+        let (clock, at) = self.reading?;
+        Some(clock + now.saturating_sub(at) + max_lease)
+    }
+
+    /// Takes note of a lease that may have reached the worker. One that surely didn't is not given.
+    pub fn gave(&mut self, end: Duration) {
+        self.until = self.until.max(end);
+    }
+
+    /// Takes note of the worker's clock.
+    pub fn read(&mut self, clock: Duration, now: Duration) {
+        if self.reading.is_none_or(|(latest, _)| clock >= latest) {
+            self.reading = Some((clock, now));
+        }
+    }
+
+    /// Whether every lease has surely run out.
+    pub fn lapsed(&self, now: Duration) -> bool {
+        let Some((clock, at)) = self.reading else { return false };
+        let least = clock + now.saturating_sub(at + MARGIN).mul_f64(SLOWEST);
+        least > self.until
+    }
+}
--- a/components/sched/src/lib.rs
+++ b/components/sched/src/lib.rs
@@ -9,6 +9,7 @@
 mod ends;
 mod engine;
 mod entry;
+mod lease;
 mod limits;
 mod order;
 mod place;
@@ -18,7 +19,8 @@
 
 pub use advice::{Question, Ticket};
 pub use engine::{Action, Clock, Engine, Start};
-pub use limits::Limits;
+pub use lease::Lease;
+pub use limits::{AUTHORITY, Limits};
 pub use order::Outcome as OrderOutcome;
 pub use restore::Kept;
 pub use worker::{End, How, Info, Report, Running};
--- a/components/sched/src/limits.rs
+++ b/components/sched/src/limits.rs
@@ -17,6 +17,9 @@
     pub early: Duration,
 }
 
+/// How long after its last confirmation a leader may still give orders. Until then the next one does not repeat what
+/// an unreachable worker may run. Long enough for the store's usual outages of 4 to 7 s.
+pub const AUTHORITY: Duration = Duration::from_secs(7);
 /// A worker's clock may run this much slow: leases last so much longer by ours.
 pub(crate) const CLOCK_SLACK: f64 = 1.02;
 /// Added to the time after which an unreachable worker's tasks have surely ended: covers timers that fire late.
@@ -27,6 +30,6 @@
 impl Limits {
     /// Time after which everything that another leader started and nobody renewed has surely ended.
     pub(crate) fn surely_lapsed(&self) -> Duration {
-        self.max_lease.mul_f64(CLOCK_SLACK) + LAPSE_MARGIN
+        AUTHORITY + self.max_lease.mul_f64(CLOCK_SLACK) + LAPSE_MARGIN
     }
 }
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -73,7 +73,7 @@
 
     fn settle(&mut self, clock: Clock) {
         if self.settled {
-            return;
+            return self.drop_unseen(clock);
         }
         let known = self.workers.values().all(|worker| worker.contact != Contact::Unknown);
         let old = clock.now.saturating_sub(self.reign) > self.limits.surely_lapsed();
@@ -81,6 +81,14 @@
         self.settled = (known && !self.workers.is_empty()) || old;
     }
 
+    /// Workers of earlier reigns that nobody lists any more, and whose leases have run out.
+    fn drop_unseen(&mut self, clock: Clock) {
+        let unseen = |worker: &Worker| worker.contact == Contact::Unknown && worker.missing.is_some();
+        let ids: Vec<WorkerId> =
+            self.workers.iter().filter(|(_, worker)| unseen(worker)).map(|(id, _)| id.clone()).collect();
+        ids.iter().for_each(|id| self.gone(clock, id));
+    }
+
     fn open_units(&mut self, clock: Clock) {
         let early = self.limits.early;
         let ids: Vec<_> = self.live.iter().copied().collect();
@@ -126,7 +134,10 @@
                 self.start(clock, unit, &step, choices, room);
             }
         }
-        self.ask(clock, unit, &queue, room);
+        // A job that isn't kept yet asks once, so that it can start as soon as it is.
+        if startable || self.unit(unit).is_some_and(|state| state.known.asked.is_empty()) {
+            self.ask(clock, unit, &queue, room);
+        }
     }
 
     fn ask(&mut self, clock: Clock, unit: Unit, queue: &Queue, room: &Room) {
@@ -158,7 +169,7 @@
             let worker = room.places[place].id.clone();
             let task = Task { unit, index: index as u32 };
             let Some(order) = self.order(task, step, gang_attempt, &worker) else { continue };
-            let run = Run { phase: worker::Phase::Starting, need, since: clock.now, percent: 0, moved: clock.now };
+            let run = Run { phase: worker::Phase::Starting, need, percent: 0, moved: clock.now };
             if let Some(held) = self.workers.get_mut(&worker) {
                 held.take(task, order.attempt, run);
             }
--- a/components/sched/src/worker.rs
+++ b/components/sched/src/worker.rs
@@ -109,7 +109,6 @@
 pub(crate) struct Run {
     pub phase: Phase,
     pub need: Resources,
-    pub since: Duration,
     pub percent: u8,
     /// When the percentage last rose.
     pub moved: Duration,
