Followers that say nothing are not asked; a missing leader's record is looked for every 250 ms

Links know how long they heard nothing. And a follower that saw the record gone while the leader still answered waited for a whole watch before it looked again (2.9 s to take over after a cut of the leader).

--- a/components/entry/src/election.rs
+++ b/components/entry/src/election.rs
@@ -27,6 +27,8 @@
 pub(crate) const CHAIN_KEY: &str = "walkhook/chain";
 /// A watch that brought nothing is renewed after this time.
 const WATCH: Duration = Duration::from_secs(20);
+/// While there is no leader's record it is looked for again after this time, whatever the watch says.
+const VACANT: Duration = Duration::from_millis(250);
 /// A connection to another host is given up after this time.
 const CONNECT: Duration = Duration::from_millis(400);
 /// Pause after a failed attempt.
@@ -57,7 +59,8 @@
             Some(leader) => follow(&host, leader, record).await,
             None => vacancy(&host, record).await,
         }
-        if host.edges.store.changed(LEADER_KEY, found.revision, WATCH).await.is_err() {
+        let wait = if record == 0 { VACANT } else { WATCH };
+        if host.edges.store.changed(LEADER_KEY, found.revision, wait).await.is_err() {
             tokio::time::sleep(PAUSE).await;
         }
     }
@@ -237,10 +240,7 @@
     };
     let confirmed = host.started.elapsed();
     let transaction = Transaction {
-        expected: vec![
-            (CHAIN_KEY.to_owned(), revision),
-            (LEADER_KEY.to_owned(), record),
-        ],
+        expected: vec![(CHAIN_KEY.to_owned(), revision), (LEADER_KEY.to_owned(), record)],
         puts: vec![chain_put(&chain)?, leader_put(&leader, lease)?],
         removes: Vec::new(),
     };
--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -82,6 +82,10 @@
     pub link: Arc<Link>,
 }
 
+/// A follower that hasn't been heard for so long isn't asked anything: it sends a sign of life every 300 ms.
+const FOLLOWER_SILENCE: Duration = Duration::from_millis(1000);
+/// The link of a follower that hasn't been heard for so long is closed.
+const FOLLOWER_GONE: Duration = Duration::from_secs(5);
 /// Pause before a call is tried again when there is no leader to take it.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
 /// The leader answers states and counts at once: after this time it is taken for gone.
@@ -175,6 +179,14 @@
         !self.stopping() && self.config().version > 0 && !matches!(self.role(), Role::Nobody)
     }
 
+    /// Followers that can be asked now. Links of those that are gone without a sign are closed.
+    pub(crate) fn live_followers(&self) -> Vec<Follower> {
+        let mut followers = self.followers.lock();
+        followers.iter().filter(|follower| follower.link.silence() > FOLLOWER_GONE).for_each(|gone| gone.link.close());
+        followers.retain(|follower| !follower.link.is_down());
+        followers.iter().filter(|follower| follower.link.silence() < FOLLOWER_SILENCE).cloned().collect()
+    }
+
     /// Asks the leader, whoever that is, until `until`. Asks again when the leader changes: all calls may be
     /// repeated.
     pub async fn ask(&self, call: Call, until: Instant) -> Answer {
--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -72,7 +72,7 @@
             Answer::Done
         }
         Call::Missing => match host.role() {
-            Role::Leading(reign) if reign.confirmed() => {
+            Role::Leading(reign) if reign.holds_lease() => {
                 reign.restore_record().await;
                 Answer::Done
             }
--- a/components/entry/src/reign.rs
+++ b/components/entry/src/reign.rs
@@ -155,6 +155,11 @@
         !self.is_over() && self.unconfirmed_for() < CERTAIN
     }
 
+    /// Whether the lease of the leader's record can't have run out by itself.
+    pub(crate) fn holds_lease(&self) -> bool {
+        !self.is_over() && self.unconfirmed_for() < self.host.settings.lease_ttl
+    }
+
     /// Whether orders may be given to workers.
     pub(crate) fn authorized(&self) -> bool {
         !self.is_over() && self.unconfirmed_for() < sched::AUTHORITY
--- a/components/entry/src/reign/agent.rs
+++ b/components/entry/src/reign/agent.rs
@@ -129,9 +129,8 @@
     if let Some(newest) = newest {
         reign.write.notify_one();
         let mut durable = reign.durable.subscribe();
-        let acknowledged = async {
-            while reign.engine.lock().acked(&target.id) < newest && durable.changed().await.is_ok() {}
-        };
+        let acknowledged =
+            async { while reign.engine.lock().acked(&target.id) < newest && durable.changed().await.is_ok() {} };
         // While the store is away, renewals go on without acknowledging.
         let _ = tokio::time::timeout(ACKNOWLEDGE, acknowledged).await;
     }
--- a/components/entry/src/reign/ask.rs
+++ b/components/entry/src/reign/ask.rs
@@ -81,9 +81,8 @@
 }
 
 fn askers(reign: &Reign) -> Vec<Asker> {
-    let followers = reign.host.followers.lock();
-    let others = followers.iter().filter(|follower| !follower.link.is_down());
-    let others = others.map(|follower| Asker::Other(follower.host.clone(), follower.link.clone()));
+    let followers = reign.host.live_followers();
+    let others = followers.into_iter().map(|follower| Asker::Other(follower.host, follower.link));
     others.chain([Asker::Own(reign.host.settings.host.clone())]).collect()
 }
 
--- a/components/link/src/lib.rs
+++ b/components/link/src/lib.rs
@@ -17,6 +17,7 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::time::Instant;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 /// Largest frame, in bytes: a configuration of some thousand queues fits.
@@ -46,6 +47,8 @@
     sender: mpsc::Sender<Bytes>,
     waiting: Mutex<HashMap<u64, oneshot::Sender<A>>>,
     next: AtomicU64,
+    /// When the last frame came in.
+    heard: Mutex<Instant>,
     down: AtomicBool,
     closed: Notify,
     calls: PhantomData<fn(Q)>,
@@ -67,6 +70,7 @@
             sender,
             waiting: Mutex::new(HashMap::new()),
             next: AtomicU64::new(0),
+            heard: Mutex::new(Instant::now()),
             down: AtomicBool::new(false),
             closed: Notify::new(),
             calls: PhantomData,
@@ -106,6 +110,11 @@
         self.down.load(Ordering::Acquire)
     }
 
+    /// How long nothing has come in: a host that was cut off or removed ends no connection.
+    pub fn silence(&self) -> Duration {
+        self.heard.lock().elapsed()
+    }
+
     /// Waits until the connection has ended.
     pub async fn down(&self) {
         loop {
@@ -156,6 +165,7 @@
     };
     let read = async {
         while let Some(Ok(bytes)) = source.next().await {
+            *link.heard.lock() = Instant::now();
             match postcard::from_bytes::<Frame<Q, A>>(&bytes) {
                 Ok(Frame::Call(number, call)) => {
                     let (link, handler) = (link.clone(), handler.clone());
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -161,7 +161,9 @@
     fn start(&mut self, clock: Clock, unit: Unit, step: &Step, choices: Vec<Choice>, room: &mut Room) {
         let need = taken_room(step);
         let gang_attempt = self.unit(unit).map(|state| self.attempt(state.starts));
-        if step.gang && let Some(state) = self.unit_mut(unit) {
+        if step.gang
+            && let Some(state) = self.unit_mut(unit)
+        {
             state.starts += 1;
         }
         for (index, place) in choices {
@@ -245,7 +247,8 @@
     }
     let mut choices = Vec::new();
     for task in pending {
-        let crowded = |index: usize| step.spread > 0 && on_worker.get(&index).is_some_and(|count| *count >= step.spread);
+        let crowded =
+            |index: usize| step.spread > 0 && on_worker.get(&index).is_some_and(|count| *count >= step.spread);
         let fitting = free.iter().filter(|(index, left)| need.fits_in(left) && !crowded(**index));
         let best = fitting.min_by_key(|(index, left)| (cost(&room.places[**index], left, step, need), **index));
         let Some(place) = best.map(|(index, _)| *index) else { break };
