Hosts tell each other the leader; the leader yields when the store answers others only

Cause: hosts that the store turned away kept a link to a leader that had been replaced, and found the new one only 9 s later. Signs of life carry the known leader now. A leader without an answer of the store for 800 ms asks its followers and gives up in favour of one that has; before, all waited for the lease to run out. A watch that brought nothing is no reason to read.

--- a/components/entry/src/edge.rs
+++ b/components/entry/src/edge.rs
@@ -45,6 +45,15 @@
     pub revision: u64,
 }
 
+/// What a wait for changes has brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing has changed up to this revision.
+    Nothing(u64),
+    /// Something has, or may have where history is gone: it is to be read anew.
+    Some,
+}
+
 /// A value to write.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Put {
@@ -85,9 +94,8 @@
     async fn get(&self, key: &str) -> Result<Read, Fault>;
     /// Reads all keys of a prefix, page by page; not a snapshot.
     async fn range(&self, prefix: &str) -> Result<Vec<Item>, Fault>;
-    /// Waits until a key of the prefix changes after `revision`. Returns the revision to go on from; one that lies
-    /// before unknown changes when history is gone.
-    async fn changed(&self, prefix: &str, revision: u64, wait: Duration) -> Result<u64, Fault>;
+    /// Waits until a key of the prefix may have changed after `revision`.
+    async fn changed(&self, prefix: &str, revision: u64, wait: Duration) -> Result<Change, Fault>;
     /// Carries out a transaction.
     async fn commit(&self, transaction: &Transaction) -> Result<Commit, Fault>;
     /// Creates a lease.
@@ -104,7 +112,7 @@
     /// Reads the configuration, if there is one, and the revision of the store at that time.
     async fn config(&self) -> Result<(Option<Config>, u64), Fault>;
     /// Waits until the configuration may have changed after `revision`; see [`Store::changed`].
-    async fn config_changed(&self, revision: u64, wait: Duration) -> Result<u64, Fault>;
+    async fn config_changed(&self, revision: u64, wait: Duration) -> Result<Change, Fault>;
     /// Reads the list of workers.
     async fn workers(&self) -> Result<BTreeMap<WorkerId, Info>, Fault>;
 }
--- a/components/entry/src/election.rs
+++ b/components/entry/src/election.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 use work::Term;
 
-use crate::edge::{Commit, Fault, Item, LeaseId, Put, Read, Transaction};
+use crate::edge::{Change, Commit, Fault, Item, LeaseId, Put, Read, Transaction};
 use crate::host::{Host, Link, Role};
 use crate::message::{Answer, Call, Leader};
 use crate::peers::handle;
@@ -59,9 +59,21 @@
             Some(leader) => follow(&host, leader, record).await,
             None => vacancy(&host, record).await,
         }
-        let wait = if record == 0 { VACANT } else { WATCH };
-        if host.edges.store.changed(LEADER_KEY, found.revision, wait).await.is_err() {
-            tokio::time::sleep(PAUSE).await;
+        wait_for_change(&host, found.revision, record).await;
+    }
+}
+
+/// Waits until the leader's record is to be read again.
+async fn wait_for_change(host: &Host, mut revision: u64, record: u64) {
+    let wait = if record == 0 { VACANT } else { WATCH };
+    loop {
+        match host.edges.store.changed(LEADER_KEY, revision, wait).await {
+            Ok(Change::Some) => return,
+            Ok(Change::Nothing(_)) if record == 0 => return,
+            // A host without a leader has nobody who tells it: it looks again.
+            Ok(Change::Nothing(_)) if matches!(host.role(), Role::Nobody) => return,
+            Ok(Change::Nothing(seen)) => revision = seen,
+            Err(_) => return tokio::time::sleep(PAUSE).await,
         }
     }
 }
@@ -104,6 +116,10 @@
 
 /// Links to a leader and keeps asking for signs of life. `record` is the revision of the record that names it.
 async fn connect(host: &Arc<Host>, leader: Leader, record: Option<u64>) {
+    let leads = matches!(host.role(), Role::Leading(reign) if reign.term >= leader.term);
+    if leads || leader.life == host.settings.life {
+        return;
+    }
     let Some(link) = dial(host, &leader).await else {
         if !matches!(host.role(), Role::Nobody | Role::Leading(_)) {
             host.set_role(Role::Nobody);
@@ -149,6 +165,11 @@
     Box::pin(async move { connect(&host, leader, None).await })
 }
 
+/// Replaces the leader at its own wish. Boxed, like [`redirect`].
+pub(crate) fn take_over(host: Arc<Host>, record: u64) -> Pin<Box<dyn Future<Output = ()> + Send>> {
+    Box::pin(async move { claim_if_free(&host, record).await })
+}
+
 async fn dial(host: &Arc<Host>, leader: &Leader) -> Option<Arc<Link>> {
     let stream = tokio::time::timeout(CONNECT, TcpStream::connect(&leader.address)).await.ok()?.ok()?;
     stream.set_nodelay(true).ok()?;
@@ -169,13 +190,17 @@
             () = tokio::time::sleep(PING) => {}
         }
         match link.call(Call::Ping, PING).await {
+            Ok(Answer::Leader(Some(now))) if now.term > leader.term && follows(&host, &leader) => {
+                emit!(host.log, events::LEADER_DENIES, "leader" => &leader.host, "term" => leader.term);
+                connect(&host, now, None).await;
+                break;
+            }
             Ok(_) => missed = 0,
             Err(_) => missed += 1,
         }
     }
     link.close();
-    let current = matches!(host.role(), Role::Following(known, _) if known == leader);
-    if !current {
+    if !follows(&host, &leader) {
         return;
     }
     host.set_role(Role::Nobody);
@@ -195,6 +220,10 @@
     }
 }
 
+fn follows(host: &Host, leader: &Leader) -> bool {
+    matches!(host.role(), Role::Following(known, _) if known == *leader)
+}
+
 /// There is no leader's record: asks the leader that is still known whether it lives, and claims otherwise.
 async fn vacancy(host: &Arc<Host>, record: u64) {
     match host.role() {
@@ -253,7 +282,7 @@
     };
     emit!(host.log, events::CLAIMED, "term" => chain.term, "revision" => revision);
     host.seated.store(chain.term, Ordering::Release);
-    let seat = Seat { chain, revision, lease, leader, confirmed };
+    let seat = Seat { chain, revision, lease, leader, record: revision, confirmed };
     let reign = Reign::begin(host.clone(), seat).await.context("reading the log")?;
     host.set_role(Role::Leading(reign));
     Ok(())
--- a/components/entry/src/follow.rs
+++ b/components/entry/src/follow.rs
@@ -5,6 +5,7 @@
 
 use events::emit;
 
+use crate::edge::Change;
 use crate::host::Host;
 
 /// A watch that brought nothing is renewed after this time.
@@ -35,12 +36,20 @@
                 continue;
             }
         }
-        match host.edges.directory.config_changed(revision, WATCH).await {
-            Ok(_) => {}
-            Err(_) => {
-                failing = true;
-                tokio::time::sleep(PAUSE).await;
-            }
+        while let Some(seen) = unchanged(&host, revision).await {
+            revision = seen;
+        }
+    }
+}
+
+/// Waits for a change. The revision to go on from when there was none; `None` when the configuration is to be read.
+async fn unchanged(host: &Host, revision: u64) -> Option<u64> {
+    match host.edges.directory.config_changed(revision, WATCH).await {
+        Ok(Change::Nothing(seen)) => Some(seen),
+        Ok(Change::Some) => None,
+        Err(_) => {
+            tokio::time::sleep(PAUSE).await;
+            None
         }
     }
 }
--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -145,6 +145,15 @@
         self.role.borrow().clone()
     }
 
+    /// The leader that this host knows.
+    pub(crate) fn leader(&self) -> Option<Leader> {
+        match self.role() {
+            Role::Nobody => None,
+            Role::Leading(reign) => Some(reign.seat.lock().leader.clone()),
+            Role::Following(leader, _) => Some(leader),
+        }
+    }
+
     pub(crate) fn set_role(&self, role: Role) {
         match &role {
             Role::Nobody => emit!(self.log, events::LEADER_LOST),
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpListener;
 
 pub use edge::{
-    Adviser, Commit, Directory, Fault, Held, Item, LeaseId, Put, Read, Refusal, Renewal, Reply, Store, Target,
+    Adviser, Change, Commit, Directory, Fault, Held, Item, LeaseId, Put, Read, Refusal, Renewal, Reply, Store, Target,
     Transaction, Workers,
 };
 pub use host::{Edges, Host, Link, Role, Settings};
--- a/components/entry/src/message.rs
+++ b/components/entry/src/message.rs
@@ -28,8 +28,12 @@
         /// Whom it takes for the leader.
         leader: Leader,
     },
-    /// A follower asks whether the leader still is there.
+    /// A follower asks whether the leader still is there, and leads.
     Ping,
+    /// The leader asks whether the store answers this host.
+    Probe,
+    /// The leader asks this host to replace it; the revision is that of the leader's record.
+    TakeOver(u64),
     /// A follower sees no leader in the store.
     Missing,
     /// A newer leader is known.
@@ -78,6 +82,8 @@
 pub enum Answer {
     /// Taken note of.
     Done,
+    /// The leader that the host knows, if any.
+    Leader(Option<Leader>),
     /// This host doesn't lead, or isn't certain to; nothing was done.
     NotLeader,
     /// The job is accepted and kept.
--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -56,19 +56,30 @@
 pub(crate) async fn handle(host: Arc<Host>, link: Arc<Link>, call: Call) -> Answer {
     match call {
         Call::Hello { host: name, leader } => hello(&host, name, &leader, link),
-        Call::Ping => Answer::Done,
+        Call::Ping => Answer::Leader(host.leader()),
+        Call::Probe => match host.edges.store.get(election::LEADER_KEY).await {
+            Ok(_) => Answer::Done,
+            Err(_) => Answer::NotLeader,
+        },
+        Call::TakeOver(record) => {
+            emit!(host.log, events::TAKE_OVER_ASKED, "record" => record);
+            tokio::spawn(election::take_over(host.clone(), record));
+            Answer::Done
+        }
         Call::Config(config) => {
             host.take_config(config, "host");
             Answer::Done
         }
         Call::Newer(leader) => {
-            if let Role::Leading(reign) = host.role()
-                && leader.term > reign.term
-            {
+            let known = host.leader().map_or(0, |known| known.term);
+            if leader.term <= known {
+                return Answer::Done;
+            }
+            if let Role::Leading(reign) = host.role() {
                 reign.depose("a follower knows a newer leader");
                 host.set_role(Role::Nobody);
-                tokio::spawn(election::redirect(host.clone(), leader));
             }
+            tokio::spawn(election::redirect(host.clone(), leader));
             Answer::Done
         }
         Call::Missing => match host.role() {
--- a/components/entry/src/reign.rs
+++ b/components/entry/src/reign.rs
@@ -5,6 +5,7 @@
 mod commit;
 mod duties;
 mod orders;
+mod yielding;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -46,6 +47,8 @@
     pub revision: u64,
     pub lease: LeaseId,
     pub leader: Leader,
+    /// Revision of the leader's record.
+    pub record: u64,
     /// Steady time at which the claim was sent.
     pub confirmed: Duration,
 }
@@ -135,6 +138,7 @@
             tokio::spawn(duties::list(self.clone())).abort_handle(),
             tokio::spawn(duties::lease(self.clone())).abort_handle(),
             tokio::spawn(duties::config(self.clone())).abort_handle(),
+            tokio::spawn(yielding::run(self.clone())).abort_handle(),
             tokio::spawn(ask::run(self.clone())).abort_handle(),
         ];
         *self.loops.lock() = handles;
@@ -145,7 +149,7 @@
         self.confirmed.fetch_max(at.as_millis() as u64, Ordering::Relaxed);
     }
 
-    fn unconfirmed_for(&self) -> Duration {
+    pub(crate) fn unconfirmed_for(&self) -> Duration {
         let confirmed = Duration::from_millis(self.confirmed.load(Ordering::Relaxed));
         self.host.started.elapsed().saturating_sub(confirmed)
     }
--- a/components/entry/src/reign/commit.rs
+++ b/components/entry/src/reign/commit.rs
@@ -73,6 +73,9 @@
         let mut seat = reign.seat.lock();
         seat.chain = next;
         seat.revision = revision;
+        if restore {
+            seat.record = revision;
+        }
     }
     {
         let mut parts = reign.parts.lock();
--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -66,6 +66,10 @@
     LEASE_LOST = 318, Warning, "lease of the leader's record is gone; it is written anew";
     /// What became of a transaction is not known yet.
     WRITE_UNSETTLED = 319, Warning, "part of the log not written yet; the transaction is repeated";
+    /// The leader gives up in a follower's favour.
+    YIELDED = 320, Warning, "the store answers a follower and not this host; it is asked to lead";
+    /// The leader asks this host to replace it.
+    TAKE_OVER_ASKED = 321, Info, "the leader asks this host to replace it";
     /// A worker is held.
     WORKER_HELD = 401, Info, "worker held";
     /// Another host holds the worker.
