Record each start before it is sent

The log now names the worker of each start before the start is sent, so that only tasks that may run on an unreachable worker wait. Weighed: recording after the start (the last moments of a leader would stay unknown), a declared outage mode (the store is away when it begins). Price: a start waits for one more write, some 15 ms; no new step begins while the store is away.

--- a/components/entry/src/reign/commit.rs
+++ b/components/entry/src/reign/commit.rs
@@ -17,8 +17,8 @@
 
 /// Shortest time between two transactions: each has a price, and a group costs no more than one record.
 const PACE: Duration = Duration::from_millis(12);
-/// Most records of one transaction: keeps a part far below the store's largest value.
-const MOST_RECORDS: usize = 150;
+/// Most bytes of one part, about: far below the store's largest value of 1 MiB.
+const MOST_BYTES: usize = 256 * 1024;
 /// Most old parts removed by one transaction: the store takes 32 entries.
 const MOST_REMOVED: usize = 24;
 /// Pause before a transaction is repeated.
@@ -32,7 +32,7 @@
             reign.write.notified().await;
         }
         clean(&reign);
-        let (records, upto) = reign.engine.lock().take_records(MOST_RECORDS);
+        let (records, upto) = reign.engine.lock().take_records(MOST_BYTES);
         let restore = reign.restore.swap(false, Ordering::AcqRel);
         if records.is_empty() && !restore {
             continue;
@@ -84,7 +84,7 @@
             parts.push(part(next.next - 1, reign.host.started.elapsed(), &records));
         }
     }
-    reign.engine.lock().written(upto);
+    reign.engine.lock().written(reign.host.clock(), upto);
     reign.durable.send_replace(upto);
     reign.plan.notify_one();
     records.iter().for_each(|record| log_record(reign, record, revision));
@@ -204,7 +204,7 @@
             "outcome" => format!("{outcome:?}"), "revision" => revision, "term" => reign.term),
         Record::Worker { id, address } => emit!(log, events::WORKER_RECORDED, "worker" => id, "address" => address),
         Record::Gone { id } => emit!(log, events::WORKER_GONE, "worker" => id),
-        // The ends themselves are logged when workers report them.
-        Record::Done { .. } | Record::Failed { .. } => {}
+        // Starts are logged when they are sent, ends when workers report them.
+        Record::Placed { .. } | Record::Done { .. } | Record::Failed { .. } => {}
     }
 }
--- a/components/sched/src/ends.rs
+++ b/components/sched/src/ends.rs
@@ -195,18 +195,15 @@
     }
 
     /// Stops what is left of gangs that lost a member.
-    pub(crate) fn stop_broken_gangs(&mut self) {
+    pub(crate) fn stop_broken_gangs(&mut self, clock: Clock) {
         let mut broken: Vec<(WorkerId, Task, Attempt)> = Vec::new();
         for id in &self.live {
             let Some(entry) = self.jobs.get(id) else { continue };
-            if entry.inherited && !self.settled {
-                continue;
-            }
             for ((round, step), unit) in &entry.units {
                 if unit.pending == 0 || unit.pending + unit.done == unit.tasks.len() {
                     continue;
                 }
-                if !entry.step(*step).is_some_and(|step| step.gang) {
+                if !entry.step(*step).is_some_and(|step| step.gang) || !self.resolved(clock, unit) {
                     continue;
                 }
                 let name = work::Unit { job: *id, round: *round, step: *step };
--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -65,6 +65,8 @@
     pub(crate) settled: bool,
     pub(crate) shares: Shares,
     pub(crate) actions: Vec<Action>,
+    /// Starts whose records aren't durable yet, by position.
+    pub(crate) decided: VecDeque<(u64, WorkerId, Start)>,
     records: VecDeque<(u64, Record)>,
     position: u64,
     pub(crate) durable: u64,
@@ -85,6 +87,7 @@
             settled: false,
             shares: Shares::default(),
             actions: Vec::new(),
+            decided: VecDeque::new(),
             records: VecDeque::new(),
             position: 0,
             durable: 0,
@@ -159,13 +162,13 @@
         let record = Record::Accepted { id, queue: queue.clone(), at: clock.wall, job: job.clone() };
         let position = self.record(record);
         let accepted = Accepted { now: clock.now, wall: clock.wall, position };
-        self.insert(id, queue, Arc::new(job), accepted, false);
+        self.insert(id, queue, Arc::new(job), accepted);
         position
     }
 
-    pub(crate) fn insert(&mut self, id: JobId, queue: String, job: Arc<Job>, accepted: Accepted, inherited: bool) {
+    pub(crate) fn insert(&mut self, id: JobId, queue: String, job: Arc<Job>, accepted: Accepted) {
         let units = BTreeMap::new();
-        let entry = Entry { queue, job, accepted, inherited, begun: false, outcome: None, units, opened: 0 };
+        let entry = Entry { queue, job, accepted, begun: false, outcome: None, units, opened: 0 };
         self.jobs.insert(id, entry);
         self.live.insert(id);
     }
@@ -217,19 +220,26 @@
         !self.records.is_empty()
     }
 
-    /// Takes at most `most` records for the log, with the position that is durable once they are written.
+    /// Takes records of at most about `most` bytes for the log, with the position that is durable once they are
+    /// written. At least one, if there is one.
     pub fn take_records(&mut self, most: usize) -> (Vec<Record>, u64) {
-        let count = most.min(self.records.len());
+        let mut weight = 0;
+        let fits = |(_, record): &&(u64, Record)| {
+            weight += record.weight();
+            weight <= most
+        };
+        let count = self.records.iter().take_while(fits).count().max(1).min(self.records.len());
         let taken: Vec<Record> = self.records.drain(..count).map(|(_, record)| record).collect();
         let upto = self.records.front().map_or(self.position, |(position, _)| position - 1);
         (taken, upto)
     }
 
-    /// Everything up to `position` is written.
-    pub fn written(&mut self, position: u64) {
+    /// Everything up to `position` is written at this time.
+    pub fn written(&mut self, clock: Clock, position: u64) {
         self.durable = self.durable.max(position);
         let durable = self.durable;
         self.workers.values_mut().for_each(|worker| worker.acknowledge(durable));
+        self.send_decided(clock);
     }
 
     /// Takes the orders and questions that have come up.
--- a/components/sched/src/entry.rs
+++ b/components/sched/src/entry.rs
@@ -29,6 +29,8 @@
     pub starts: u64,
     /// Last checkpoint; empty for none.
     pub saved: String,
+    /// Worker on which an earlier leader placed it last: it may run there until the opposite is known.
+    pub inherited: Option<WorkerId>,
 }
 
 /// All tasks of a step in one round.
@@ -52,7 +54,8 @@
 impl UnitState {
     pub(crate) fn new(step: &Step) -> UnitState {
         let count = step.count as usize;
-        let task = TaskState { phase: Phase::Pending, failed: Vec::new(), starts: 0, saved: String::new() };
+        let task =
+            TaskState { phase: Phase::Pending, failed: Vec::new(), starts: 0, saved: String::new(), inherited: None };
         UnitState {
             tasks: vec![task; count],
             pending: count,
@@ -72,6 +75,7 @@
     /// Moves a task to another phase, keeping the counts.
     pub(crate) fn set(&mut self, index: usize, phase: Phase) {
         let Some(task) = self.tasks.get_mut(index) else { return };
+        task.inherited = None;
         let was = std::mem::replace(&mut task.phase, phase);
         match was {
             Phase::Pending => self.pending -= 1,
@@ -93,8 +97,6 @@
     pub job: Arc<Job>,
     /// When it was accepted, on this process's steady clock; earlier leaders' jobs may lie before its start.
     pub accepted: Accepted,
-    /// Whether an earlier leader accepted it, so that its tasks may run where nobody has looked yet.
-    pub inherited: bool,
     /// Whether a task of it has begun.
     pub begun: bool,
     pub outcome: Option<Ended>,
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use model::Resources;
-use work::{Queue, Step, Task, Unit, WorkerId};
+use work::{Queue, Record, Step, Task, Unit, WorkerId};
 
 use crate::advice::Question;
 use crate::ends::taken_room;
@@ -64,7 +64,7 @@
     pub fn plan(&mut self, clock: Clock) {
         self.settle(clock);
         self.open_units(clock);
-        self.stop_broken_gangs();
+        self.stop_broken_gangs(clock);
         let mut room = self.room(clock);
         for candidate in self.candidates(clock) {
             self.serve(clock, candidate.unit, &mut room);
@@ -121,7 +121,7 @@
         let Some(step) = entry.step(unit.step).cloned() else { return };
         let Some(queue) = self.config.queue(&entry.queue).cloned() else { return };
         let Some(state) = entry.units.get(&(unit.round, unit.step)) else { return };
-        if entry.inherited && !self.settled {
+        if !self.resolved(clock, state) {
             return;
         }
         if step.gang && state.pending != state.tasks.len() {
@@ -178,10 +178,47 @@
             if let Some(state) = self.unit_mut(unit) {
                 state.set(index, Phase::Held(worker.clone(), order.attempt));
             }
-            self.actions.push(Action::Start(worker, order));
+            let record = Record::Placed { task, attempt: order.attempt, worker: worker.clone() };
+            let position = self.record(record);
+            self.decided.push_back((position, worker, order));
         }
     }
 
+    /// Whether no waiting task of a unit may still run where an earlier leader has placed it.
+    pub(crate) fn resolved(&self, clock: Clock, state: &UnitState) -> bool {
+        if self.settled {
+            return true;
+        }
+        let _ = clock;
+        let open =
+            |worker: &WorkerId| self.workers.get(worker).is_some_and(|worker| worker.contact == Contact::Unknown);
+        !state.tasks.iter().any(|task| task.inherited.as_ref().is_some_and(open))
+    }
+
+    /// Sends the starts whose records are durable, unless they have become pointless meanwhile.
+    pub(crate) fn send_decided(&mut self, clock: Clock) {
+        while let Some((position, worker, start)) = self.decided.pop_front() {
+            if position > self.durable {
+                self.decided.push_front((position, worker, start));
+                return;
+            }
+            if self.still_wanted(clock, &worker, &start) {
+                self.actions.push(Action::Start(worker, start));
+            } else {
+                self.release(clock, &worker, start.task, start.attempt);
+            }
+        }
+    }
+
+    fn still_wanted(&self, clock: Clock, worker: &str, start: &Start) -> bool {
+        let unit = start.task.unit;
+        let run = self.workers.get(worker).and_then(|worker| worker.runs.get(&(start.task, start.attempt)));
+        let starting = run.is_some_and(|run| run.phase == worker::Phase::Starting);
+        let allowed =
+            start.ticket.is_none() || self.unit(unit).is_some_and(|state| state.known.allows(worker, clock.now));
+        starting && allowed && self.live.contains(&unit.job)
+    }
+
     fn order(&mut self, task: Task, step: &Step, gang_attempt: Option<u64>, worker: &str) -> Option<Start> {
         let job = self.jobs.get(&task.unit.job)?.job.clone();
         let term_attempt = self.unit(task.unit)?.tasks.get(task.index as usize).map(|state| state.starts)?;
--- a/components/sched/src/restore.rs
+++ b/components/sched/src/restore.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use work::{JobId, Outcome, Record, Task, Unit};
+use work::{JobId, Outcome, Record, Task, Unit, WorkerId};
 
 use crate::engine::{Clock, Engine};
 use crate::entry::{Accepted, Ended, Entry, Phase, UnitState};
@@ -21,6 +21,7 @@
     pub fn replay(&mut self, clock: Clock, record: Record) {
         match record {
             Record::Accepted { id, queue, at, job } => self.replay_job(clock, id, queue, at, job),
+            Record::Placed { task, worker, .. } => self.replay_placed(task, worker),
             Record::Done { task } => self.replay_done(task),
             Record::Failed { task, attempt } => self.replay_failed(task, attempt),
             Record::Ended { id, outcome } => self.replay_end(clock, id, outcome),
@@ -48,7 +49,7 @@
         // Ages count from acceptance; the steady clock of this process may be younger than the job.
         let age = clock.wall.saturating_sub(at);
         let accepted = Accepted { now: clock.now.saturating_sub(age), wall: at, position: 0 };
-        self.insert(id, queue, Arc::new(job), accepted, true);
+        self.insert(id, queue, Arc::new(job), accepted);
         if let Some(entry) = self.jobs.get_mut(&id)
             && entry.job.schedule.is_none()
         {
@@ -66,6 +67,15 @@
         entry.units.get_mut(&(unit.round, unit.step))
     }
 
+    fn replay_placed(&mut self, task: Task, worker: WorkerId) {
+        let Some(unit) = self.replay_unit(task.unit) else { return };
+        if let Some(state) = unit.tasks.get_mut(task.index as usize)
+            && state.phase == Phase::Pending
+        {
+            state.inherited = Some(worker);
+        }
+    }
+
     fn replay_done(&mut self, task: Task) {
         let gang = self.step(task).is_some_and(|step| step.gang);
         let Some(unit) = self.replay_unit(task.unit) else { return };
@@ -131,6 +141,12 @@
         if task.phase == Phase::Done {
             records.push(Record::Done { task: task_name });
         }
+        if let Phase::Held(worker, attempt) = &task.phase {
+            records.push(Record::Placed { task: task_name, attempt: *attempt, worker: worker.clone() });
+        }
+        if let Some(worker) = &task.inherited {
+            records.push(Record::Placed { task: task_name, attempt: 0, worker: worker.clone() });
+        }
         records.extend(task.failed.iter().map(|attempt| Record::Failed { task: task_name, attempt: *attempt }));
     }
     let gang = Task { unit: name, index: 0 };
--- a/components/work/src/record.rs
+++ b/components/work/src/record.rs
@@ -28,6 +28,19 @@
     Cancelled,
 }
 
+/// Weight of a small record, in bytes.
+const SMALL: usize = 40;
+
+impl Record {
+    /// Roughly its size in the log, in bytes.
+    pub fn weight(&self) -> usize {
+        match self {
+            Record::Accepted { job, .. } => job.specification.len() + (1 + job.steps.len()) * SMALL,
+            _ => SMALL,
+        }
+    }
+}
+
 /// One change of what must last. Replaying a record twice changes nothing more.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Record {
@@ -42,6 +55,15 @@
         /// The job.
         job: Job,
     },
+    /// A start was decided; it is sent once this is kept, so that the next leader knows where to look.
+    Placed {
+        /// The task.
+        task: Task,
+        /// The run.
+        attempt: Attempt,
+        /// The worker.
+        worker: WorkerId,
+    },
     /// A task is done.
     Done {
         /// The task.
