Model the scheduler under trouble; reckon with an earlier leader's lease

A simulated cell (workers with fences and leases, a log, leaders that replace each other while the old one goes on, lost and late orders) holds the promises in 24 random histories of 30 s of trouble and 60 s of calm. It found at once: after a takeover the first contact with a worker counted as no lease at all, so that a worker cut off right after it was taken for empty and its tasks were started again elsewhere.

--- a/components/entry/src/reign/agent.rs
+++ b/components/entry/src/reign/agent.rs
@@ -74,7 +74,8 @@
                     emit!(reign.host.log, events::WORKER_BACK, "worker" => &target.id, "lapsed" => lapsed);
                 }
                 lapsed = false;
-                lease.lock().read(held.clock, reign.host.started.elapsed());
+                let max_lease = reign.host.settings.limits.max_lease;
+                lease.lock().read(held.clock, reign.host.started.elapsed(), max_lease);
                 report(&reign, &target, mark, held).await;
             }
             Ok(Reply::Fenced) => {
--- a/components/sched/src/lease.rs
+++ b/components/sched/src/lease.rs
@@ -28,8 +28,11 @@
         self.until = self.until.max(end);
     }
 
-    /// Takes note of the worker's clock.
-    pub fn read(&mut self, clock: Duration, now: Duration) {
+    /// Takes note of the worker's clock. At the first contact an earlier leader may just have given a full lease.
+    pub fn read(&mut self, clock: Duration, now: Duration, max_lease: Duration) {
+        if self.reading.is_none() {
+            self.gave(clock + max_lease);
+        }
         if self.reading.is_none_or(|(latest, _)| clock >= latest) {
             self.reading = Some((clock, now));
         }
--- /dev/null
+++ b/components/sched/tests/model.rs
@@ -0,0 +1,32 @@
+//! Random trouble of every kind, in any order: lost and late orders, workers that are cut off or begin a new life, a
+//! store that is away, leaders that replace each other while the old one goes on. At every moment no worker is
+//! overcommitted, no task runs twice, nothing starts before its time or after its job's end; and once it is calm,
+//! everything that was accepted ends.
+
+mod world;
+
+use proptest::prelude::*;
+use world::World;
+
+/// Steps of 20 ms with trouble.
+const TROUBLE: usize = 1500;
+/// Steps of 20 ms without, after which everything has ended: leases, a leader's authority, and the work itself.
+const CALM: usize = 3000;
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: cases(), ..ProptestConfig::default() })]
+
+    #[test]
+    fn promises_hold_through_any_trouble(seed: u64) {
+        let mut world = World::new(seed);
+        (0..TROUBLE).for_each(|_| world.step(true));
+        (0..CALM).for_each(|_| world.step(false));
+        prop_assert!(world.unfinished().is_empty(), "never ended: {:?}", world.unfinished());
+        prop_assert!(world.falsely_completed().is_empty(), "not done: {:?}", world.falsely_completed());
+    }
+}
+
+/// A fixed set in CI; many more by hand with `PROPTEST_CASES`.
+fn cases() -> u32 {
+    std::env::var("PROPTEST_CASES").ok().and_then(|cases| cases.parse().ok()).unwrap_or(24)
+}
--- /dev/null
+++ b/components/sched/tests/world/leader.rs
@@ -0,0 +1,54 @@
+//! A simulated leader: an engine with its view of the workers' leases.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sched::{Action, Clock, Engine, Lease, Limits};
+use work::{Attempt, Config, Record, Task, Term, WorkerId};
+
+pub struct Leader {
+    pub engine: Engine,
+    pub term: Term,
+    pub leases: BTreeMap<WorkerId, Lease>,
+    pub stops: Vec<(WorkerId, Task, Attempt)>,
+    /// When it last knew that it leads.
+    pub confirmed: Duration,
+    pub next_hold: BTreeMap<WorkerId, Duration>,
+}
+
+impl Leader {
+    pub fn new(clock: Clock, term: Term, config: Arc<Config>, log: &[Record]) -> Leader {
+        let mut engine = Engine::new(Limits::example(), term, config, clock.now);
+        log.iter().cloned().for_each(|record| engine.replay(clock, record));
+        engine.replayed(clock);
+        Leader {
+            engine,
+            term,
+            leases: BTreeMap::new(),
+            stops: Vec::new(),
+            confirmed: clock.now,
+            next_hold: BTreeMap::new(),
+        }
+    }
+
+    pub fn authorized(&self, now: Duration) -> bool {
+        now - self.confirmed < sched::AUTHORITY
+    }
+
+    /// Takes what the engine wants done: starts and questions are returned, stops are kept until they are answered.
+    pub fn actions(&mut self) -> Vec<Action> {
+        let mut open = Vec::new();
+        for action in self.engine.take_actions() {
+            match action {
+                Action::Stop(worker, task, attempt) => self.stops.push((worker, task, attempt)),
+                Action::Forget(worker) => {
+                    self.leases.remove(&worker);
+                    self.stops.retain(|(other, _, _)| *other != worker);
+                }
+                action => open.push(action),
+            }
+        }
+        open
+    }
+}
--- /dev/null
+++ b/components/sched/tests/world/mod.rs
@@ -0,0 +1,413 @@
+//! A simulated cell: workers, a log, leaders that replace each other, and a network that loses and delays.
+
+mod leader;
+mod worker;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use model::Resources;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use sched::{Action, Clock, How, OrderOutcome, Report, Start, Ticket};
+use work::{Advice, Attempt, Config, Job, JobId, Outcome, Queue, Record, State, Step, Task, Term, WorkerId};
+
+use leader::Leader;
+use worker::{Reply, Run, Worker};
+
+const STEP: Duration = Duration::from_millis(20);
+const MAX_LEASE: Duration = Duration::from_secs(6);
+const MAX_ATTEMPTS: u32 = 3;
+
+/// A start that arrives later than its sender believes.
+struct Late {
+    at: Duration,
+    worker: WorkerId,
+    term: Term,
+    until: Duration,
+    start: Start,
+}
+
+pub struct World {
+    rng: StdRng,
+    pub now: Duration,
+    config: Arc<Config>,
+    workers: BTreeMap<WorkerId, Worker>,
+    log: Vec<Record>,
+    leader: Leader,
+    /// A leader that was replaced and doesn't know it yet.
+    old: Option<Leader>,
+    late: Vec<Late>,
+    store_up: bool,
+    jobs: BTreeMap<JobId, Job>,
+    accepted: BTreeSet<JobId>,
+    cancelled: BTreeSet<JobId>,
+    done: BTreeSet<Task>,
+    acked_done: BTreeSet<Task>,
+    lives: u32,
+}
+
+impl World {
+    pub fn new(seed: u64) -> World {
+        let config = Arc::new(config());
+        let clock = Clock::default();
+        let leader = Leader::new(clock, 1, config.clone(), &[]);
+        let mut world = World {
+            rng: StdRng::seed_from_u64(seed),
+            now: Duration::ZERO,
+            config,
+            workers: BTreeMap::new(),
+            log: Vec::new(),
+            leader,
+            old: None,
+            late: Vec::new(),
+            store_up: true,
+            jobs: BTreeMap::new(),
+            accepted: BTreeSet::new(),
+            cancelled: BTreeSet::new(),
+            done: BTreeSet::new(),
+            acked_done: BTreeSet::new(),
+            lives: 0,
+        };
+        for place in 0..4 {
+            world.boot(place);
+        }
+        world
+    }
+
+    fn clock(&self) -> Clock {
+        Clock { now: self.now, wall: self.now }
+    }
+
+    /// A new life of the machine at `place`.
+    fn boot(&mut self, place: usize) {
+        self.lives += 1;
+        let address = format!("10.0.0.{place}:80");
+        self.workers.retain(|_, worker| worker.info.address != address);
+        let capacity = Resources { cpu_milli: 8000, memory_mib: 8000, accelerators: 0 };
+        self.workers.insert(format!("life-{}", self.lives), Worker::new(address, capacity));
+    }
+
+    /// One step of time, with trouble if there is to be any.
+    pub fn step(&mut self, trouble: bool) {
+        self.now += STEP;
+        if trouble {
+            self.trouble();
+        } else {
+            self.calm();
+        }
+        self.deliver_late();
+        self.tick_workers();
+        let leader = std::mem::replace(&mut self.leader, Leader::new(Clock::default(), 0, self.config.clone(), &[]));
+        self.leader = self.run(leader, true, trouble).expect("the newest leader stays");
+        if let Some(old) = self.old.take() {
+            self.old = self.run(old, false, trouble);
+        }
+        self.check();
+    }
+
+    fn trouble(&mut self) {
+        if self.rng.random_bool(0.05) {
+            self.submit();
+        }
+        if self.rng.random_bool(0.004) {
+            self.cancel();
+        }
+        if self.rng.random_bool(0.004) {
+            self.store_up = !self.store_up;
+        }
+        if self.rng.random_bool(0.003) && self.store_up {
+            self.take_over();
+        }
+        if self.rng.random_bool(0.004) {
+            let ids: Vec<WorkerId> = self.workers.keys().cloned().collect();
+            let id = &ids[self.rng.random_range(0..ids.len())];
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.reachable = !worker.reachable;
+            }
+        }
+        if self.rng.random_bool(0.002) {
+            let place = self.rng.random_range(0..4);
+            self.boot(place);
+        }
+    }
+
+    fn calm(&mut self) {
+        self.store_up = true;
+        self.workers.values_mut().for_each(|worker| worker.reachable = true);
+    }
+
+    fn submit(&mut self) {
+        let id = self.rng.random();
+        let steps = (0..self.rng.random_range(1..3u16)).map(|number| self.any_step(number)).collect();
+        let job = Job { specification: String::new(), steps, schedule: None };
+        job.check().expect("a valid job");
+        let queue = if self.rng.random_bool(0.5) { "open" } else { "advised" };
+        self.leader.engine.accept(self.clock(), id, queue.to_owned(), job.clone());
+        self.jobs.insert(id, job);
+    }
+
+    fn any_step(&mut self, number: u16) -> Step {
+        Step {
+            count: self.rng.random_range(1..4),
+            need: Resources { cpu_milli: self.rng.random_range(500..4000), memory_mib: 100, accelerators: 0 },
+            estimate: Duration::from_millis(500),
+            after: (0..number).collect(),
+            gang: self.rng.random_bool(0.4),
+            ..Step::default()
+        }
+    }
+
+    fn cancel(&mut self) {
+        let open: Vec<JobId> = self.accepted.difference(&self.cancelled).copied().collect();
+        if open.is_empty() {
+            return;
+        }
+        let id = open[self.rng.random_range(0..open.len())];
+        let clock = self.clock();
+        self.leader.engine.cancel(clock, id);
+    }
+
+    /// Another host leads from now on; the old leader learns of it later.
+    fn take_over(&mut self) {
+        let clock = self.clock();
+        let next = Leader::new(clock, self.leader.term + 1, self.config.clone(), &self.log);
+        self.old = Some(std::mem::replace(&mut self.leader, next));
+    }
+
+    fn run(&mut self, mut leader: Leader, current: bool, trouble: bool) -> Option<Leader> {
+        let clock = self.clock();
+        if current && self.store_up {
+            leader.confirmed = self.now;
+            self.commit(&mut leader);
+            let listed = self.workers.iter().map(|(id, worker)| (id.clone(), worker.info.clone())).collect();
+            leader.engine.list(clock, listed);
+        }
+        if !leader.authorized(self.now) {
+            return current.then_some(leader);
+        }
+        if !self.hold_all(&mut leader) || !self.stop_all(&mut leader, trouble) {
+            return current.then_some(leader);
+        }
+        leader.engine.plan(clock);
+        for action in leader.actions() {
+            match action {
+                Action::Start(worker, start) => self.order(&mut leader, worker, start, trouble),
+                Action::Ask(question) => {
+                    let until = self.now + question.validity;
+                    let good = question.workers.iter().filter(|id| !id.ends_with('3'));
+                    let tickets = good.map(|id| (id.clone(), Ticket { text: String::new(), until })).collect();
+                    leader.engine.advised(question.unit, &question.workers, tickets);
+                }
+                Action::Stop(..) | Action::Forget(_) => unreachable!("kept by the leader"),
+            }
+        }
+        Some(leader)
+    }
+
+    fn commit(&mut self, leader: &mut Leader) {
+        let (records, upto) = leader.engine.take_records(100_000);
+        for record in &records {
+            match record {
+                Record::Accepted { id, .. } => {
+                    self.accepted.insert(*id);
+                }
+                Record::Ended { id, outcome: Outcome::Cancelled } => {
+                    self.cancelled.insert(*id);
+                }
+                Record::Done { task } => {
+                    self.acked_done.insert(*task);
+                }
+                _ => {}
+            }
+        }
+        self.log.extend(records);
+        leader.engine.written(self.clock(), upto);
+    }
+
+    /// Renews all leases. Whether no worker knows a newer leader.
+    fn hold_all(&mut self, leader: &mut Leader) -> bool {
+        let clock = self.clock();
+        for (id, _) in leader.engine.addresses() {
+            if leader.next_hold.get(&id).is_some_and(|next| *next > self.now) {
+                continue;
+            }
+            let pause = self.rng.random_range(60..400);
+            leader.next_hold.insert(id.clone(), self.now + Duration::from_millis(pause));
+            let lease = leader.leases.entry(id.clone()).or_default();
+            let until = lease.end(self.now, MAX_LEASE);
+            let (mark, acked) = (leader.engine.mark(), leader.engine.acked(&id));
+            let reached = self.workers.get_mut(&id).filter(|worker| worker.reachable);
+            let Some(worker) = reached else {
+                if lease.lapsed(self.now) {
+                    leader.engine.lapsed(clock, &id);
+                }
+                continue;
+            };
+            if let Some(until) = until {
+                lease.gave(until);
+            }
+            match worker.hold(leader.term, until, acked) {
+                Ok((running, ended)) => {
+                    lease.read(self.now, self.now, MAX_LEASE);
+                    leader.engine.report(clock, &id, Report { mark, running, ended });
+                }
+                Err(_) => return false,
+            }
+        }
+        true
+    }
+
+    fn stop_all(&mut self, leader: &mut Leader, trouble: bool) -> bool {
+        for (id, task, attempt) in std::mem::take(&mut leader.stops) {
+            let reached = self.workers.get_mut(&id).filter(|worker| worker.reachable);
+            let lost = trouble && self.rng.random_bool(0.2);
+            match reached.map(|worker| worker.stop(leader.term, task, attempt)) {
+                Some(Reply::Fenced) => return false,
+                Some(_) if !lost => leader.engine.stopped(&id, task, attempt),
+                _ => leader.stops.push((id, task, attempt)),
+            }
+        }
+        true
+    }
+
+    fn order(&mut self, leader: &mut Leader, id: WorkerId, start: Start, trouble: bool) {
+        let clock = self.clock();
+        let until = leader.leases.get(&id).and_then(|lease| lease.end(self.now, MAX_LEASE));
+        let (task, attempt) = (start.task, start.attempt);
+        let reachable = self.workers.get(&id).is_some_and(|worker| worker.reachable);
+        let (Some(until), true) = (until, reachable) else {
+            leader.engine.ordered(clock, &id, task, attempt, OrderOutcome::Refused);
+            return;
+        };
+        if let Some(lease) = leader.leases.get_mut(&id) {
+            lease.gave(until);
+        }
+        if trouble && self.rng.random_bool(0.1) {
+            let delay = Duration::from_millis(self.rng.random_range(0..12_000));
+            self.late.push(Late { at: self.now + delay, worker: id.clone(), term: leader.term, until, start });
+            leader.engine.ordered(clock, &id, task, attempt, OrderOutcome::Unknown);
+            return;
+        }
+        let outcome = match self.arrive(&id, leader.term, until, &start) {
+            Reply::Done if trouble && self.rng.random_bool(0.05) => OrderOutcome::Unknown,
+            Reply::Done => OrderOutcome::Started,
+            Reply::Fenced | Reply::Refused => OrderOutcome::Refused,
+        };
+        leader.engine.ordered(clock, &id, task, attempt, outcome);
+    }
+
+    /// A start reaches its worker.
+    fn arrive(&mut self, id: &str, term: Term, until: Duration, start: &Start) -> Reply {
+        let job = self.jobs.get(&start.task.unit.job).expect("only jobs that were submitted").clone();
+        let step = &job.steps[usize::from(start.task.unit.step)];
+        let ends = self.now + Duration::from_millis(self.rng.random_range(100..3000));
+        let how = if self.rng.random_bool(0.1) { How::Failed } else { How::Done };
+        let run = Run { need: step.need, ends, how };
+        let key = (start.task, start.attempt);
+        let Some(worker) = self.workers.get_mut(id) else { return Reply::Refused };
+        let known = worker.runs.contains_key(&key);
+        let reply = worker.start(self.now, term, until, key, run);
+        if reply == Reply::Done && !known {
+            self.check_start(start, &job);
+        }
+        reply
+    }
+
+    fn deliver_late(&mut self) {
+        let (due, later) = std::mem::take(&mut self.late).into_iter().partition(|late| late.at <= self.now);
+        self.late = later;
+        let due: Vec<Late> = due;
+        for late in due {
+            if self.workers.contains_key(&late.worker) {
+                self.arrive(&late.worker, late.term, late.until, &late.start);
+            }
+        }
+    }
+
+    fn tick_workers(&mut self) {
+        let now = self.now;
+        let ended: Vec<(Task, Attempt, How)> = self.workers.values_mut().flat_map(|worker| worker.tick(now)).collect();
+        for (task, _, how) in ended {
+            if how == How::Done {
+                self.done.insert(task);
+            }
+        }
+    }
+
+    fn check_start(&self, start: &Start, job: &Job) {
+        let task = start.task;
+        assert!(self.accepted.contains(&task.unit.job), "{task} was started before its job was kept");
+        assert!(!self.cancelled.contains(&task.unit.job), "{task} was started after its job was cancelled");
+        assert!(!self.acked_done.contains(&task), "{task} was started after it was known as done");
+        for on in &job.steps[usize::from(task.unit.step)].after {
+            let before = |index| Task { unit: work::Unit { step: *on, ..task.unit }, index };
+            let step = &job.steps[usize::from(*on)];
+            let done = |index| self.done.contains(&before(index));
+            let complete = if step.gang { (0..step.count).any(done) } else { (0..step.count).all(done) };
+            assert!(complete, "{task} was started before step {on} was done");
+        }
+        let failed =
+            self.log.iter().filter(|record| matches!(record, Record::Failed { task: other, .. } if *other == task));
+        assert!(failed.count() < MAX_ATTEMPTS as usize, "{task} was started beyond its attempts");
+    }
+
+    /// No worker is overcommitted, and no task runs twice.
+    fn check(&self) {
+        let mut running: BTreeMap<Task, &str> = BTreeMap::new();
+        for (id, worker) in &self.workers {
+            assert!(worker.load().fits_in(&worker.info.capacity), "{id} is overcommitted: {:?}", worker.load());
+            for (task, _) in worker.runs.keys() {
+                if let Some(other) = running.insert(*task, id) {
+                    panic!("{task} runs on {other} and on {id} at {:?}", self.now);
+                }
+            }
+        }
+    }
+
+    /// Jobs that were accepted and haven't ended.
+    pub fn unfinished(&self) -> Vec<String> {
+        let ended = |id: &&JobId| matches!(self.leader.engine.state(**id), Some(State::Ended(_)));
+        self.accepted.iter().filter(|id| !ended(id)).map(|id| work::job_name(*id)).collect()
+    }
+
+    /// Whether a job shows as completed without all its tasks done.
+    pub fn falsely_completed(&self) -> Vec<String> {
+        let mut wrong = Vec::new();
+        for (id, job) in &self.jobs {
+            if self.leader.engine.state(*id) != Some(State::Ended(Outcome::Completed)) {
+                continue;
+            }
+            for (number, step) in job.steps.iter().enumerate() {
+                let unit = work::Unit { job: *id, round: 0, step: number as u16 };
+                let done = |index| self.done.contains(&Task { unit, index });
+                let complete = if step.gang { (0..step.count).any(done) } else { (0..step.count).all(done) };
+                if !complete {
+                    wrong.push(unit.to_string());
+                }
+            }
+        }
+        wrong
+    }
+}
+
+fn config() -> Config {
+    let queue = |name: &str, advice| Queue {
+        name: name.to_owned(),
+        host: "host".to_owned(),
+        prefix: format!("/{name}/"),
+        pool: "pool".to_owned(),
+        priority: 0,
+        max_attempts: MAX_ATTEMPTS,
+        stretch: 2.0,
+        objective: Duration::from_secs(1),
+        advice,
+    };
+    let advice = Advice {
+        base: Duration::from_millis(5),
+        per_worker: Duration::from_millis(1),
+        validity: Duration::from_millis(1500),
+    };
+    Config { version: 1, queues: vec![queue("open", None), queue("advised", Some(advice))], max_body: 1000 }
+}
