--- a/bins/walkhookd/examples/cell/processes.rs
+++ b/bins/walkhookd/examples/cell/processes.rs
@@ -9,7 +9,7 @@
 use anyhow::{Context, Result, bail, ensure};
 use api::{Outcome, Status};
 use model::Resources;
-use platform::{Host, Kind};
+use store::{Host, Kind};
 use uuid::Uuid;
 
 const KEY: &str = "the shared key of the example cell";
--- a/bins/walkhookd/tests/support/mod.rs
+++ b/bins/walkhookd/tests/support/mod.rs
@@ -22,7 +22,7 @@
 use model::task::Id;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
-use platform::{Host, Kind};
+use store::{Host, Kind};
 use tempfile::TempDir;
 use uuid::Uuid;
 
--- a/components/fakes/src/platform.rs
+++ b/components/fakes/src/platform.rs
@@ -13,13 +13,13 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use parking_lot::Mutex;
-use platform::gateway::{
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use store::gateway::{
     Base64, Failure, Header, KeyValue, LeaseRequest, LeaseResponse, Number, Operation, RangeRequest, RangeResponse,
     TxnRequest, TxnResponse, WatchEvent, WatchLine, WatchRequest, WatchResult,
 };
-use platform::{Host, List};
-use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
+use store::{Host, List};
 use tokio::sync::{mpsc, watch};
 use web::Body;
 
@@ -342,7 +342,7 @@
     let mut state = shared.state.lock();
     for operation in &request.success {
         if let Operation::Put(put) = operation
-            && put.value.0.len() > platform::MAX_VALUE
+            && put.value.0.len() > store::MAX_VALUE
         {
             return (refuse(StatusCode::BAD_REQUEST, "value too large"), false);
         }
--- a/components/node/src/claims.rs
+++ b/components/node/src/claims.rs
@@ -9,7 +9,7 @@
 use member::{Presence, State};
 use model::workload::partition;
 use model::{Partition, Revision};
-use platform::{Compare, Put, Txn, Use};
+use store::{Compare, Put, Txn, Use};
 use uuid::Uuid;
 
 use crate::keys::{self, Place};
--- a/components/node/src/commands.rs
+++ b/components/node/src/commands.rs
@@ -9,9 +9,9 @@
 use model::workload::{Intent, Kind, Priority, Record, Versioned, Workload, divide};
 use model::{CommandId, DataCentreId, Reason, Resources, Revision, units};
 use place::{Cell, Worker};
-use platform::Use;
 use query::{Assignment, Statement, Subject};
 use serde::Deserialize;
+use store::Use;
 
 use crate::commit::{Change, Committed, settle};
 use crate::keys::{self, Drain, Place, Receipt, Team};
--- a/components/node/src/commit.rs
+++ b/components/node/src/commit.rs
@@ -11,7 +11,7 @@
 use model::workload::Progress;
 use model::{CommandId, Partition, Revision, WorkloadId};
 use parking_lot::Mutex;
-use platform::{Compare, Fault, Lease, Put, Txn, Use};
+use store::{Compare, Fault, Lease, Put, Txn, Use};
 use tokio::sync::{mpsc, oneshot};
 use wire::StopOrder;
 
--- a/components/node/src/configuration.rs
+++ b/components/node/src/configuration.rs
@@ -12,8 +12,8 @@
 use model::workload::{Progress, Record, Versioned};
 use model::{DataCentreId, Partition, Revision, WorkerId, WorkloadId};
 use parking_lot::Mutex;
-use platform::{Changes, Use};
 use rand::Rng;
+use store::{Changes, Use};
 use tokio::sync::{Notify, watch};
 use wire::{Answer, Entry, EntryKey, Request};
 
@@ -242,7 +242,7 @@
     true
 }
 
-fn take_events(shared: &Arc<Shared>, prefix: &str, events: Vec<platform::Event>, revision: Revision) {
+fn take_events(shared: &Arc<Shared>, prefix: &str, events: Vec<store::Event>, revision: Revision) {
     let since = shared.configuration.revision();
     if revision <= since {
         return;
@@ -275,7 +275,7 @@
     true
 }
 
-fn note_failure(shared: &Shared, call: &str, fault: Option<platform::Fault>) {
+fn note_failure(shared: &Shared, call: &str, fault: Option<store::Fault>) {
     let why = fault.map(|fault| fault.to_string()).unwrap_or_default();
     events::emit!(shared.log, events::PLATFORM_FAILED, "call" => call, "why" => why);
 }
--- a/components/node/src/listing.rs
+++ b/components/node/src/listing.rs
@@ -111,10 +111,10 @@
     shared.listing.take(list.version, hosts.collect(), Instant::now())
 }
 
-fn listed(host: platform::Host) -> Listed {
+fn listed(host: store::Host) -> Listed {
     let kind = match host.kind {
-        platform::Kind::Worker => ListedKind::Worker,
-        platform::Kind::Entry => ListedKind::Entry,
+        store::Kind::Worker => ListedKind::Worker,
+        store::Kind::Entry => ListedKind::Entry,
     };
     Listed {
         kind,
--- a/components/node/src/recovery.rs
+++ b/components/node/src/recovery.rs
@@ -11,7 +11,7 @@
 use model::task::Id;
 use model::workload::Record;
 use model::{Partition, WorkerId, WorkloadId};
-use platform::Use;
+use store::Use;
 use wire::{Answer, InventoryAnswer, Request};
 
 use crate::claims::drop_lost;
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -10,9 +10,9 @@
 use gateway::Gateway;
 use member::Peer;
 use metrics::Metrics;
-use platform::{Budget, Lister, Store};
 use settings::Settings;
 use slog::Logger;
+use store::{Budget, Lister, Store};
 use tokio::sync::{Notify, watch};
 
 use crate::commit::Committer;
@@ -68,13 +68,13 @@
         ledger::Limits { lease, margin: lease / 10 }
     }
 
-    pub(crate) fn platform_said<T>(&self, outcome: &Result<T, platform::Fault>) {
+    pub(crate) fn platform_said<T>(&self, outcome: &Result<T, store::Fault>) {
         match outcome {
-            Ok(_) | Err(platform::Fault::Refused(_)) => self.platform_answers.store(true, Ordering::Relaxed),
-            Err(platform::Fault::NotSent(_) | platform::Fault::Unknown(_)) => {
+            Ok(_) | Err(store::Fault::Refused(_)) => self.platform_answers.store(true, Ordering::Relaxed),
+            Err(store::Fault::NotSent(_) | store::Fault::Unknown(_)) => {
                 self.platform_answers.store(false, Ordering::Relaxed);
             }
-            Err(platform::Fault::OverBudget | platform::Fault::TooLarge(..)) => {}
+            Err(store::Fault::OverBudget | store::Fault::TooLarge(..)) => {}
         }
     }
 
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -12,9 +12,9 @@
 use gateway::Gateway;
 use member::Peer;
 use metrics::Metrics;
-use platform::{Budget, Client, ListClient};
 use settings::Settings;
 use slog::Logger;
+use store::{Budget, Client, ListClient};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{Notify, watch};
 
--- a/components/node/src/sweep.rs
+++ b/components/node/src/sweep.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use model::{Partition, Revision, WorkloadId};
-use platform::{Compare, Txn, Use};
+use store::{Compare, Txn, Use};
 
 use crate::keys::{self, Place};
 use crate::shared::Shared;
--- a/components/node/src/usage.rs
+++ b/components/node/src/usage.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use platform::Use;
+use store::Use;
 
 use crate::shared::Shared;
 
