--- /dev/null
+++ b/components/entry/tests/hosts.rs
@@ -0,0 +1,233 @@
+//! Whole entry hosts against stand-ins for everything outside: acceptance, takeovers, stores that fail in every way.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use entry::{Answer, Call, Host, Role};
+use fakes::cell::{Cell, Conduct};
+use model::Resources;
+use sched::{How, Info};
+use work::{Config, Job, JobId, Outcome, Queue, State, Step};
+
+/// Only a broken test waits so long.
+const PATIENCE: Duration = Duration::from_secs(40);
+const PAUSE: Duration = Duration::from_millis(10);
+
+fn config(version: u64) -> Config {
+    let queue = Queue {
+        name: "plans".to_owned(),
+        host: "queues.example".to_owned(),
+        prefix: "/plans/".to_owned(),
+        pool: "pool".to_owned(),
+        priority: 0,
+        max_attempts: 3,
+        stretch: 2.0,
+        objective: Duration::from_secs(1),
+        advice: None,
+    };
+    Config { version, queues: vec![queue], max_body: 10_000 }
+}
+
+fn cell() -> Arc<Cell> {
+    let cell = Cell::new(config(1));
+    for number in 0..2 {
+        let info = Info {
+            address: format!("10.0.0.{number}:80"),
+            pool: "pool".to_owned(),
+            zone: "zone".to_owned(),
+            labels: vec!["kind".to_owned(), "rack".to_owned()],
+            capacity: Resources::new(4, 4000, 0),
+            draining: false,
+        };
+        cell.add_worker(&format!("w{number}"), info);
+    }
+    cell
+}
+
+fn job(tasks: u32) -> Job {
+    let step = Step { count: tasks, need: Resources::new(1, 100, 0), ..Step::default() };
+    Job { specification: "text".to_owned(), steps: vec![step], schedule: None }
+}
+
+async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "never: {what}");
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+fn leads(host: &Arc<Host>) -> bool {
+    matches!(host.role(), Role::Leading(_))
+}
+
+async fn ask(host: &Arc<Host>, call: Call) -> Answer {
+    host.ask(call, Instant::now() + PATIENCE).await
+}
+
+async fn submit(host: &Arc<Host>, id: JobId, tasks: u32) -> Answer {
+    ask(host, Call::Submit { queue: "plans".to_owned(), id, job: Box::new(job(tasks)), wait: PATIENCE }).await
+}
+
+async fn ends(host: &Arc<Host>, id: JobId) -> Outcome {
+    let end = Instant::now() + PATIENCE;
+    loop {
+        if let Answer::State(Some(State::Ended(outcome))) = ask(host, Call::State { id }).await {
+            return outcome;
+        }
+        assert!(Instant::now() < end, "the job never ends");
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+/// Starts hosts one by one, so that the first leads.
+async fn hosts(cell: &Arc<Cell>, count: usize) -> Vec<Arc<Host>> {
+    let mut hosts: Vec<Arc<Host>> = Vec::new();
+    for number in 0..count {
+        let host = cell.host(&format!("host-{number}")).await.expect("a free port");
+        until("ready", || host.ready()).await;
+        hosts.push(host);
+    }
+    assert!(leads(&hosts[0]));
+    hosts
+}
+
+#[tokio::test]
+async fn a_job_submitted_at_any_host_is_done_and_shown_at_every_host() {
+    let cell = cell();
+    let hosts = hosts(&cell, 2).await;
+    assert_eq!(submit(&hosts[1], 7, 3).await, Answer::Accepted);
+    assert_eq!(ends(&hosts[0], 7).await, Outcome::Completed);
+    assert_eq!(ends(&hosts[1], 7).await, Outcome::Completed);
+    assert_eq!(ask(&hosts[1], Call::State { id: 8 }).await, Answer::State(None));
+    assert_eq!(cell.starts().len(), 3);
+}
+
+#[tokio::test]
+async fn the_same_job_sent_again_stays_one_job() {
+    let cell = cell();
+    let hosts = hosts(&cell, 2).await;
+    assert_eq!(submit(&hosts[0], 7, 1).await, Answer::Accepted);
+    assert_eq!(submit(&hosts[1], 7, 1).await, Answer::Accepted);
+    assert_eq!(ends(&hosts[0], 7).await, Outcome::Completed);
+    assert_eq!(submit(&hosts[0], 7, 1).await, Answer::Accepted);
+    assert_eq!(cell.starts().len(), 1);
+}
+
+#[tokio::test]
+async fn a_planned_stop_hands_leadership_over_and_loses_no_job() {
+    let cell = cell();
+    let hosts = hosts(&cell, 2).await;
+    cell.conduct(Conduct { takes: Duration::from_millis(400), how: How::Done });
+    assert_eq!(submit(&hosts[1], 7, 2).await, Answer::Accepted);
+    until("started", || cell.starts().len() == 2).await;
+    hosts[0].stop().await;
+    until("the other leads", || leads(&hosts[1])).await;
+    assert_eq!(ends(&hosts[1], 7).await, Outcome::Completed);
+    assert_eq!(cell.starts().len(), 2, "what ran was adopted, not started again");
+}
+
+#[tokio::test]
+async fn jobs_accepted_by_a_leader_that_the_store_turns_away_go_on_under_the_next() {
+    let cell = cell();
+    let hosts = hosts(&cell, 3).await;
+    assert_eq!(submit(&hosts[0], 7, 1).await, Answer::Accepted);
+    cell.turn_away("host-0", true);
+    until("another leads", || leads(&hosts[1]) || leads(&hosts[2])).await;
+    assert_eq!(ends(&hosts[1], 7).await, Outcome::Completed);
+    // The host that is turned away finds the new leader through the others, and serves its callers.
+    assert_eq!(submit(&hosts[0], 8, 1).await, Answer::Accepted);
+    assert_eq!(ends(&hosts[0], 8).await, Outcome::Completed);
+    assert!(!leads(&hosts[0]));
+}
+
+#[tokio::test]
+async fn a_write_whose_answer_was_lost_counts_once() {
+    let cell = cell();
+    let hosts = hosts(&cell, 1).await;
+    cell.lose_answers(1);
+    assert_eq!(submit(&hosts[0], 7, 1).await, Answer::Accepted);
+    assert_eq!(ends(&hosts[0], 7).await, Outcome::Completed);
+    assert!(leads(&hosts[0]), "a lost answer doesn't end a reign");
+    assert_eq!(cell.starts().len(), 1);
+}
+
+#[tokio::test]
+async fn a_leaders_record_that_vanishes_is_written_anew() {
+    let cell = cell();
+    let hosts = hosts(&cell, 2).await;
+    cell.revoke("walkhook/leader");
+    assert_eq!(submit(&hosts[1], 7, 1).await, Answer::Accepted);
+    assert_eq!(ends(&hosts[1], 7).await, Outcome::Completed);
+    assert!(leads(&hosts[0]) != leads(&hosts[1]), "exactly one leads");
+}
+
+#[tokio::test]
+async fn a_job_that_the_store_does_not_take_is_refused_and_never_runs() {
+    let cell = cell();
+    let hosts = hosts(&cell, 1).await;
+    cell.turn_away("host-0", true);
+    let wait = Duration::from_secs(2);
+    let call = Call::Submit { queue: "plans".to_owned(), id: 7, job: Box::new(job(1)), wait };
+    let answer = hosts[0].ask(call, Instant::now() + wait).await;
+    // The first of a group may already have been sent, and what became of it is then not known.
+    assert!(matches!(answer, Answer::Refused(_) | Answer::Unknown), "{answer:?}");
+    let call = Call::Submit { queue: "plans".to_owned(), id: 8, job: Box::new(job(1)), wait: PATIENCE };
+    let second = hosts[0].ask(call, Instant::now() + PATIENCE).await;
+    assert!(matches!(second, Answer::Refused(_)), "{second:?}");
+    cell.turn_away("host-0", false);
+    // A caller who comes back is served once the store is.
+    while matches!(submit(&hosts[0], 9, 1).await, Answer::Refused(_)) {
+        tokio::time::sleep(PAUSE).await;
+    }
+    assert_eq!(ends(&hosts[0], 9).await, Outcome::Completed);
+    assert!(cell.starts().iter().all(|(_, task, _)| task.unit.job != 8), "refused means not run");
+}
+
+#[tokio::test]
+async fn a_cancelled_job_ends_and_its_tasks_are_stopped() {
+    let cell = cell();
+    let hosts = hosts(&cell, 2).await;
+    cell.conduct(Conduct { takes: Duration::from_secs(600), how: How::Done });
+    assert_eq!(submit(&hosts[1], 7, 2).await, Answer::Accepted);
+    until("started", || cell.starts().len() == 2).await;
+    assert_eq!(ask(&hosts[1], Call::Cancel { id: 7, wait: PATIENCE }).await, Answer::Cancelled(true));
+    assert_eq!(ends(&hosts[0], 7).await, Outcome::Cancelled);
+    let idle = |id: &str| cell.worker(id, |worker| worker.runs.is_empty()).unwrap_or(true);
+    until("stopped", || idle("w0") && idle("w1")).await;
+    assert_eq!(ask(&hosts[1], Call::Cancel { id: 8, wait: PATIENCE }).await, Answer::Cancelled(false));
+}
+
+#[tokio::test]
+async fn a_job_that_can_never_be_done_fails_after_its_attempts() {
+    let cell = cell();
+    let hosts = hosts(&cell, 1).await;
+    cell.conduct(Conduct { takes: Duration::ZERO, how: How::Failed });
+    assert_eq!(submit(&hosts[0], 7, 1).await, Answer::Accepted);
+    assert_eq!(ends(&hosts[0], 7).await, Outcome::Failed);
+    assert_eq!(cell.starts().len(), 3, "as often as the queue allows");
+}
+
+#[tokio::test]
+async fn a_configuration_reaches_hosts_that_the_store_turns_away() {
+    let cell = cell();
+    let hosts = hosts(&cell, 2).await;
+    cell.turn_away("host-1", true);
+    cell.configure(config(5));
+    until("in force", || hosts[1].config().version == 5).await;
+    assert!(!hosts[1].take_config(config(4), "test"), "it never goes back");
+}
+
+#[tokio::test]
+async fn after_all_hosts_are_gone_a_new_one_goes_on_from_the_store() {
+    let cell = cell();
+    let first = hosts(&cell, 1).await;
+    cell.conduct(Conduct { takes: Duration::from_millis(300), how: How::Done });
+    assert_eq!(submit(&first[0], 7, 2).await, Answer::Accepted);
+    until("started", || cell.starts().len() == 2).await;
+    // Nothing of it reaches the store any more: for the others it is gone.
+    cell.turn_away("host-0", true);
+    let second = cell.host("host-1").await.expect("a free port");
+    assert_eq!(ends(&second, 7).await, Outcome::Completed);
+    assert_eq!(cell.starts().len(), 2, "what ran was adopted");
+}
--- /dev/null
+++ b/components/fakes/src/cell.rs
@@ -0,0 +1,352 @@
+//! Stand-ins for the outside of entry hosts, in memory: a store with leases, workers, an adviser. The store can turn
+//! single hosts away, lose answers and carry transactions out late.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use entry::{
+    Change, Commit, Edges, Fault, Held, Item, LeaseId, Read, Refusal, Renewal, Reply, Settings, Target, Transaction,
+};
+use parking_lot::Mutex;
+use sched::{How, Info, Limits, Start};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use work::{Attempt, Config, Task, Term, Unit, WorkerId};
+
+use crate::runner::{self, Run, Runner};
+
+/// How a run goes.
+#[derive(Clone, Copy, Debug)]
+pub struct Conduct {
+    /// How long it takes.
+    pub takes: Duration,
+    /// How it ends.
+    pub how: How,
+}
+
+#[derive(Default)]
+struct State {
+    revision: u64,
+    items: BTreeMap<String, (Vec<u8>, u64, LeaseId)>,
+    leases: BTreeMap<LeaseId, (Instant, Duration)>,
+    next_lease: LeaseId,
+    turned_away: BTreeSet<String>,
+    lost_answers: usize,
+    commits: usize,
+    config: Option<Config>,
+    workers: BTreeMap<WorkerId, Runner>,
+    starts: Vec<(WorkerId, Task, Attempt)>,
+}
+
+/// The outside of all hosts of a test.
+pub struct Cell {
+    state: Mutex<State>,
+    changed: watch::Sender<u64>,
+    began: Instant,
+    conduct: Mutex<Conduct>,
+}
+
+/// The outside as one host sees it.
+struct View {
+    cell: Arc<Cell>,
+    host: String,
+}
+
+impl Cell {
+    /// A cell without workers, whose runs take no time and succeed.
+    pub fn new(config: Config) -> Arc<Cell> {
+        let state = State { config: Some(config), ..State::default() };
+        Arc::new(Cell {
+            state: Mutex::new(state),
+            changed: watch::Sender::new(0),
+            began: Instant::now(),
+            conduct: Mutex::new(Conduct { takes: Duration::ZERO, how: How::Done }),
+        })
+    }
+
+    /// How runs go that start from now on.
+    pub fn conduct(&self, conduct: Conduct) {
+        *self.conduct.lock() = conduct;
+    }
+
+    /// Adds a worker.
+    pub fn add_worker(&self, id: &str, info: Info) {
+        let mut runner = Runner::new(info.address.clone(), info.capacity);
+        runner.info = info;
+        self.state.lock().workers.insert(id.to_owned(), runner);
+    }
+
+    /// Changes a worker.
+    pub fn worker<T>(&self, id: &str, change: impl FnOnce(&mut Runner) -> T) -> Option<T> {
+        self.state.lock().workers.get_mut(id).map(change)
+    }
+
+    /// Replaces the configuration.
+    pub fn configure(&self, config: Config) {
+        let mut state = self.state.lock();
+        state.config = Some(config);
+        state.revision += 1;
+        self.changed.send_replace(state.revision);
+    }
+
+    /// The store answers this host no more, or again.
+    pub fn turn_away(&self, host: &str, away: bool) {
+        let mut state = self.state.lock();
+        if away {
+            state.turned_away.insert(host.to_owned());
+        } else {
+            state.turned_away.remove(host);
+        }
+    }
+
+    /// The next transactions are done, but their answers are lost.
+    pub fn lose_answers(&self, count: usize) {
+        self.state.lock().lost_answers = count;
+    }
+
+    /// Removes a key without a sign to its owner.
+    pub fn revoke(&self, key: &str) {
+        let mut state = self.state.lock();
+        state.items.remove(key);
+        state.revision += 1;
+        self.changed.send_replace(state.revision);
+    }
+
+    /// Transactions that were done.
+    pub fn commits(&self) -> usize {
+        self.state.lock().commits
+    }
+
+    /// Runs that began, in their order.
+    pub fn starts(&self) -> Vec<(WorkerId, Task, Attempt)> {
+        self.state.lock().starts.clone()
+    }
+
+    /// Starts an entry host of this cell, with a lease of half a second.
+    pub async fn host(self: &Arc<Cell>, name: &str) -> std::io::Result<Arc<entry::Host>> {
+        let listener = TcpListener::bind(crate::any_port()).await?;
+        let settings = Settings {
+            host: name.to_owned(),
+            life: self.began.elapsed().as_nanos() as u64,
+            address: listener.local_addr()?.to_string(),
+            limits: Limits::example(),
+            lease_ttl: Duration::from_millis(500),
+        };
+        let view = Arc::new(View { cell: self.clone(), host: name.to_owned() });
+        let edges =
+            Edges { store: view.clone(), directory: view.clone(), workers: view.clone(), adviser: Some(view.clone()) };
+        let host = entry::Host::new(settings, edges, events::silent());
+        entry::spawn(&host, listener);
+        Ok(host)
+    }
+
+    fn now(&self) -> Duration {
+        self.began.elapsed()
+    }
+
+    fn expire(&self, state: &mut State) {
+        let now = Instant::now();
+        let over: Vec<LeaseId> = state.leases.iter().filter(|(_, (end, _))| *end < now).map(|(id, _)| *id).collect();
+        over.into_iter().for_each(|lease| self.drop_lease(state, lease));
+    }
+
+    fn drop_lease(&self, state: &mut State, lease: LeaseId) {
+        state.leases.remove(&lease);
+        let before = state.items.len();
+        state.items.retain(|_, (_, _, owner)| *owner != lease);
+        if state.items.len() != before {
+            state.revision += 1;
+            self.changed.send_replace(state.revision);
+        }
+    }
+
+    fn carry_out(&self, state: &mut State, transaction: &Transaction) -> Commit {
+        let present = |key: &String| state.items.get(key).map_or(0, |(_, revision, _)| *revision);
+        if transaction.expected.iter().any(|(key, revision)| present(key) != *revision) {
+            let items = transaction.expected.iter().filter_map(|(key, _)| item(state, key));
+            return Commit::Conflict(items.collect());
+        }
+        if transaction.puts.iter().any(|put| put.lease != 0 && !state.leases.contains_key(&put.lease)) {
+            return Commit::NoLease;
+        }
+        state.revision += 1;
+        state.commits += 1;
+        let revision = state.revision;
+        for put in &transaction.puts {
+            state.items.insert(put.key.clone(), (put.value.clone(), revision, put.lease));
+        }
+        transaction.removes.iter().for_each(|key| {
+            state.items.remove(key);
+        });
+        self.changed.send_replace(revision);
+        Commit::Done(revision)
+    }
+}
+
+fn item(state: &State, key: &str) -> Option<Item> {
+    let (value, revision, _) = state.items.get(key)?;
+    Some(Item { key: key.to_owned(), value: value.clone(), revision: *revision })
+}
+
+impl View {
+    fn store<T>(&self, call: impl FnOnce(&mut State) -> T) -> Result<T, Fault> {
+        let mut state = self.cell.state.lock();
+        if state.turned_away.contains(&self.host) {
+            return Err(Fault::NotDone("turned away".to_owned()));
+        }
+        self.cell.expire(&mut state);
+        Ok(call(&mut state))
+    }
+
+    async fn wait(&self, revision: u64, wait: Duration) -> Result<Change, Fault> {
+        let mut changed = self.cell.changed.subscribe();
+        // Leases run out without a call: the wait looks for that, too.
+        let until = Instant::now() + wait;
+        while Instant::now() < until {
+            let now = self.store(|state| state.revision)?;
+            if now > revision {
+                return Ok(Change::Some);
+            }
+            let _ = tokio::time::timeout(Duration::from_millis(20), changed.changed()).await;
+        }
+        Ok(Change::Nothing(revision))
+    }
+}
+
+#[async_trait]
+impl entry::Store for View {
+    async fn get(&self, key: &str) -> Result<Read, Fault> {
+        self.store(|state| Read { item: item(state, key), revision: state.revision })
+    }
+
+    async fn range(&self, prefix: &str) -> Result<Vec<Item>, Fault> {
+        self.store(|state| {
+            let keys: Vec<String> = state.items.keys().filter(|key| key.starts_with(prefix)).cloned().collect();
+            keys.iter().filter_map(|key| item(state, key)).collect()
+        })
+    }
+
+    async fn changed(&self, _prefix: &str, revision: u64, wait: Duration) -> Result<Change, Fault> {
+        self.wait(revision, wait).await
+    }
+
+    async fn commit(&self, transaction: &Transaction) -> Result<Commit, Fault> {
+        self.store(|state| {
+            let commit = self.cell.carry_out(state, transaction);
+            if state.lost_answers > 0 {
+                state.lost_answers -= 1;
+                return Err(Fault::Unknown("the answer is lost".to_owned()));
+            }
+            Ok(commit)
+        })?
+    }
+
+    async fn lease(&self, ttl: Duration) -> Result<LeaseId, Fault> {
+        self.store(|state| {
+            state.next_lease += 1;
+            state.leases.insert(state.next_lease, (Instant::now() + ttl, ttl));
+            state.next_lease
+        })
+    }
+
+    async fn keep(&self, lease: LeaseId) -> Result<bool, Fault> {
+        self.store(|state| match state.leases.get_mut(&lease) {
+            Some((end, ttl)) => {
+                *end = Instant::now() + *ttl;
+                true
+            }
+            None => false,
+        })
+    }
+
+    async fn end(&self, lease: LeaseId) -> Result<(), Fault> {
+        self.store(|state| self.cell.drop_lease(state, lease))
+    }
+}
+
+#[async_trait]
+impl entry::Directory for View {
+    async fn config(&self) -> Result<(Option<Config>, u64), Fault> {
+        self.store(|state| (state.config.clone(), state.revision))
+    }
+
+    async fn config_changed(&self, revision: u64, wait: Duration) -> Result<Change, Fault> {
+        self.wait(revision, wait).await
+    }
+
+    async fn workers(&self) -> Result<BTreeMap<WorkerId, Info>, Fault> {
+        self.store(|state| state.workers.iter().map(|(id, worker)| (id.clone(), worker.info.clone())).collect())
+    }
+}
+
+impl View {
+    fn at<T>(&self, target: &Target, order: impl FnOnce(&mut Runner, Duration) -> T) -> Result<Reply<T>, Fault> {
+        let now = self.cell.now();
+        let mut state = self.cell.state.lock();
+        let Some(runner) = state.workers.get_mut(&target.id) else { return Ok(Reply::OtherLife) };
+        if !runner.reachable {
+            return Err(Fault::NotDone("unreachable".to_owned()));
+        }
+        runner.tick(now);
+        Ok(Reply::Done(order(runner, now)))
+    }
+}
+
+fn reply(outcome: Reply<runner::Reply>) -> Reply<()> {
+    match outcome {
+        Reply::Done(runner::Reply::Done) => Reply::Done(()),
+        Reply::Done(runner::Reply::Fenced) | Reply::Fenced => Reply::Fenced,
+        Reply::Done(runner::Reply::Refused) => Reply::Refused(Refusal::Other),
+        Reply::OtherLife => Reply::OtherLife,
+        Reply::Refused(refusal) => Reply::Refused(refusal),
+    }
+}
+
+#[async_trait]
+impl entry::Workers for View {
+    async fn renew(&self, target: &Target, renewal: &Renewal) -> Result<Reply<Held>, Fault> {
+        // Waits a little for an end, as workers do.
+        tokio::time::sleep(renewal.wait.min(Duration::from_millis(20))).await;
+        let held = self.at(target, |runner, now| {
+            runner.hold(renewal.term, renewal.until, renewal.acked).map(|(running, ended)| Held {
+                clock: now,
+                running,
+                ended,
+            })
+        })?;
+        Ok(match held {
+            Reply::Done(Ok(held)) => Reply::Done(held),
+            Reply::Done(Err(_)) | Reply::Fenced => Reply::Fenced,
+            Reply::OtherLife => Reply::OtherLife,
+            Reply::Refused(refusal) => Reply::Refused(refusal),
+        })
+    }
+
+    async fn start(&self, target: &Target, term: Term, until: Duration, start: &Start) -> Result<Reply<()>, Fault> {
+        let conduct = *self.cell.conduct.lock();
+        let step = &start.job.steps[usize::from(start.task.unit.step)];
+        let outcome = self.at(target, |runner, now| {
+            let run = Run { need: step.need, ends: now + conduct.takes, how: conduct.how };
+            runner.start(now, term, until, (start.task, start.attempt), run)
+        })?;
+        if matches!(outcome, Reply::Done(runner::Reply::Done)) {
+            self.cell.state.lock().starts.push((target.id.clone(), start.task, start.attempt));
+        }
+        Ok(reply(outcome))
+    }
+
+    async fn stop(&self, target: &Target, term: Term, task: Task, attempt: Attempt) -> Result<Reply<()>, Fault> {
+        let outcome = self.at(target, |runner, _| runner.stop(term, task, attempt))?;
+        Ok(reply(outcome))
+    }
+}
+
+#[async_trait]
+impl entry::Adviser for View {
+    async fn advise(&self, _unit: Unit, workers: &[WorkerId]) -> Result<Vec<(WorkerId, String)>, Fault> {
+        Ok(workers.iter().map(|worker| (worker.clone(), "ticket".to_owned())).collect())
+    }
+}
--- a/components/fakes/src/lib.rs
+++ b/components/fakes/src/lib.rs
@@ -2,7 +2,9 @@
 //! and the example only; the product never depends on this package.
 
 mod backend;
+pub mod cell;
 mod platform;
+pub mod runner;
 mod worker;
 
 pub use crate::backend::{Backend, Record};
--- a/components/sched/tests/world/worker.rs
+++ b/components/fakes/src/runner.rs
@@ -1,4 +1,5 @@
-//! A simulated worker: fences, leases by its own clock, runs, and ends that it lists until they are acknowledged.
+//! A stand-in for a worker that runs callers' tasks: it fences by the leader's term, leases by its own clock, and
+//! lists ends until they are acknowledged. Time is an argument.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -7,36 +8,52 @@
 use sched::{End, How, Info, Running};
 use work::{Attempt, Task, Term};
 
-/// What a worker makes of an order.
+/// What a runner makes of an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reply {
+    /// It was taken.
     Done,
+    /// A leader with a higher term was here.
     Fenced,
+    /// It was refused: the run is old, or the order came late.
     Refused,
 }
 
+/// A task that runs.
 #[derive(Clone, Debug)]
 pub struct Run {
+    /// The room that it takes.
     pub need: Resources,
+    /// When it ends.
     pub ends: Duration,
+    /// How it ends.
     pub how: How,
 }
 
+/// One life of a worker.
 #[derive(Clone, Debug)]
-pub struct Worker {
+pub struct Runner {
+    /// What it says of itself.
     pub info: Info,
+    /// Whether orders and renewals reach it.
     pub reachable: bool,
+    /// Highest term seen.
     pub fence: Term,
+    /// End of all leases.
     pub lease: Duration,
+    /// What runs.
     pub runs: BTreeMap<(Task, Attempt), Run>,
+    /// Ends that aren't acknowledged.
     pub ended: Vec<End>,
+    /// Number of the last end.
     pub numbers: u64,
     /// Highest run of each task that was stopped or has ended here.
     pub settled: BTreeMap<Task, Attempt>,
 }
 
-impl Worker {
-    pub fn new(address: String, capacity: Resources) -> Worker {
+impl Runner {
+    /// An empty one.
+    pub fn new(address: String, capacity: Resources) -> Runner {
         let info = Info {
             address,
             pool: "pool".to_owned(),
@@ -45,7 +62,7 @@
             capacity,
             draining: false,
         };
-        Worker {
+        Runner {
             info,
             reachable: true,
             fence: 0,
@@ -65,7 +82,7 @@
         true
     }
 
-    /// Starts a run; its worker's clock is the world's.
+    /// Starts a run until its time is over or the lease is.
     pub fn start(&mut self, now: Duration, term: Term, until: Duration, key: (Task, Attempt), run: Run) -> Reply {
         if !self.admit(term) {
             return Reply::Fenced;
@@ -79,6 +96,7 @@
         Reply::Done
     }
 
+    /// Stops a run. One that isn't there is refused from then on.
     pub fn stop(&mut self, term: Term, task: Task, attempt: Attempt) -> Reply {
         if !self.admit(term) {
             return Reply::Fenced;
@@ -91,6 +109,7 @@
         Reply::Done
     }
 
+    /// Renews all leases and acknowledges ends.
     pub fn hold(&mut self, term: Term, until: Option<Duration>, acked: u64) -> Result<(Vec<Running>, Vec<End>), Reply> {
         if !self.admit(term) {
             return Err(Reply::Fenced);
--- a/components/sched/tests/world/mod.rs
+++ b/components/sched/tests/world/mod.rs
@@ -1,7 +1,6 @@
 //! A simulated cell: workers, a log, leaders that replace each other, and a network that loses and delays.
 
 mod leader;
-mod worker;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -13,8 +12,8 @@
 use sched::{Action, Clock, How, OrderOutcome, Report, Start, Ticket};
 use work::{Advice, Attempt, Config, Job, JobId, Outcome, Queue, Record, State, Step, Task, Term, WorkerId};
 
+use fakes::runner::{Reply, Run, Runner};
 use leader::Leader;
-use worker::{Reply, Run, Worker};
 
 const STEP: Duration = Duration::from_millis(20);
 const MAX_LEASE: Duration = Duration::from_secs(6);
@@ -33,7 +32,7 @@
     rng: StdRng,
     pub now: Duration,
     config: Arc<Config>,
-    workers: BTreeMap<WorkerId, Worker>,
+    workers: BTreeMap<WorkerId, Runner>,
     log: Vec<Record>,
     leader: Leader,
     /// A leader that was replaced and doesn't know it yet.
@@ -87,7 +86,7 @@
         let address = format!("10.0.0.{place}:80");
         self.workers.retain(|_, worker| worker.info.address != address);
         let capacity = Resources { cpu_milli: 8000, memory_mib: 8000, accelerators: 0 };
-        self.workers.insert(format!("life-{}", self.lives), Worker::new(address, capacity));
+        self.workers.insert(format!("life-{}", self.lives), Runner::new(address, capacity));
     }
 
     /// One step of time, with trouble if there is to be any.
