--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -64,6 +64,8 @@
     pub edges: Edges,
     /// Its log.
     pub log: Logger,
+    /// Its metrics.
+    pub metrics: metrics::Jobs,
     /// Zero of its steady clock.
     pub started: Instant,
     config: watch::Sender<Arc<Config>>,
@@ -93,11 +95,12 @@
 
 impl Host {
     /// Puts a host together; nothing runs yet.
-    pub fn new(settings: Settings, edges: Edges, log: Logger) -> Arc<Host> {
+    pub fn new(settings: Settings, edges: Edges, log: Logger, metrics: metrics::Jobs) -> Arc<Host> {
         Arc::new(Host {
             settings,
             edges,
             log,
+            metrics,
             started: Instant::now(),
             config: watch::Sender::new(Arc::new(Config::default())),
             role: watch::Sender::new(Role::Nobody),
@@ -135,6 +138,7 @@
             true
         });
         if newer {
+            self.metrics.config_version.set(version as i64);
             emit!(self.log, events::CONFIG_IN_FORCE, "version" => version, "queues" => queues, "source" => source);
         }
         newer
@@ -155,6 +159,11 @@
     }
 
     pub(crate) fn set_role(&self, role: Role) {
+        let term = match &role {
+            Role::Leading(reign) => reign.term,
+            Role::Nobody | Role::Following(..) => 0,
+        };
+        self.metrics.term.set(term as i64);
         match &role {
             Role::Nobody => emit!(self.log, events::LEADER_LOST),
             Role::Leading(reign) => emit!(self.log, events::LEADER_KNOWN, "leader" => &self.settings.host,
--- a/components/entry/src/reign/agent.rs
+++ b/components/entry/src/reign/agent.rs
@@ -122,6 +122,7 @@
         fresh
     };
     for end in &first {
+        reign.host.metrics.ends.get_or_create(&metrics::Outcome { outcome: end.how.name() }).inc();
         emit!(reign.host.log, events::RUN_ENDED, "task" => end.task.to_string(), "attempt" => end.attempt,
             "worker" => &target.id, "how" => format!("{:?}", end.how), "number" => end.number);
     }
--- a/components/entry/src/reign/ask.rs
+++ b/components/entry/src/reign/ask.rs
@@ -30,6 +30,10 @@
 }
 
 impl Desk {
+    pub(crate) fn waiting(&self) -> usize {
+        self.waiting.lock().len()
+    }
+
     pub(crate) fn put(&self, question: Question) {
         self.waiting.lock().push(question);
         self.wake.notify_one();
@@ -90,6 +94,7 @@
     let sent = reign.host.started.elapsed();
     let healthy = answer(&reign, &asker, &question).await;
     let now = reign.host.started.elapsed();
+    reign.host.metrics.advice_seconds.observe((now - sent).as_secs_f64());
     emit!(reign.host.log, events::ADVICE, "unit" => question.unit.to_string(), "asker" => asker.name(),
         "named" => question.workers.len(), "healthy" => healthy.as_ref().map(Vec::len),
         "took_ms" => (now - sent).as_millis() as u64);
--- a/components/entry/src/reign/commit.rs
+++ b/components/entry/src/reign/commit.rs
@@ -200,8 +200,12 @@
     match record {
         Record::Accepted { id, queue, job, .. } => emit!(log, events::JOB_ACCEPTED, "job" => job_name(*id),
             "queue" => queue, "steps" => job.steps.len(), "revision" => revision, "term" => reign.term),
-        Record::Ended { id, outcome } => emit!(log, events::JOB_ENDED, "job" => job_name(*id),
-            "outcome" => format!("{outcome:?}"), "revision" => revision, "term" => reign.term),
+        Record::Ended { id, outcome } => {
+            let took = reign.engine.lock().took(*id).unwrap_or_default();
+            reign.host.metrics.job_seconds.observe(took.as_secs_f64());
+            emit!(log, events::JOB_ENDED, "job" => job_name(*id), "outcome" => format!("{outcome:?}"),
+                "took_ms" => took.as_millis() as u64, "revision" => revision, "term" => reign.term);
+        }
         Record::Worker { id, address } => emit!(log, events::WORKER_RECORDED, "worker" => id, "address" => address),
         Record::Gone { id } => emit!(log, events::WORKER_GONE, "worker" => id),
         // Starts are logged when they are sent, ends when workers report them.
--- a/components/entry/src/reign/duties.rs
+++ b/components/entry/src/reign/duties.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use events::emit;
+use sched::Engine;
 
 use crate::reign::{Reign, agent, orders};
 
@@ -35,6 +36,7 @@
                 forgotten = clock.now;
                 engine.forget(clock.now);
             }
+            measure(&reign, &engine);
             engine.take_actions()
         };
         actions.into_iter().for_each(|action| orders::carry_out(&reign, action));
@@ -45,6 +47,15 @@
     }
 }
 
+fn measure(reign: &Reign, engine: &Engine) {
+    let (jobs, workers) = engine.sizes();
+    let metrics = &reign.host.metrics;
+    metrics.live_jobs.set(jobs as i64);
+    metrics.workers.set(workers as i64);
+    metrics.questions.set(reign.desk.waiting() as i64);
+    metrics.unconfirmed_ms.set(reign.unconfirmed_for().as_millis() as i64);
+}
+
 /// Reads the list of workers.
 pub(crate) async fn list(reign: Arc<Reign>) {
     let mut failing = false;
--- a/components/entry/src/reign/orders.rs
+++ b/components/entry/src/reign/orders.rs
@@ -40,6 +40,7 @@
     let outcome = send_start(&reign, &worker, &start).await;
     emit!(reign.host.log, events::RUN_STARTED, "task" => start.task.to_string(), "attempt" => start.attempt,
         "worker" => &worker, "outcome" => format!("{outcome:?}"), "term" => reign.term);
+    reign.host.metrics.starts.get_or_create(&metrics::Outcome { outcome: outcome.name() }).inc();
     let clock = reign.host.clock();
     reign.engine.lock().ordered(clock, &worker, start.task, start.attempt, outcome);
     reign.plan.notify_one();
--- a/components/fakes/src/cell.rs
+++ b/components/fakes/src/cell.rs
@@ -138,7 +138,7 @@
         let view = Arc::new(View { cell: self.clone(), host: name.to_owned() });
         let edges =
             Edges { store: view.clone(), directory: view.clone(), workers: view.clone(), adviser: Some(view.clone()) };
-        let host = entry::Host::new(settings, edges, events::silent());
+        let host = entry::Host::new(settings, edges, events::silent(), metrics::Jobs::default());
         entry::spawn(&host, listener);
         Ok(host)
     }
--- /dev/null
+++ b/components/metrics/src/jobs.rs
@@ -0,0 +1,130 @@
+//! The metrics of an entry host that serves callers' jobs.
+
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// Labels of a caller's request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Request {
+    /// The queue; `none` where no queue has the path.
+    pub queue: String,
+    /// What was asked: `submit`, `state`, `cancel`, `waiting`, `other`.
+    pub call: &'static str,
+    /// HTTP status of the answer.
+    pub status: u16,
+}
+
+/// Labels of a count by outcome.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Outcome {
+    /// How it ended.
+    pub outcome: &'static str,
+}
+
+/// Labels of a call to the store.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StoreCall {
+    /// Kind of call.
+    pub call: &'static str,
+    /// `done`, `refused` or `unknown`.
+    pub outcome: &'static str,
+}
+
+/// All metrics of callers' jobs. Clones share the same values.
+#[derive(Clone)]
+pub struct Jobs {
+    /// Callers' requests.
+    pub requests: Family<Request, Counter>,
+    /// Seconds from a request's receipt to its answer.
+    pub request_seconds: Histogram,
+    /// Orders to start, by outcome.
+    pub starts: Family<Outcome, Counter>,
+    /// Runs that workers reported as ended, by how.
+    pub ends: Family<Outcome, Counter>,
+    /// Seconds from a job's acceptance to its end.
+    pub job_seconds: Histogram,
+    /// Seconds that a question to the adviser took, the wait for a free host not counted.
+    pub advice_seconds: Histogram,
+    /// Questions that wait for a host to ask them.
+    pub questions: Gauge,
+    /// Calls to the store.
+    pub store_calls: Family<StoreCall, Counter>,
+    /// Seconds that a call to the store took.
+    pub store_seconds: Histogram,
+    /// Version of the configuration in force.
+    pub config_version: Gauge,
+    /// Term of this host's reign; 0 while another host leads.
+    pub term: Gauge,
+    /// Workers that the leader holds.
+    pub workers: Gauge,
+    /// Jobs that haven't ended.
+    pub live_jobs: Gauge,
+    /// Milliseconds since the leader last knew that it leads.
+    pub unconfirmed_ms: Gauge,
+}
+
+/// From 1 ms to 65 s.
+fn seconds() -> Histogram {
+    Histogram::new(exponential_buckets(0.001, 2.0, 17))
+}
+
+impl Default for Jobs {
+    fn default() -> Self {
+        Jobs {
+            requests: Family::default(),
+            request_seconds: seconds(),
+            starts: Family::default(),
+            ends: Family::default(),
+            job_seconds: seconds(),
+            advice_seconds: seconds(),
+            questions: Gauge::default(),
+            store_calls: Family::default(),
+            store_seconds: seconds(),
+            config_version: Gauge::default(),
+            term: Gauge::default(),
+            workers: Gauge::default(),
+            live_jobs: Gauge::default(),
+            unconfirmed_ms: Gauge::default(),
+        }
+    }
+}
+
+impl Jobs {
+    /// Registers all metrics under the prefix `walkhook`.
+    pub fn registry(&self) -> Registry {
+        let mut registry = Registry::with_prefix("walkhook");
+        registry.register("job_requests", "Callers' requests by queue, call and status", self.requests.clone());
+        registry.register("job_request_seconds", "From receipt to answer", self.request_seconds.clone());
+        registry.register("job_starts", "Orders to start by outcome", self.starts.clone());
+        registry.register("job_ends", "Ends of runs by how", self.ends.clone());
+        registry.register("job_seconds", "From a job's acceptance to its end", self.job_seconds.clone());
+        registry.register("advice_seconds", "One question to the adviser", self.advice_seconds.clone());
+        registry.register("advice_waiting", "Questions that wait for a host", self.questions.clone());
+        registry.register("store_calls", "Calls to the store by kind and outcome", self.store_calls.clone());
+        registry.register("store_seconds", "One call to the store", self.store_seconds.clone());
+        registry.register("config_version", "Configuration in force", self.config_version.clone());
+        registry.register("leader_term", "Term of this host's reign, 0 if it doesn't lead", self.term.clone());
+        registry.register("held_workers", "Workers that the leader holds", self.workers.clone());
+        registry.register("live_jobs", "Jobs that haven't ended", self.live_jobs.clone());
+        registry.register("leader_unconfirmed_ms", "Since the leader knew that it leads", self.unconfirmed_ms.clone());
+        registry
+    }
+
+    /// Counts a caller's request.
+    pub fn request(&self, queue: &str, call: &'static str, status: u16, took: Duration) {
+        self.request_seconds.observe(took.as_secs_f64());
+        self.requests.get_or_create(&Request { queue: queue.to_owned(), call, status }).inc();
+    }
+
+    /// Counts a call to the store.
+    pub fn store(&self, call: &'static str, outcome: &'static str, took: Duration) {
+        self.store_seconds.observe(took.as_secs_f64());
+        self.store_calls.get_or_create(&StoreCall { call, outcome }).inc();
+    }
+}
--- a/components/metrics/src/lib.rs
+++ b/components/metrics/src/lib.rs
@@ -1,7 +1,11 @@
 //! The metrics of an entry host, in the text format of Prometheus.
 
+mod jobs;
+
 use std::time::Duration;
 
+pub use jobs::{Jobs, Outcome};
+
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -319,6 +319,18 @@
         self.jobs.retain(|_, entry| entry.outcome.is_none_or(|ended| now.saturating_sub(ended.at) < keep));
     }
 
+    /// How long a job took from its acceptance to its end, once it has ended.
+    pub fn took(&self, id: JobId) -> Option<Duration> {
+        let entry = self.jobs.get(&id)?;
+        entry.outcome.map(|ended| ended.at.saturating_sub(entry.accepted.now))
+    }
+
+    /// Numbers of jobs that haven't ended, and of workers that are held.
+    pub fn sizes(&self) -> (usize, usize) {
+        let held = self.workers.values().filter(|worker| worker.contact == Contact::Held).count();
+        (self.live.len(), held)
+    }
+
     /// Whether a job is still kept.
     pub fn keeps(&self, id: JobId) -> bool {
         self.jobs.contains_key(&id)
--- a/components/sched/src/order.rs
+++ b/components/sched/src/order.rs
@@ -20,6 +20,19 @@
     Unknown,
 }
 
+impl Outcome {
+    /// Its name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Outcome::Started => "started",
+            Outcome::Refused => "refused",
+            Outcome::Ticket => "ticket",
+            Outcome::Unhealthy => "unhealthy",
+            Outcome::Unknown => "unknown",
+        }
+    }
+}
+
 impl Engine {
     /// Takes in what became of a start.
     pub fn ordered(&mut self, clock: Clock, id: &str, task: Task, attempt: Attempt, outcome: Outcome) {
--- a/components/sched/src/worker.rs
+++ b/components/sched/src/worker.rs
@@ -69,6 +69,20 @@
     Alone,
 }
 
+impl How {
+    /// Its name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            How::Done => "done",
+            How::Failed => "failed",
+            How::Stopped => "stopped",
+            How::Lapsed => "lapsed",
+            How::Broken => "broken",
+            How::Alone => "alone",
+        }
+    }
+}
+
 /// An end that a worker lists until it is acknowledged.
 #[derive(Clone, Debug, PartialEq)]
 pub struct End {
--- /dev/null
+++ b/deploy/days/play.py
@@ -0,0 +1,86 @@
+#!/usr/bin/env python3
+"""Plays a day for each trouble of kinds.txt: alone, twice, beside a cut of a data centre, beside a store outage.
+
+    deploy/days/play.py BENCH SITE [--jobs N] [--only TEXT]
+
+Prints a row a day: worth, and the rules that it broke. The traffic is that of the site's first day.
+"""
+
+import argparse
+import concurrent.futures
+import pathlib
+import re
+import subprocess
+import tempfile
+import zlib
+
+HERE = pathlib.Path(__file__).parent
+ZONE_CUT = '{ at = 12.0, kind = "zone_cut", for_s = 5.5, how = "drop" }'
+OUTAGE = '{ at = 11.0, kind = "platform_down", for_s = 4.0, how = "silent" }'
+PLANNED = {"release", "scale_in", "roll_term", "hup", "config_change", "big_config"}
+
+
+def traffic(site):
+    """The traffic of the first day in a site file, as text."""
+    return re.search(r"^traffic = \[.*?^\]", site, re.M | re.S).group(0)
+
+
+def variants(trouble):
+    """The entries of each day for one trouble."""
+    at = lambda second: f"{{ at = {second}, {trouble} }}"
+    yield "alone", [at(9.0)]
+    yield "twice", [at(7.0), at(15.0)]
+    yield "cut", [at(10.0), ZONE_CUT]
+    yield "outage", [at(10.0), OUTAGE]
+
+
+def day(name, entries, site):
+    """A day's file."""
+    planned = [entry for entry in entries if re.search(r'kind = "(\w+)"', entry).group(1) in PLANNED]
+    faults = [entry for entry in entries if entry not in planned]
+    rows = lambda list_: "[\n" + "".join(f"  {entry},\n" for entry in list_) + "]"
+    return (
+        f'name = "{name}"\nslot = "trouble"\nseed = {zlib.crc32(name.encode())}\nlabels = []\n'
+        f"one = 1.0\nzero = 0.0\ngoal = {{ floor = 0.0 }}\n"
+        f"plan = {rows(planned)}\nfaults = {rows(faults)}\n{traffic(site)}\n"
+    )
+
+
+def play(bench, site, name, text):
+    """Plays one day. Its row."""
+    with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+        file.write(text)
+        file.flush()
+        command = [bench, "run", str(site), file.name, "--no-cpu", "--why", f"own day: {name}"]
+        done = subprocess.run(command, capture_output=True, text=True, check=False)
+    row = re.search(r"^\S+\s+\d+/\d+\s+\S+\s+(\S+).*$", done.stdout, re.M)
+    broken = re.findall(r"BROKEN: (.*?) \(else|BROKEN: (.*)$", done.stdout, re.M)
+    first = re.search(r"^(?:LOST|TWICE|LIMIT|CONFIG|[A-Z]{4,}) at .*$", done.stdout, re.M)
+    if not row:
+        return f"{name:90} not played: {(done.stdout + done.stderr).strip()[-160:]}"
+    says = "; ".join(filter(None, sum(broken, ()))) + (f"  {first.group(0)[:150]}" if first and broken else "")
+    return f"{name:90} {row.group(1)}  {says or '-'}"
+
+
+def main():
+    """Plays all days and prints their rows."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("bench")
+    parser.add_argument("site", type=pathlib.Path)
+    parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument("--only", default="")
+    options = parser.parse_args()
+    site = options.site.read_text()
+    troubles = [line for line in (HERE / "kinds.txt").read_text().splitlines() if line.startswith("kind")]
+    days = []
+    for trouble in troubles:
+        if options.only in trouble:
+            label = re.sub(r'kind = |"', "", trouble)
+            days += [(f"{label} / {name}", day(f"own-{len(days)}-{name}", entries, site)) for name, entries in variants(trouble)]
+    with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
+        for row in pool.map(lambda item: play(options.bench, options.site, *item), days):
+            print(row, flush=True)
+
+
+if __name__ == "__main__":
+    main()
