--- /dev/null
+++ b/components/console/src/lib.rs
@@ -0,0 +1,7 @@
+//! The product's own interface for callers' jobs: submit, explain, cancel; queues, the leader, and the metrics.
+
+mod server;
+mod types;
+
+pub use server::{Console, description, start};
+pub use types::{Host, Job, Queue, Step, Submission};
--- a/components/entry/src/message.rs
+++ b/components/entry/src/message.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use sched::Explanation;
 use serde::{Deserialize, Serialize};
 use work::{Config, Job, JobId, QueueName, State, Term, Unit, WorkerId};
 
@@ -61,6 +62,11 @@
         /// How long its caller waits for the answer.
         wait: Duration,
     },
+    /// Why a job stands where it stands.
+    Explain {
+        /// The job.
+        id: JobId,
+    },
     /// Jobs of a queue that wait.
     Waiting {
         /// The queue.
@@ -96,6 +102,8 @@
     State(Option<State>),
     /// Whether there was such a job; it is cancelled, or had ended before.
     Cancelled(bool),
+    /// How a job stands; `None` when there is no such job.
+    Explanation(Option<Explanation>),
     /// Number of jobs that wait.
     Waiting(usize),
     /// Workers that may run a step, with their tickets; `None` when the adviser didn't answer.
--- a/components/entry/src/reign.rs
+++ b/components/entry/src/reign.rs
@@ -218,6 +218,7 @@
             Call::Cancel { id, wait } => self.cancel(id, wait).await,
             Call::State { id } if self.confirmed() => Answer::State(self.engine.lock().state(id)),
             Call::Waiting { queue } if self.confirmed() => Answer::Waiting(self.engine.lock().waiting(&queue)),
+            Call::Explain { id } => Answer::Explanation(self.engine.lock().explain(self.host.clock(), id)),
             _ => Answer::NotLeader,
         }
     }
--- a/components/sched/src/ends.rs
+++ b/components/sched/src/ends.rs
@@ -199,7 +199,7 @@
     }
 
     /// Stops what is left of gangs that lost a member.
-    pub(crate) fn stop_broken_gangs(&mut self, clock: Clock) {
+    pub(crate) fn stop_broken_gangs(&mut self) {
         let mut broken: Vec<(WorkerId, Task, Attempt)> = Vec::new();
         for id in &self.live {
             let Some(entry) = self.jobs.get(id) else { continue };
@@ -207,7 +207,7 @@
                 if unit.pending == 0 || unit.pending + unit.done == unit.tasks.len() {
                     continue;
                 }
-                if !entry.step(*step).is_some_and(|step| step.gang) || !self.resolved(clock, unit) {
+                if !entry.step(*step).is_some_and(|step| step.gang) || !self.resolved(unit) {
                     continue;
                 }
                 let name = work::Unit { job: *id, round: *round, step: *step };
--- /dev/null
+++ b/components/sched/src/explain.rs
@@ -0,0 +1,116 @@
+//! Why a job stands where it stands, for operators.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use work::{JobId, State, Unit};
+
+use crate::ends::taken_room;
+use crate::engine::{Clock, Engine};
+use crate::entry::{Entry, Phase, UnitState};
+
+/// How a job stands.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct Explanation {
+    /// Its queue.
+    pub queue: String,
+    /// Its state as callers see it.
+    pub state: String,
+    /// Milliseconds since it was accepted.
+    pub age_ms: u64,
+    /// Its steps that have come up, by round.
+    pub steps: Vec<StepExplanation>,
+}
+
+/// How a step stands.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct StepExplanation {
+    /// Round of a repeated job, else 0.
+    pub round: u32,
+    /// Number of the step.
+    pub step: u16,
+    /// Tasks that are done.
+    pub done: usize,
+    /// Tasks that are placed, as `INDEX on WORKER, attempt N`.
+    pub placed: Vec<String>,
+    /// Tasks that wait.
+    pub waiting: usize,
+    /// Runs that failed.
+    pub failed: usize,
+    /// Why tasks wait; empty when none does.
+    pub why: String,
+}
+
+impl Engine {
+    /// How a job stands, and why.
+    pub fn explain(&self, clock: Clock, id: JobId) -> Option<Explanation> {
+        let entry = self.jobs.get(&id)?;
+        let state = match self.state(id)? {
+            State::Queued => "queued".to_owned(),
+            State::Running => "running".to_owned(),
+            State::Ended(outcome) => format!("{outcome:?}").to_lowercase(),
+        };
+        let steps = entry.units.iter().map(|((round, step), unit)| {
+            let name = Unit { job: id, round: *round, step: *step };
+            self.explain_step(clock, entry, name, unit)
+        });
+        Some(Explanation {
+            queue: entry.queue.clone(),
+            state,
+            age_ms: clock.now.saturating_sub(entry.accepted.now).as_millis() as u64,
+            steps: steps.collect(),
+        })
+    }
+
+    fn explain_step(&self, clock: Clock, entry: &Entry, name: Unit, unit: &UnitState) -> StepExplanation {
+        let placed = unit.tasks.iter().enumerate().filter_map(|(index, task)| match &task.phase {
+            Phase::Held(worker, attempt) => Some(format!("{index} on {worker}, attempt {attempt}")),
+            Phase::Pending | Phase::Done => None,
+        });
+        StepExplanation {
+            round: name.round,
+            step: name.step,
+            done: unit.done,
+            placed: placed.collect(),
+            waiting: unit.pending,
+            failed: unit.failed.len() + unit.tasks.iter().map(|task| task.failed.len()).sum::<usize>(),
+            why: if unit.pending == 0 { String::new() } else { self.reason(clock, entry, name, unit) },
+        }
+    }
+
+    fn reason(&self, clock: Clock, entry: &Entry, name: Unit, unit: &UnitState) -> String {
+        if entry.outcome.is_some() {
+            return "the job has ended".to_owned();
+        }
+        if entry.accepted.position > self.durable {
+            return "the store hasn't taken the job yet".to_owned();
+        }
+        if !entry.unblocked(name.round, name.step) {
+            return "earlier steps aren't done".to_owned();
+        }
+        if let Some(worker) = self.unresolved(unit) {
+            return format!("a task may still run on {worker}, which hasn't answered since the last takeover");
+        }
+        let Some(queue) = self.config.queue(&entry.queue) else {
+            return format!("the configuration (version {}) has no queue {}", self.config.version, entry.queue);
+        };
+        let Some(step) = entry.step(name.step) else { return String::new() };
+        let room = self.room(clock);
+        let suits = room.places.iter().filter(|place| place.suits(queue, step));
+        let need = taken_room(step);
+        let (mut workers, mut fitting, mut told) = (0, 0, 0);
+        for place in suits {
+            workers += 1;
+            let slots = place.slots(&need);
+            fitting += slots;
+            if queue.advice.is_none() || unit.known.allows(&place.id, clock.now) {
+                told += slots;
+            }
+        }
+        let asking = if unit.known.asking { "; the adviser is being asked" } else { "" };
+        let gang = if step.gang { ", all at once" } else { "" };
+        format!(
+            "{} tasks need places{gang}: {workers} suitable workers have room for {fitting}, those with a ticket for {told}{asking}",
+            unit.pending
+        )
+    }
+}
--- a/components/sched/src/lib.rs
+++ b/components/sched/src/lib.rs
@@ -9,6 +9,7 @@
 mod ends;
 mod engine;
 mod entry;
+mod explain;
 mod lease;
 mod limits;
 mod order;
@@ -19,6 +20,7 @@
 
 pub use advice::{Question, Ticket};
 pub use engine::{Action, Clock, Engine, Start};
+pub use explain::{Explanation, StepExplanation};
 pub use lease::Lease;
 pub use limits::{AUTHORITY, Limits};
 pub use order::Outcome as OrderOutcome;
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -64,7 +64,7 @@
     pub fn plan(&mut self, clock: Clock) {
         self.settle(clock);
         self.open_units(clock);
-        self.stop_broken_gangs(clock);
+        self.stop_broken_gangs();
         let mut room = self.room(clock);
         for candidate in self.candidates(clock) {
             self.serve(clock, candidate.unit, &mut room);
@@ -103,7 +103,7 @@
         }
     }
 
-    fn room(&self, clock: Clock) -> Room {
+    pub(crate) fn room(&self, clock: Clock) -> Room {
         let usable = |worker: &&(&WorkerId, &Worker)| worker.1.usable(clock.now, self.durable);
         let all: Vec<_> = self.workers.iter().collect();
         let places = all.iter().filter(usable).map(|(id, worker)| Place {
@@ -127,7 +127,7 @@
         let Some(step) = entry.step(unit.step).cloned() else { return };
         let Some(queue) = self.config.queue(&entry.queue).cloned() else { return };
         let Some(state) = entry.units.get(&(unit.round, unit.step)) else { return };
-        if !self.resolved(clock, state) {
+        if !self.resolved(state) {
             return;
         }
         if step.gang && state.pending != state.tasks.len() {
@@ -191,14 +191,18 @@
     }
 
     /// Whether no waiting task of a unit may still run where an earlier leader has placed it.
-    pub(crate) fn resolved(&self, clock: Clock, state: &UnitState) -> bool {
+    pub(crate) fn resolved(&self, state: &UnitState) -> bool {
+        self.unresolved(state).is_none()
+    }
+
+    /// A worker on which an earlier leader placed a task that waits now, and which hasn't answered yet.
+    pub(crate) fn unresolved<'a>(&self, state: &'a UnitState) -> Option<&'a WorkerId> {
         if self.settled {
-            return true;
+            return None;
         }
-        let _ = clock;
         let open =
-            |worker: &WorkerId| self.workers.get(worker).is_some_and(|worker| worker.contact == Contact::Unknown);
-        !state.tasks.iter().any(|task| task.inherited.as_ref().is_some_and(open))
+            |worker: &&WorkerId| self.workers.get(*worker).is_some_and(|worker| worker.contact == Contact::Unknown);
+        state.tasks.iter().filter_map(|task| task.inherited.as_ref()).find(open)
     }
 
     /// Sends the starts whose records are durable, unless they have become pointless meanwhile.
