--- a/bins/walkhook/src/client.rs
+++ b/bins/walkhook/src/client.rs
@@ -10,8 +10,10 @@
 
 use crate::cli::Cli;
 
-const PATIENCE: Duration = Duration::from_secs(10);
-const MAX_ANSWER: usize = 64 * 1024 * 1024;
+/// How long one answer may take.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(10);
+/// Largest answer, in bytes.
+pub(crate) const MAX_ANSWER: usize = 64 * 1024 * 1024;
 /// A lost answer is asked after for so long.
 const ASK_AFTER: Duration = Duration::from_secs(20);
 const PAUSE: Duration = Duration::from_millis(300);
--- a/bins/walkhook/src/main.rs
+++ b/bins/walkhook/src/main.rs
@@ -2,6 +2,8 @@
 
 mod cli;
 mod client;
+mod job;
+mod log;
 mod print;
 mod wait;
 
@@ -43,6 +45,13 @@
 
 /// Checks all statements before the first is sent; stops at the first that is not done.
 async fn run(cli: &Cli) -> Result<Status> {
+    if let Some((id, files)) = log::command(&cli.statement)? {
+        log::run(&id, &files, cli.output)?;
+        return Ok(Status::Done);
+    }
+    if let Some(command) = job::command(&cli.statement)? {
+        return job::run(cli, command).await;
+    }
     let script = script(cli)?;
     let statements = query::parse(&script)?;
     if statements.is_empty() {
--- a/bins/walkhook/src/print.rs
+++ b/bins/walkhook/src/print.rs
@@ -13,6 +13,15 @@
     }
 }
 
+/// Prints what an entry host told of callers' jobs; nothing for an answer without content.
+pub(crate) fn value(value: &serde_json::Value, output: Output) {
+    match (value, output) {
+        (serde_json::Value::Null, _) => println!("done"),
+        (value, Output::Json) => println!("{value}"),
+        (value, Output::Table) => println!("{}", serde_json::to_string_pretty(value).unwrap_or_default()),
+    }
+}
+
 fn person(outcome: &Outcome) {
     if let Some(table) = &outcome.table {
         println!("{}", shown(table));
--- /dev/null
+++ b/bins/walkhook/tests/job.rs
@@ -0,0 +1,141 @@
+//! Commands for callers' jobs against a whole entry host, and the life of a job from the logs of several hosts.
+
+use std::net::SocketAddr;
+use std::process::{Command, Output};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use console::Console;
+use fakes::cell::{Cell, Conduct};
+use model::Resources;
+use sched::{How, Info};
+use work::{Config, Queue};
+
+const ID: &str = "00000000000000a7";
+/// Only a broken test waits so long.
+const PATIENCE: Duration = Duration::from_secs(40);
+
+fn config() -> Config {
+    let queue = Queue {
+        name: "plans".to_owned(),
+        host: "queues.example".to_owned(),
+        prefix: "/plans/".to_owned(),
+        pool: "pool".to_owned(),
+        priority: 1,
+        max_attempts: 3,
+        stretch: 2.0,
+        objective: Duration::from_secs(1),
+        advice: None,
+    };
+    Config { version: 3, queues: vec![queue], max_body: 10_000 }
+}
+
+struct Served {
+    cell: Arc<Cell>,
+    address: SocketAddr,
+    _server: dropshot::HttpServer<Arc<Console>>,
+}
+
+async fn serve() -> Served {
+    let cell = Cell::new(config());
+    let info = Info {
+        address: "10.0.0.1:80".to_owned(),
+        pool: "pool".to_owned(),
+        zone: "zone".to_owned(),
+        labels: Vec::new(),
+        capacity: Resources::new(4, 4000, 0),
+        draining: false,
+    };
+    cell.add_worker("w1", info);
+    cell.conduct(Conduct { takes: Duration::from_secs(600), how: How::Done });
+    let host = cell.host("host-1").await.expect("a free port");
+    let end = Instant::now() + PATIENCE;
+    while !host.ready() {
+        assert!(Instant::now() < end, "never ready");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let registry = host.metrics.registry();
+    let console = Arc::new(Console { host, registry });
+    let server = console::start(fakes::any_port(), console, &events::silent()).expect("a free port");
+    Served { cell, address: server.local_addr(), _server: server }
+}
+
+async fn walkhook(served: &Served, words: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_walkhook"));
+    command.arg("--entry").arg(served.address.to_string()).args(words);
+    tokio::task::spawn_blocking(move || command.output()).await.expect("the task ends").expect("it runs")
+}
+
+fn text(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_is_submitted_explained_and_cancelled_at_the_terminal() {
+    let served = serve().await;
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("job.json");
+    let need = r#"{"cpu_milli": 3000, "memory_mib": 100, "accelerators": 0}"#;
+    let job = format!(r#"{{"queue": "plans", "steps": [{{"count": 2, "need": {need}}}]}}"#);
+    std::fs::write(&file, job).expect("written");
+    let path = file.display().to_string();
+
+    let submitted = walkhook(&served, &["job", "submit", ID, &path]).await;
+    assert_eq!(submitted.status.code(), Some(0), "{}", text(&submitted));
+    let end = Instant::now() + PATIENCE;
+    while served.cell.starts().is_empty() {
+        assert!(Instant::now() < end, "never started");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let explained = text(&walkhook(&served, &["job", "why", ID]).await);
+    assert!(explained.contains(r#""0 on w1, attempt 1""#), "{explained}");
+    assert!(explained.contains("1 tasks need places: 1 suitable workers have room for 0"), "{explained}");
+    let cancelled = walkhook(&served, &["job", "cancel", ID]).await;
+    assert_eq!(cancelled.status.code(), Some(0), "{}", text(&cancelled));
+    let explained = text(&walkhook(&served, &["job", "why", ID]).await);
+    assert!(explained.contains(r#""state": "cancelled""#), "{explained}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn mistakes_are_told_apart_from_absence() {
+    let served = serve().await;
+    let absent = walkhook(&served, &["job", "why", ID]).await;
+    assert_eq!(absent.status.code(), Some(1));
+    assert!(text(&absent).contains("no such job"), "{}", text(&absent));
+    let malformed = walkhook(&served, &["job", "why", "a7"]).await;
+    assert!(text(&malformed).contains("`a7` is not 16 hexadecimal digits"), "{}", text(&malformed));
+    let unknown = walkhook(&served, &["job", "forget", ID]).await;
+    assert_eq!(unknown.status.code(), Some(2));
+    assert!(text(&unknown).contains("use: job why ID"), "{}", text(&unknown));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn queues_and_the_leader_are_shown() {
+    let served = serve().await;
+    let queues = text(&walkhook(&served, &["queues"]).await);
+    assert!(queues.contains(r#""name": "plans""#) && queues.contains(r#""waiting": 0"#), "{queues}");
+    let host = text(&walkhook(&served, &["host"]).await);
+    assert!(host.contains(r#""leader": "host-1""#) && host.contains(r#""config": 3"#), "{host}");
+}
+
+#[test]
+fn the_logs_of_several_hosts_are_joined_by_id_in_order_of_time() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let line = |time: &str, host: &str, text: &str, id: &str| {
+        format!(r#"{{"msg":"{text}","level":"INFO","ts":"{time}","host":"{host}","job":"{id}","event":610}}"#)
+    };
+    let one = [line("2026-01-01T00:00:02Z", "a", "later", ID), line("2026-01-01T00:00:03Z", "a", "other", "77")];
+    let two = [line("2026-01-01T00:00:01Z", "b", "sooner", ID), "no line of ours".to_owned()];
+    let paths: Vec<String> = [("a.log", one.join("\n")), ("b.log", two.join("\n"))]
+        .into_iter()
+        .map(|(name, text)| {
+            let path = folder.path().join(name);
+            std::fs::write(&path, text).expect("written");
+            path.display().to_string()
+        })
+        .collect();
+    let output = Command::new(env!("CARGO_BIN_EXE_walkhook")).args(["log", ID]).args(&paths).output().expect("it runs");
+    let text = text(&output);
+    let (sooner, later) = (text.find("sooner").expect("shown"), text.find("later").expect("shown"));
+    assert!(sooner < later && !text.contains("other"), "{text}");
+}
--- a/components/console/src/server.rs
+++ b/components/console/src/server.rs
@@ -78,8 +78,12 @@
     HttpError::for_client_error(None, dropshot::ClientErrorStatusCode::CONFLICT, text)
 }
 
+fn not_found(what: String) -> HttpError {
+    HttpError::for_client_error(None, dropshot::ClientErrorStatusCode::NOT_FOUND, what)
+}
+
 fn no_such_job() -> HttpError {
-    HttpError::for_not_found(None, "no such job".to_owned())
+    not_found("no such job".to_owned())
 }
 
 /// How a job stands, and why.
@@ -107,7 +111,7 @@
     job.check().map_err(|fault| HttpError::for_bad_request(None, fault.to_string()))?;
     let console = context.context();
     if console.host.config().queue(&submission.queue).is_none() {
-        return Err(HttpError::for_not_found(None, format!("there is no queue `{}`", submission.queue)));
+        return Err(not_found(format!("there is no queue `{}`", submission.queue)));
     }
     let call = Call::Submit { queue: submission.queue, id, job: Box::new(job), wait: PATIENCE };
     match ask(console, call).await {
--- a/components/web/src/client.rs
+++ b/components/web/src/client.rs
@@ -86,6 +86,25 @@
         tokio::time::timeout(timeout, exchange).await.map_err(|_| Fault::Unknown(format!("none within {timeout:?}")))?
     }
 
+    /// Sends `body` by PUT; the answer has no content.
+    pub async fn put<Q: Serialize>(&self, url: &str, body: &Q) -> Result<(), Fault> {
+        let bytes = serde_json::to_vec(body).map_err(|fault| Fault::NotSent(fault.to_string()))?;
+        self.without_content(Method::PUT, url, Bytes::from(bytes)).await
+    }
+
+    /// Sends a DELETE; the answer has no content.
+    pub async fn delete(&self, url: &str) -> Result<(), Fault> {
+        self.without_content(Method::DELETE, url, Bytes::new()).await
+    }
+
+    async fn without_content(&self, method: Method, url: &str, body: Bytes) -> Result<(), Fault> {
+        let (status, bytes) = self.ask(request(method, url, body)?, self.timeout).await?;
+        match status.is_success() {
+            true => Ok(()),
+            false => Err(Fault::Status { status, body: String::from_utf8_lossy(&bytes).into_owned() }),
+        }
+    }
+
     async fn call<A: DeserializeOwned>(&self, method: Method, url: &str, body: Bytes) -> Result<A, Fault> {
         let mut request = request(method, url, body)?;
         if let Some(bearer) = &self.bearer {
