--- a/bins/walkhookd/tests/support/mod.rs
+++ b/bins/walkhookd/tests/support/mod.rs
@@ -225,7 +225,7 @@
         // Not tried out by listening: a listener of this process lives on for a moment in every child that another
         // test is just starting, and its port would be taken when the host wants it.
         let addresses: Vec<SocketAddr> =
-            (0..count * 4).map(|at| SocketAddr::from((own_ip(), FIRST_PORT + at as u16))).collect();
+            (0..count * 4).map(|at| SocketAddr::from((fakes::own_ip(), FIRST_PORT + at as u16))).collect();
         let seed = addresses[2];
         let all: Vec<&str> = layout.iter().map(|(name, _, _)| *name).collect();
         let mut free = addresses.chunks(4);
@@ -352,17 +352,6 @@
     }
 }
 
-/// A loopback address that no other cell uses, so that all ports there are free, but for those that the system
-/// gives to outgoing connections.
-fn own_ip() -> Ipv4Addr {
-    static CELLS: AtomicU32 = AtomicU32::new(0);
-    thread_local! {
-        static OWN: u32 = CELLS.fetch_add(1, Ordering::Relaxed);
-    }
-    let (process, cell) = (std::process::id(), OWN.with(|own| *own));
-    Ipv4Addr::new(127, 1 + (process % 250) as u8, (process / 250 % 250) as u8, 1 + (cell % 250) as u8)
-}
-
 pub fn listed(
     name: &str,
     data_centre: &str,
--- a/components/fakes/src/lib.rs
+++ b/components/fakes/src/lib.rs
@@ -11,7 +11,8 @@
 pub use crate::platform::{Control, Counts, Door, Platform};
 pub use crate::worker::{Conduct, Worker};
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use tokio::net::TcpListener;
 
@@ -26,3 +27,14 @@
 pub fn any_port() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
+
+/// A loopback address that no other test uses, so that all ports there are free, but for those that the system
+/// gives to outgoing connections.
+pub fn own_ip() -> Ipv4Addr {
+    static CELLS: AtomicU32 = AtomicU32::new(0);
+    thread_local! {
+        static OWN: u32 = CELLS.fetch_add(1, Ordering::Relaxed);
+    }
+    let (process, cell) = (std::process::id(), OWN.with(|own| *own));
+    Ipv4Addr::new(127, 1 + (process % 250) as u8, (process / 250 % 250) as u8, 1 + (cell % 250) as u8)
+}
