Claim once: a claim whose log is still being read counts

Claims of one host come one after the other now, and a follower that knows an earlier term of the same life is taken in. The test fails without the change (terms 3 or more).

--- a/components/entry/src/election.rs
+++ b/components/entry/src/election.rs
@@ -91,9 +91,10 @@
 /// Links to the leader that the store names, unless that is known already.
 async fn follow(host: &Arc<Host>, leader: Leader, record: u64) {
     if leader.host == host.settings.host {
+        // A claim of this life may still be reading the log.
         let own = leader.life == host.settings.life;
-        let leading = matches!(host.role(), Role::Leading(reign) if reign.term == leader.term);
-        if !(own && leading) {
+        let seated = host.seated.load(Ordering::Acquire) == leader.term;
+        if !(own && seated) {
             // The record is of an earlier life of this process, which surely has ended.
             claim_if_free(host, record).await;
         }
@@ -246,6 +247,11 @@
     }
     let spread = rand::rng().random_range(Duration::ZERO..SPREAD);
     tokio::time::sleep(spread).await;
+    // One claim at a time: the record's follower and the old leader may both ask for it.
+    let _claiming = host.claiming.lock().await;
+    if host.seated.load(Ordering::Acquire) != 0 {
+        return;
+    }
     if let Err(fault) = claim(host, record).await {
         emit!(host.log, events::CLAIM_FAILED, "fault" => format!("{fault:#}"));
         tokio::time::sleep(PAUSE).await;
@@ -283,7 +289,13 @@
     emit!(host.log, events::CLAIMED, "term" => chain.term, "revision" => revision);
     host.seated.store(chain.term, Ordering::Release);
     let seat = Seat { chain, revision, lease, leader, record: revision, confirmed };
-    let reign = Reign::begin(host.clone(), seat).await.context("reading the log")?;
+    let reign = match Reign::begin(host.clone(), seat).await {
+        Ok(reign) => reign,
+        Err(fault) => {
+            host.seated.store(0, Ordering::Release);
+            return Err(fault.context("reading the log"));
+        }
+    };
     host.set_role(Role::Leading(reign));
     Ok(())
 }
--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -74,6 +74,8 @@
     pub(crate) followers: Mutex<Vec<Follower>>,
     /// Term of this host's latest claim that was done; its reign begins once the log is read.
     pub(crate) seated: AtomicU64,
+    /// Held while a claim is under way.
+    pub(crate) claiming: tokio::sync::Mutex<()>,
     stopping: watch::Sender<bool>,
 }
 
@@ -106,6 +108,7 @@
             role: watch::Sender::new(Role::Nobody),
             followers: Mutex::new(Vec::new()),
             seated: AtomicU64::new(0),
+            claiming: tokio::sync::Mutex::new(()),
             stopping: watch::Sender::new(false),
         })
     }
--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -108,7 +108,7 @@
 
 /// Takes a follower in. One that means an earlier life of this process, or an earlier claim, is told so.
 fn hello(host: &Arc<Host>, name: String, leader: &Leader, link: Arc<Link>) -> Answer {
-    let meant = leader.life == host.settings.life && leader.term == host.seated.load(Ordering::Acquire);
+    let meant = leader.life == host.settings.life && leader.term <= host.seated.load(Ordering::Acquire);
     if !meant || host.stopping() {
         return Answer::NotLeader;
     }
--- a/components/entry/tests/hosts.rs
+++ b/components/entry/tests/hosts.rs
@@ -132,6 +132,8 @@
     let cell = cell();
     let hosts = hosts(&cell, 3).await;
     assert_eq!(submit(&hosts[0], 7, 1).await, Answer::Accepted);
+    // The others see the claim before the log is read.
+    cell.range_takes(Duration::from_millis(300));
     cell.turn_away("host-0", true);
     until("another leads", || leads(&hosts[1]) || leads(&hosts[2])).await;
     assert_eq!(ends(&hosts[1], 7).await, Outcome::Completed);
@@ -139,6 +141,8 @@
     assert_eq!(submit(&hosts[0], 8, 1).await, Answer::Accepted);
     assert_eq!(ends(&hosts[0], 8).await, Outcome::Completed);
     assert!(!leads(&hosts[0]));
+    let Role::Following(leader, _) = hosts[0].role() else { panic!("it follows") };
+    assert_eq!(leader.term, 2, "one claim is enough");
 }
 
 #[tokio::test]
--- a/components/fakes/src/cell.rs
+++ b/components/fakes/src/cell.rs
@@ -47,6 +47,7 @@
     changed: watch::Sender<u64>,
     began: Instant,
     conduct: Mutex<Conduct>,
+    range_takes: Mutex<Duration>,
 }
 
 /// The outside as one host sees it.
@@ -64,6 +65,7 @@
             changed: watch::Sender::new(0),
             began: Instant::now(),
             conduct: Mutex::new(Conduct { takes: Duration::ZERO, how: How::Done }),
+            range_takes: Mutex::new(Duration::ZERO),
         })
     }
 
@@ -72,6 +74,11 @@
         *self.conduct.lock() = conduct;
     }
 
+    /// How long a read of a prefix takes, such as that of a long log.
+    pub fn range_takes(&self, time: Duration) {
+        *self.range_takes.lock() = time;
+    }
+
     /// Adds a worker.
     pub fn add_worker(&self, id: &str, info: Info) {
         let mut runner = Runner::new(info.address.clone(), info.capacity);
@@ -223,6 +230,8 @@
     }
 
     async fn range(&self, prefix: &str) -> Result<Vec<Item>, Fault> {
+        let takes = *self.cell.range_takes.lock();
+        tokio::time::sleep(takes).await;
         self.store(|state| {
             let keys: Vec<String> = state.items.keys().filter(|key| key.starts_with(prefix)).cloned().collect();
             keys.iter().filter_map(|key| item(state, key)).collect()
