--- a/components/events/tests/proofs.rs
+++ b/components/events/tests/proofs.rs
@@ -29,6 +29,7 @@
             read_tests(&package.path().join("tests"), &mut tests);
         }
     }
+    read_tests(&root.join("platform/tests"), &mut tests);
     let page = std::fs::read_to_string(root.join("docs/PROOFS.md")).unwrap();
     let named = named(&page);
     assert!(named.len() > 20, "the page names its tests");
