--- a/components/entry/src/reign.rs
+++ b/components/entry/src/reign.rs
@@ -58,7 +58,9 @@
 pub(crate) struct Part {
     pub number: u64,
     pub written: Duration,
+    /// Jobs that were accepted or have ended in it.
     pub jobs: Vec<JobId>,
+    /// Whether it names workers.
     pub workers: bool,
 }
 
@@ -288,15 +290,11 @@
 }
 
 pub(crate) fn part(number: u64, written: Duration, records: &[Record]) -> Part {
-    let accepted = |record: &Record| match record {
-        Record::Accepted { id, .. } => Some(*id),
-        _ => None,
-    };
     let names_worker = |record: &Record| matches!(record, Record::Worker { .. });
     Part {
         number,
         written,
-        jobs: records.iter().filter_map(accepted).collect(),
+        jobs: records.iter().filter_map(Record::job).collect(),
         workers: records.iter().any(names_worker),
     }
 }
--- a/components/entry/src/reign/commit.rs
+++ b/components/entry/src/reign/commit.rs
@@ -23,8 +23,9 @@
 const MOST_REMOVED: usize = 24;
 /// Pause before a transaction is repeated.
 const PAUSE: Duration = Duration::from_millis(60);
-/// Parts are removed this long after the states of their jobs need not be told any more.
-const KEEP_PART: Duration = Duration::from_secs(60);
+/// Parts are removed after this time: most of their jobs have ended by then, and of these only the outcome is written
+/// anew. So a new leader reads the jobs of some seconds, also over a slow link.
+const KEEP_PART: Duration = Duration::from_secs(12);
 
 pub(crate) async fn run(reign: Arc<Reign>) {
     loop {
@@ -49,7 +50,7 @@
     if restore && !renew_lease(reign).await {
         reign.restore.store(true, Ordering::Release);
     }
-    let removed = removable(reign, upto);
+    let removed = removable(reign);
     let seat = reign.seat.lock().clone();
     let next = Chain { term: seat.chain.term, next: seat.chain.next + 1 };
     let transaction = match transaction(&seat.chain, seat.revision, &next, &records, &removed) {
@@ -169,11 +170,10 @@
 /// Writes anew what is still needed of old parts, so that they can be removed.
 fn clean(reign: &Reign) {
     let now = reign.host.started.elapsed();
-    let keep = reign.host.settings.limits.keep_ended + KEEP_PART;
     let mut parts = reign.parts.lock();
     let mut engine = reign.engine.lock();
     for part in parts.iter_mut().take(MOST_REMOVED) {
-        if now.saturating_sub(part.written) < keep {
+        if now.saturating_sub(part.written) < KEEP_PART {
             break;
         }
         std::mem::take(&mut part.jobs).into_iter().for_each(|id| engine.rewrite(id));
@@ -184,14 +184,13 @@
 }
 
 /// Old parts whose contents were written anew before this transaction.
-fn removable(reign: &Reign, _upto: u64) -> Vec<u64> {
+fn removable(reign: &Reign) -> Vec<u64> {
     let now = reign.host.started.elapsed();
-    let keep = reign.host.settings.limits.keep_ended + KEEP_PART;
     if reign.engine.lock().owes() {
         return Vec::new();
     }
     let parts = reign.parts.lock();
-    let old = parts.iter().take_while(|part| now.saturating_sub(part.written) >= keep);
+    let old = parts.iter().take_while(|part| now.saturating_sub(part.written) >= KEEP_PART);
     old.filter(|part| part.jobs.is_empty() && !part.workers).map(|part| part.number).take(MOST_REMOVED).collect()
 }
 
--- a/components/sched/src/ends.rs
+++ b/components/sched/src/ends.rs
@@ -162,7 +162,9 @@
 
     /// Takes over a run that another leader started, or stops it where its task needs none.
     fn adopt(&mut self, clock: Clock, id: &str, row: &Running) {
-        let need = self.step(row.task).map_or(Resources::ZERO, taken_room);
+        // What is left of an ended job may take any room: nothing else is placed there until it is gone.
+        let free = self.workers.get(id).map_or(Resources::ZERO, |worker| worker.free);
+        let need = self.step(row.task).map_or(free, taken_room);
         let wanted = self.jobs.get(&row.task.unit.job).is_some_and(|entry| entry.outcome.is_none())
             && self
                 .unit(row.task.unit)
--- a/components/sched/src/restore.rs
+++ b/components/sched/src/restore.rs
@@ -94,15 +94,26 @@
     }
 
     fn replay_end(&mut self, clock: Clock, id: JobId, outcome: Outcome) {
+        if !self.jobs.contains_key(&id) {
+            // The part that held the job is gone; callers may still ask how it ended.
+            let accepted = Accepted { now: clock.now, wall: clock.wall, position: 0 };
+            let job = work::Job { specification: String::new(), steps: Vec::new(), schedule: None };
+            self.insert(id, String::new(), Arc::new(job), accepted);
+        }
         let Some(entry) = self.jobs.get_mut(&id) else { return };
         entry.outcome = Some(Ended { outcome, position: 0, at: clock.now });
         entry.begun = true;
         self.live.remove(&id);
     }
 
-    /// Everything that must be kept of a job, as new records. Nothing for a job that is no longer kept.
+    /// Everything that must be kept of a job, as new records: of an ended one, only how it ended. Nothing for a job that
+    /// is no longer kept.
     pub fn rewrite(&mut self, id: JobId) {
         let Some(entry) = self.jobs.get(&id) else { return };
+        if let Some(ended) = entry.outcome {
+            self.record(Record::Ended { id, outcome: ended.outcome });
+            return;
+        }
         let mut records = vec![Record::Accepted {
             id,
             queue: entry.queue.clone(),
@@ -113,9 +124,6 @@
             let name = Unit { job: id, round: *round, step: *step };
             records.extend(unit_records(name, unit));
         }
-        if let Some(ended) = entry.outcome {
-            records.push(Record::Ended { id, outcome: ended.outcome });
-        }
         records.into_iter().for_each(|record| {
             self.record(record);
         });
--- a/components/sched/tests/decisions.rs
+++ b/components/sched/tests/decisions.rs
@@ -266,3 +266,47 @@
     assert_eq!(starts.len(), 1);
     assert_eq!((starts[0].0.as_str(), starts[0].1.ticket.as_deref()), ("w2", Some("t")));
 }
+
+#[test]
+fn of_an_ended_job_only_its_outcome_is_written_anew() {
+    let mut cell = Cell::new(1).ready();
+    cell.submit(1, "urgent", vec![step(1, 1)]);
+    let (worker, start) = cell.starts().remove(0);
+    cell.end(&worker, &start, How::Done);
+    cell.submit(2, "urgent", vec![step(2, 1), Step { after: vec![0], ..step(1, 1) }]);
+    let starts = cell.starts();
+    cell.started(&starts[0].0, &starts[0].1);
+    cell.log.clear();
+    cell.engine.rewrite(1);
+    cell.engine.rewrite(2);
+    cell.engine.rewrite_workers();
+    cell.write();
+    assert!(!cell.log.iter().any(|record| matches!(record, Record::Accepted { id: 1, .. })), "{:?}", cell.log);
+
+    let mut new = Cell::after(1, 2, &cell.log).ready();
+    assert_eq!(new.engine.state(1), Some(State::Ended(Outcome::Completed)));
+    assert_eq!(new.engine.state(2), Some(State::Running));
+    new.submit(1, "urgent", vec![step(1, 1)]);
+    assert!(new.starts().iter().all(|(_, start)| start.task.unit.job == 2), "an ended job stays ended");
+}
+
+#[test]
+fn a_run_of_a_job_that_is_only_remembered_keeps_others_off_its_worker() {
+    let mut old = Cell::new(1).ready();
+    old.submit(1, "urgent", vec![step(1, 12)]);
+    let (worker, start) = old.starts().remove(0);
+    old.engine.cancel(old.clock(), 1);
+    old.log.clear();
+    old.engine.rewrite(1);
+    old.engine.rewrite_workers();
+    old.write();
+
+    let mut new = Cell::after(1, 2, &old.log);
+    new.engine.list(new.clock(), new.infos.clone());
+    new.write();
+    new.report(&worker, &[running(&start)], &[]);
+    new.submit(2, "urgent", vec![step(1, 8)]);
+    assert!(new.starts().is_empty(), "nobody knows what the run takes");
+    new.end(&worker, &start, How::Stopped);
+    assert_eq!(new.starts().len(), 1);
+}
--- a/components/sched/tests/world/mod.rs
+++ b/components/sched/tests/world/mod.rs
@@ -45,6 +45,8 @@
     done: BTreeSet<Task>,
     /// Tasks known as done, with the term that wrote it down.
     known_done: BTreeMap<Task, Term>,
+    /// Runs of each task that are known as failed.
+    failed: BTreeMap<Task, BTreeSet<Attempt>>,
     lives: u32,
 }
 
@@ -68,6 +70,7 @@
             cancelled: BTreeSet::new(),
             done: BTreeSet::new(),
             known_done: BTreeMap::new(),
+            failed: BTreeMap::new(),
             lives: 0,
         };
         for place in 0..4 {
@@ -216,6 +219,9 @@
                 Record::Ended { id, outcome: Outcome::Cancelled } => {
                     self.cancelled.insert(*id);
                 }
+                Record::Failed { task, attempt } => {
+                    self.failed.entry(*task).or_default().insert(*attempt);
+                }
                 Record::Done { task } => {
                     self.known_done.entry(*task).or_insert(leader.term);
                 }
@@ -224,6 +230,23 @@
         }
         self.log.extend(records);
         leader.engine.written(self.clock(), upto);
+        if self.rng.random_bool(0.01) {
+            self.clean(leader);
+        }
+    }
+
+    /// Removes the older half of the log, after what is still needed of it was written anew.
+    fn clean(&mut self, leader: &mut Leader) {
+        let newer = self.log.split_off(self.log.len() / 2);
+        for record in std::mem::replace(&mut self.log, newer) {
+            if let Some(id) = record.job() {
+                leader.engine.rewrite(id);
+            }
+        }
+        leader.engine.rewrite_workers();
+        let (records, upto) = leader.engine.take_records(10_000_000);
+        self.log.extend(records);
+        leader.engine.written(self.clock(), upto);
     }
 
     /// Renews all leases. Whether no worker knows a newer leader.
@@ -350,9 +373,8 @@
             let complete = if step.gang { (0..step.count).any(done) } else { (0..step.count).all(done) };
             assert!(complete, "{task} was started before step {on} was done");
         }
-        let failed =
-            self.log.iter().filter(|record| matches!(record, Record::Failed { task: other, .. } if *other == task));
-        assert!(failed.count() < MAX_ATTEMPTS as usize, "{task} was started beyond its attempts");
+        let failed = self.failed.get(&task).map_or(0, BTreeSet::len);
+        assert!(failed < MAX_ATTEMPTS as usize, "{task} was started beyond its attempts");
     }
 
     /// No worker is overcommitted, and no task runs twice.
--- a/components/work/src/record.rs
+++ b/components/work/src/record.rs
@@ -32,6 +32,14 @@
 const SMALL: usize = 40;
 
 impl Record {
+    /// The job that needs this record to be known, or to be known as ended.
+    pub fn job(&self) -> Option<JobId> {
+        match self {
+            Record::Accepted { id, .. } | Record::Ended { id, .. } => Some(*id),
+            _ => None,
+        }
+    }
+
     /// Roughly its size in the log, in bytes.
     pub fn weight(&self) -> usize {
         match self {
