--- a/components/entry/src/reign/commit.rs
+++ b/components/entry/src/reign/commit.rs
@@ -208,6 +208,6 @@
         Record::Worker { id, address } => emit!(log, events::WORKER_RECORDED, "worker" => id, "address" => address),
         Record::Gone { id } => emit!(log, events::WORKER_GONE, "worker" => id),
         // Starts are logged when they are sent, ends when workers report them.
-        Record::Placed { .. } | Record::Done { .. } | Record::Failed { .. } => {}
+        Record::Rewritten(_) | Record::Placed { .. } | Record::Done { .. } | Record::Failed { .. } => {}
     }
 }
--- a/components/sched/src/restore.rs
+++ b/components/sched/src/restore.rs
@@ -21,6 +21,7 @@
     pub fn replay(&mut self, clock: Clock, record: Record) {
         match record {
             Record::Accepted { id, queue, at, job } => self.replay_job(clock, id, queue, at, job),
+            Record::Rewritten(record) => self.replay(clock, *record),
             Record::Placed { task, worker, .. } => self.replay_placed(task, worker),
             Record::Done { task } => self.replay_done(task),
             Record::Failed { task, attempt } => self.replay_failed(task, attempt),
@@ -111,7 +112,7 @@
     pub fn rewrite(&mut self, id: JobId) {
         let Some(entry) = self.jobs.get(&id) else { return };
         if let Some(ended) = entry.outcome {
-            self.record(Record::Ended { id, outcome: ended.outcome });
+            self.rewritten(Record::Ended { id, outcome: ended.outcome });
             return;
         }
         let mut records = vec![Record::Accepted {
@@ -124,9 +125,11 @@
             let name = Unit { job: id, round: *round, step: *step };
             records.extend(unit_records(name, unit));
         }
-        records.into_iter().for_each(|record| {
-            self.record(record);
-        });
+        records.into_iter().for_each(|record| self.rewritten(record));
+    }
+
+    fn rewritten(&mut self, record: Record) {
+        self.record(Record::Rewritten(Box::new(record)));
     }
 
     /// Names all workers anew in the log.
@@ -136,9 +139,7 @@
             .iter()
             .map(|(id, worker)| Record::Worker { id: id.clone(), address: worker.info.address.clone() })
             .collect();
-        named.into_iter().for_each(|record| {
-            self.record(record);
-        });
+        named.into_iter().for_each(|record| self.rewritten(record));
     }
 }
 
--- a/components/sched/tests/decisions.rs
+++ b/components/sched/tests/decisions.rs
@@ -281,7 +281,11 @@
     cell.engine.rewrite(2);
     cell.engine.rewrite_workers();
     cell.write();
-    assert!(!cell.log.iter().any(|record| matches!(record, Record::Accepted { id: 1, .. })), "{:?}", cell.log);
+    let kept = |record: &Record| match record {
+        Record::Rewritten(record) => matches!(**record, Record::Accepted { id: 1, .. }),
+        record => matches!(record, Record::Accepted { id: 1, .. }),
+    };
+    assert!(!cell.log.iter().any(kept), "{:?}", cell.log);
 
     let mut new = Cell::after(1, 2, &cell.log).ready();
     assert_eq!(new.engine.state(1), Some(State::Ended(Outcome::Completed)));
--- a/components/work/src/record.rs
+++ b/components/work/src/record.rs
@@ -36,6 +36,7 @@
     pub fn job(&self) -> Option<JobId> {
         match self {
             Record::Accepted { id, .. } | Record::Ended { id, .. } => Some(*id),
+            Record::Rewritten(record) => record.job(),
             _ => None,
         }
     }
@@ -44,6 +45,7 @@
     pub fn weight(&self) -> usize {
         match self {
             Record::Accepted { job, .. } => job.specification.len() + (1 + job.steps.len()) * SMALL,
+            Record::Rewritten(record) => record.weight(),
             _ => SMALL,
         }
     }
@@ -96,6 +98,8 @@
         /// The worker.
         id: WorkerId,
     },
+    /// An earlier record, written anew since its part of the log is removed.
+    Rewritten(Box<Record>),
     /// A job has ended.
     Ended {
         /// The job.
