Yield only when the store says nothing at all; repeat lost writes sooner; count from a leader's own end

A read that is answered now shows that the store serves this host; a write without an answer is repeated after 450 ms, then twice as long each time; and a leader that yields has ended before the next begins, which then waits for the leases only.

--- a/components/entry/src/edge.rs
+++ b/components/entry/src/edge.rs
@@ -96,8 +96,8 @@
     async fn range(&self, prefix: &str) -> Result<Vec<Item>, Fault>;
     /// Waits until a key of the prefix may have changed after `revision`.
     async fn changed(&self, prefix: &str, revision: u64, wait: Duration) -> Result<Change, Fault>;
-    /// Carries out a transaction.
-    async fn commit(&self, transaction: &Transaction) -> Result<Commit, Fault>;
+    /// Carries out a transaction. Waits for the answer at most `patience`.
+    async fn commit(&self, transaction: &Transaction, patience: Duration) -> Result<Commit, Fault>;
     /// Creates a lease.
     async fn lease(&self, ttl: Duration) -> Result<LeaseId, Fault>;
     /// Renews a lease. Whether it still exists.
--- a/components/entry/src/election.rs
+++ b/components/entry/src/election.rs
@@ -31,6 +31,8 @@
 const VACANT: Duration = Duration::from_millis(250);
 /// A connection to another host is given up after this time.
 const CONNECT: Duration = Duration::from_millis(400);
+/// A claim without an answer is given up after this time.
+const CLAIM: Duration = Duration::from_millis(900);
 /// Pause after a failed attempt.
 const PAUSE: Duration = Duration::from_millis(100);
 /// A follower asks the leader for a sign of life this often.
@@ -47,6 +49,15 @@
     pub next: u64,
 }
 
+/// What is known of the leader before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Before {
+    /// It ended its reign itself and gives no leases any more.
+    Ended,
+    /// It may go on for a while.
+    Unknown,
+}
+
 /// Follows the leader's record, and claims leadership when there is none.
 pub(crate) async fn run(host: Arc<Host>) {
     loop {
@@ -96,7 +107,7 @@
         let seated = host.seated.load(Ordering::Acquire) == leader.term;
         if !(own && seated) {
             // The record is of an earlier life of this process, which surely has ended.
-            claim_if_free(host, record).await;
+            claim_if_free(host, record, Before::Unknown).await;
         }
         return;
     }
@@ -136,7 +147,7 @@
             // A new life is at the leader's address: the one that led is gone.
             host.set_role(Role::Nobody);
             if let Some(record) = record {
-                claim_if_free(host, record).await;
+                claim_if_free(host, record, Before::Unknown).await;
             }
             return;
         }
@@ -168,7 +179,7 @@
 
 /// Replaces the leader at its own wish. Boxed, like [`redirect`].
 pub(crate) fn take_over(host: Arc<Host>, record: u64) -> Pin<Box<dyn Future<Output = ()> + Send>> {
-    Box::pin(async move { claim_if_free(&host, record).await })
+    Box::pin(async move { claim_if_free(&host, record, Before::Ended).await })
 }
 
 async fn dial(host: &Arc<Host>, leader: &Leader) -> Option<Arc<Link>> {
@@ -232,16 +243,16 @@
         Role::Following(_, link) => {
             let alive = link.call(Call::Missing, PING).await;
             if alive != Ok(Answer::Done) {
-                claim_if_free(host, record).await;
+                claim_if_free(host, record, Before::Unknown).await;
             }
         }
-        Role::Nobody => claim_if_free(host, record).await,
+        Role::Nobody => claim_if_free(host, record, Before::Unknown).await,
     }
 }
 
 /// Claims leadership, unless this host is about to stop. `record` is the revision of the record that the claim
 /// replaces, 0 for none: a leader that came in between stays.
-async fn claim_if_free(host: &Arc<Host>, record: u64) {
+async fn claim_if_free(host: &Arc<Host>, record: u64, before: Before) {
     if host.stopping() || matches!(host.role(), Role::Leading(_)) {
         return;
     }
@@ -252,13 +263,13 @@
     if host.seated.load(Ordering::Acquire) != 0 {
         return;
     }
-    if let Err(fault) = claim(host, record).await {
+    if let Err(fault) = claim(host, record, before).await {
         emit!(host.log, events::CLAIM_FAILED, "fault" => format!("{fault:#}"));
         tokio::time::sleep(PAUSE).await;
     }
 }
 
-async fn claim(host: &Arc<Host>, record: u64) -> anyhow::Result<()> {
+async fn claim(host: &Arc<Host>, record: u64, before: Before) -> anyhow::Result<()> {
     let store = &host.edges.store;
     let chain = store.get(CHAIN_KEY).await.context("reading the counter of terms")?.item;
     let (revision, old) = match &chain {
@@ -279,7 +290,7 @@
         puts: vec![chain_put(&chain)?, leader_put(&leader, lease)?],
         removes: Vec::new(),
     };
-    let revision = match store.commit(&transaction).await {
+    let revision = match store.commit(&transaction, CLAIM).await {
         Ok(Commit::Done(revision)) => revision,
         Ok(Commit::Conflict(_)) => bail!("another host was faster"),
         Ok(Commit::NoLease) => bail!("the lease has run out"),
@@ -289,7 +300,7 @@
     emit!(host.log, events::CLAIMED, "term" => chain.term, "revision" => revision);
     host.seated.store(chain.term, Ordering::Release);
     let seat = Seat { chain, revision, lease, leader, record: revision, confirmed };
-    let reign = match Reign::begin(host.clone(), seat).await {
+    let reign = match Reign::begin(host.clone(), seat, before).await {
         Ok(reign) => reign,
         Err(fault) => {
             host.seated.store(0, Ordering::Release);
--- a/components/entry/src/reign.rs
+++ b/components/entry/src/reign.rs
@@ -20,7 +20,7 @@
 use work::{Job, JobId, Record, Term, WorkerId};
 
 use crate::edge::LeaseId;
-use crate::election::Chain;
+use crate::election::{Before, Chain};
 use crate::host::Host;
 use crate::message::{Answer, Call, Leader};
 use ask::Desk;
@@ -74,6 +74,8 @@
     pub(crate) parts: Mutex<Vec<Part>>,
     /// Milliseconds of the steady clock at the last confirmation.
     confirmed: AtomicU64,
+    /// Milliseconds of the steady clock at the last answer of the store, whatever it said.
+    heard: AtomicU64,
     /// Whether the leader's record is to be written anew.
     pub(crate) restore: AtomicBool,
     /// Since when a transaction has been without an outcome.
@@ -89,7 +91,7 @@
 
 impl Reign {
     /// Begins to lead: rebuilds the book from the log.
-    pub(crate) async fn begin(host: Arc<Host>, seat: Seat) -> anyhow::Result<Arc<Reign>> {
+    pub(crate) async fn begin(host: Arc<Host>, seat: Seat, before: Before) -> anyhow::Result<Arc<Reign>> {
         let items = host.edges.store.range(LOG_PREFIX).await?;
         let clock = host.clock();
         let mut engine = Engine::new(host.settings.limits, seat.chain.term, host.config(), clock.now);
@@ -110,12 +112,16 @@
             records.into_iter().for_each(|record| engine.replay(clock, record));
         }
         engine.replayed(clock);
+        if before == Before::Ended {
+            engine.predecessor_ended();
+        }
         emit!(host.log, events::RECOVERED, "term" => seat.chain.term, "parts" => parts.len(),
             "took_ms" => (host.started.elapsed() - seat.confirmed).as_millis() as u64);
         let reign = Arc::new(Reign {
             term: seat.chain.term,
             engine: Mutex::new(engine),
             confirmed: AtomicU64::new(seat.confirmed.as_millis() as u64),
+            heard: AtomicU64::new(clock.now.as_millis() as u64),
             seat: Mutex::new(seat),
             parts: Mutex::new(parts),
             restore: AtomicBool::new(false),
@@ -149,6 +155,18 @@
     /// Takes note that nobody else led at this time.
     pub(crate) fn confirm(&self, at: Duration) {
         self.confirmed.fetch_max(at.as_millis() as u64, Ordering::Relaxed);
+        self.hear();
+    }
+
+    /// Takes note that the store answers this host.
+    pub(crate) fn hear(&self) {
+        self.heard.fetch_max(self.host.started.elapsed().as_millis() as u64, Ordering::Relaxed);
+    }
+
+    /// How long the store hasn't answered this host.
+    pub(crate) fn unheard_for(&self) -> Duration {
+        let heard = Duration::from_millis(self.heard.load(Ordering::Relaxed));
+        self.host.started.elapsed().saturating_sub(heard)
     }
 
     pub(crate) fn unconfirmed_for(&self) -> Duration {
--- a/components/entry/src/reign/commit.rs
+++ b/components/entry/src/reign/commit.rs
@@ -21,6 +21,10 @@
 const MOST_BYTES: usize = 256 * 1024;
 /// Most old parts removed by one transaction: the store takes 32 entries.
 const MOST_REMOVED: usize = 24;
+/// A transaction without an answer is repeated after this time: twice what a slow store takes.
+const FIRST_PATIENCE: Duration = Duration::from_millis(450);
+/// Each repetition waits twice as long, up to this time.
+const MOST_PATIENCE: Duration = Duration::from_millis(1800);
 /// Pause before a transaction is repeated.
 const PAUSE: Duration = Duration::from_millis(60);
 /// Parts are removed after this time: most of their jobs have ended by then, and of these only the outcome is written
@@ -95,9 +99,12 @@
 /// Repeats a transaction until its outcome is known. The revision, and when the successful one was sent.
 async fn settle(reign: &Arc<Reign>, transaction: &Transaction, next: &Chain) -> Option<(u64, Duration)> {
     let began = reign.host.started.elapsed();
+    let mut patience = FIRST_PATIENCE;
     loop {
         let sent = reign.host.started.elapsed();
-        match reign.host.edges.store.commit(transaction).await {
+        let outcome = reign.host.edges.store.commit(transaction, patience).await;
+        patience = MOST_PATIENCE.min(patience * 2);
+        match outcome {
             Ok(Commit::Done(revision)) => return Some((revision, sent)),
             Ok(Commit::Conflict(items)) => match done_before(&items, next) {
                 Some(revision) => return Some((revision, sent)),
--- a/components/entry/src/reign/duties.rs
+++ b/components/entry/src/reign/duties.rs
@@ -65,6 +65,7 @@
                 if std::mem::take(&mut failing) {
                     emit!(reign.host.log, events::PLATFORM_BACK, "call" => "list of workers");
                 }
+                reign.hear();
                 reign.engine.lock().list(reign.host.clock(), workers);
                 agent::follow(&reign);
                 reign.write.notify_one();
--- a/components/entry/src/reign/yielding.rs
+++ b/components/entry/src/reign/yielding.rs
@@ -26,14 +26,14 @@
 pub(crate) async fn run(reign: Arc<Reign>) {
     loop {
         tokio::time::sleep(LOOK).await;
-        if reign.unconfirmed_for() < UNANSWERED {
+        if reign.unheard_for() < UNANSWERED {
             continue;
         }
         let Some(follower) = served(&reign).await else {
             tokio::time::sleep(PAUSE).await;
             continue;
         };
-        if reign.unconfirmed_for() >= UNANSWERED && give(&reign, &follower).await {
+        if reign.unheard_for() >= UNANSWERED && give(&reign, &follower).await {
             return;
         }
     }
@@ -60,9 +60,11 @@
 async fn give(reign: &Arc<Reign>, follower: &Follower) -> bool {
     let record = reign.seat.lock().record;
     emit!(reign.host.log, events::YIELDED, "key" => LEADER_KEY, "to" => &follower.host, "term" => reign.term,
-        "unanswered_ms" => reign.unconfirmed_for().as_millis() as u64);
+        "unanswered_ms" => reign.unheard_for().as_millis() as u64);
+    // It must have ended before the other begins: then nothing of it prolongs a lease any more.
     reign.host.set_role(Role::Nobody);
-    let taken = follower.link.call(Call::TakeOver(record), PROBE).await == Ok(Answer::Done);
+    let link = follower.link.clone();
+    let asked = tokio::spawn(async move { link.call(Call::TakeOver(record), PROBE).await });
     reign.depose("the store answers a follower and not this host");
-    taken
+    matches!(asked.await, Ok(Ok(Answer::Done)))
 }
--- a/components/fakes/src/cell.rs
+++ b/components/fakes/src/cell.rs
@@ -242,7 +242,7 @@
         self.wait(revision, wait).await
     }
 
-    async fn commit(&self, transaction: &Transaction) -> Result<Commit, Fault> {
+    async fn commit(&self, transaction: &Transaction, _patience: Duration) -> Result<Commit, Fault> {
         self.store(|state| {
             let commit = self.cell.carry_out(state, transaction);
             if state.lost_answers > 0 {
--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -8,7 +8,7 @@
 
 use crate::advice::{Question, Shares};
 use crate::entry::{Accepted, Ended, Entry, Phase, UnitState};
-use crate::limits::Limits;
+use crate::limits::{AUTHORITY, Limits};
 use crate::worker::{Contact, Info, Worker};
 
 /// The time of an event.
@@ -56,6 +56,8 @@
     pub(crate) limits: Limits,
     pub(crate) term: Term,
     pub(crate) reign: Duration,
+    /// How long after the reign began the leader before may still have given leases.
+    pub(crate) predecessor: Duration,
     pub(crate) config: Arc<Config>,
     pub(crate) workers: BTreeMap<WorkerId, Worker>,
     pub(crate) jobs: BTreeMap<JobId, Entry>,
@@ -80,6 +82,7 @@
             limits,
             term,
             reign: now,
+            predecessor: AUTHORITY,
             config,
             workers: BTreeMap::new(),
             jobs: BTreeMap::new(),
@@ -95,6 +98,11 @@
         }
     }
 
+    /// The leader before has ended its reign itself, before this one began.
+    pub fn predecessor_ended(&mut self) {
+        self.predecessor = Duration::ZERO;
+    }
+
     /// Takes a newer configuration.
     pub fn configure(&mut self, config: Arc<Config>) {
         if config.version > self.config.version {
--- a/components/sched/src/limits.rs
+++ b/components/sched/src/limits.rs
@@ -28,8 +28,8 @@
 pub(crate) const TICKET_MARGIN: Duration = Duration::from_millis(60);
 
 impl Limits {
-    /// Time after which everything that another leader started and nobody renewed has surely ended.
+    /// Time after which everything that nobody renewed has surely ended.
     pub(crate) fn surely_lapsed(&self) -> Duration {
-        AUTHORITY + self.max_lease.mul_f64(CLOCK_SLACK) + LAPSE_MARGIN
+        self.max_lease.mul_f64(CLOCK_SLACK) + LAPSE_MARGIN
     }
 }
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -76,7 +76,7 @@
             return self.drop_unseen(clock);
         }
         let known = self.workers.values().all(|worker| worker.contact != Contact::Unknown);
-        let old = clock.now.saturating_sub(self.reign) > self.limits.surely_lapsed();
+        let old = clock.now.saturating_sub(self.reign) > self.predecessor + self.limits.surely_lapsed();
         // An empty book may be one whose list hasn't come yet.
         self.settled = (known && !self.workers.is_empty()) || old;
     }
--- a/components/sched/tests/decisions.rs
+++ b/components/sched/tests/decisions.rs
@@ -314,3 +314,21 @@
     new.end(&worker, &start, How::Stopped);
     assert_eq!(new.starts().len(), 1);
 }
+
+#[test]
+fn after_a_leader_that_ended_by_itself_only_its_leases_are_waited_for() {
+    let mut old = Cell::new(1).ready();
+    old.submit(1, "urgent", vec![step(1, 1)]);
+    assert_eq!(old.starts().len(), 1);
+
+    let mut new = Cell::after(2, 2, &old.log);
+    new.engine.predecessor_ended();
+    new.engine.list(new.clock(), new.infos.clone());
+    new.write();
+    new.now = Duration::from_millis(6_200);
+    new.report("w1", &[], &[]);
+    assert!(new.starts().is_empty());
+    new.now = Duration::from_millis(6_300);
+    new.report("w1", &[], &[]);
+    assert_eq!(new.starts().len(), 1);
+}
