--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -188,8 +188,14 @@
     /// Takes back a job whose record wasn't given to the log yet. Whether it was.
     pub fn withdraw(&mut self, id: JobId) -> bool {
         let waiting = |record: &(u64, Record)| matches!(&record.1, Record::Accepted { id: other, .. } if *other == id);
-        let Some(index) = self.records.iter().position(waiting) else { return false };
-        self.records.remove(index);
+        if !self.records.iter().any(waiting) {
+            return false;
+        }
+        self.records.retain(|(_, record)| record.job() != Some(id) && record.placed() != Some(id));
+        for worker in self.workers.values_mut() {
+            worker.runs.retain(|(task, _), _| task.unit.job != id);
+            worker.recount();
+        }
         self.jobs.remove(&id);
         self.live.remove(&id);
         true
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -133,15 +133,14 @@
         if step.gang && state.pending != state.tasks.len() {
             return;
         }
-        let startable = entry.accepted.position <= self.durable;
-        if startable {
-            let choices = choose(clock.now, state, &step, &queue, room);
-            if !(step.gang && choices.len() < state.tasks.len()) {
-                self.start(clock, unit, &step, choices, room);
-            }
+        // A job that isn't kept yet is placed all the same: its starts are sent after its own record is written.
+        let kept = entry.accepted.position <= self.durable;
+        let choices = choose(clock.now, state, &step, &queue, room);
+        if !(step.gang && choices.len() < state.tasks.len()) {
+            self.start(clock, unit, &step, choices, room);
         }
-        // A job that isn't kept yet asks once, so that it can start as soon as it is.
-        if startable || self.unit(unit).is_some_and(|state| state.known.asked.is_empty()) {
+        // Until then it asks once: the store may be away for long.
+        if kept || self.unit(unit).is_some_and(|state| state.known.asked.is_empty()) {
             self.ask(clock, unit, &queue, room);
         }
     }
--- a/components/sched/tests/decisions.rs
+++ b/components/sched/tests/decisions.rs
@@ -239,8 +239,10 @@
     let mut cell = Cell::new(1).ready();
     let job = work::Job { specification: String::new(), steps: vec![step(1, 1)], schedule: None };
     cell.engine.accept(cell.clock(), 1, "urgent".to_owned(), job);
+    cell.engine.plan(cell.clock());
     assert!(cell.engine.withdraw(1));
     assert!(cell.starts().is_empty());
+    assert!(!cell.log.iter().any(|record| record.placed() == Some(1)), "no trace of it: {:?}", cell.log);
     assert_eq!(cell.engine.state(1), None);
     cell.submit(2, "urgent", vec![step(1, 1)]);
     assert!(!cell.engine.withdraw(2), "its record is written");
@@ -332,3 +334,16 @@
     new.report("w1", &[], &[]);
     assert_eq!(new.starts().len(), 1);
 }
+
+#[test]
+fn a_job_is_placed_while_its_own_record_is_still_to_be_written() {
+    let mut cell = Cell::new(1).ready();
+    let job = work::Job { specification: String::new(), steps: vec![step(1, 1)], schedule: None };
+    cell.engine.accept(cell.clock(), 1, "urgent".to_owned(), job);
+    cell.engine.plan(cell.clock());
+    assert!(cell.engine.take_actions().is_empty(), "nothing is sent before both are kept");
+    let (records, upto) = cell.engine.take_records(1_000_000);
+    assert!(matches!(records.as_slice(), [Record::Accepted { .. }, Record::Placed { .. }]), "one write for both");
+    cell.engine.written(cell.clock(), upto);
+    assert!(matches!(cell.engine.take_actions().as_slice(), [Action::Start(..)]));
+}
--- a/components/sched/tests/world/mod.rs
+++ b/components/sched/tests/world/mod.rs
@@ -117,6 +117,9 @@
         if self.rng.random_bool(0.004) {
             self.cancel();
         }
+        if self.rng.random_bool(0.02) {
+            self.withdraw();
+        }
         if self.rng.random_bool(0.004) {
             self.store_up = !self.store_up;
         }
@@ -172,6 +175,16 @@
         self.leader.engine.cancel(clock, id);
     }
 
+    /// Takes a job back that the store hasn't got yet, if there is one: it must never start.
+    fn withdraw(&mut self) {
+        let open: Vec<JobId> = self.jobs.keys().filter(|id| !self.accepted.contains(id)).copied().collect();
+        if open.is_empty() {
+            return;
+        }
+        let id = open[self.rng.random_range(0..open.len())];
+        self.leader.engine.withdraw(id);
+    }
+
     /// Another host leads from now on; the old leader learns of it later.
     fn take_over(&mut self) {
         let clock = self.clock();
--- a/components/work/src/record.rs
+++ b/components/work/src/record.rs
@@ -41,6 +41,15 @@
         }
     }
 
+    /// The job of which it records a start.
+    pub fn placed(&self) -> Option<JobId> {
+        match self {
+            Record::Placed { task, .. } => Some(task.unit.job),
+            Record::Rewritten(record) => record.placed(),
+            _ => None,
+        }
+    }
+
     /// Roughly its size in the log, in bytes.
     pub fn weight(&self) -> usize {
         match self {
