Keep the names of workers in the log; wait for a worker that the log doesn't name

A new leader then took workers that the log didn't name, and that a silent lapse had taken out of the list, for gone. A worker that isn't known to be gone is waited for now, whatever the log says; and nothing is taken for settled before its time.

--- a/components/entry/src/reign.rs
+++ b/components/entry/src/reign.rs
@@ -308,11 +308,10 @@
 }
 
 pub(crate) fn part(number: u64, written: Duration, records: &[Record]) -> Part {
-    let names_worker = |record: &Record| matches!(record, Record::Worker { .. });
     Part {
         number,
         written,
         jobs: records.iter().filter_map(Record::job).collect(),
-        workers: records.iter().any(names_worker),
+        workers: records.iter().any(Record::names_worker),
     }
 }
--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -60,6 +60,8 @@
     pub(crate) predecessor: Duration,
     pub(crate) config: Arc<Config>,
     pub(crate) workers: BTreeMap<WorkerId, Worker>,
+    /// Workers that are known to be gone.
+    pub(crate) departed: BTreeSet<WorkerId>,
     pub(crate) jobs: BTreeMap<JobId, Entry>,
     /// Jobs that haven't ended.
     pub(crate) live: BTreeSet<JobId>,
@@ -85,6 +87,7 @@
             predecessor: AUTHORITY,
             config,
             workers: BTreeMap::new(),
+            departed: BTreeSet::new(),
             jobs: BTreeMap::new(),
             live: BTreeSet::new(),
             settled: false,
@@ -287,6 +290,7 @@
     pub(crate) fn gone(&mut self, clock: Clock, id: &str) {
         self.vacate(clock, id);
         if self.workers.remove(id).is_some() {
+            self.departed.insert(id.to_owned());
             self.record(Record::Gone { id: id.to_owned() });
             self.actions.push(Action::Forget(id.to_owned()));
         }
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -75,10 +75,8 @@
         if self.settled {
             return self.drop_unseen(clock);
         }
-        let known = self.workers.values().all(|worker| worker.contact != Contact::Unknown);
-        let old = clock.now.saturating_sub(self.reign) > self.predecessor + self.limits.surely_lapsed();
-        // An empty book may be one whose list hasn't come yet.
-        self.settled = (known && !self.workers.is_empty()) || old;
+        let waits = self.predecessor + self.limits.surely_lapsed();
+        self.settled = clock.now.saturating_sub(self.reign) > waits;
     }
 
     /// Workers of earlier reigns that nobody lists any more, and whose leases have run out.
@@ -199,8 +197,11 @@
         if self.settled {
             return None;
         }
-        let open =
-            |worker: &&WorkerId| self.workers.get(*worker).is_some_and(|worker| worker.contact == Contact::Unknown);
+        // Of a worker that the log doesn't name nothing is known either, unless it is known to be gone.
+        let open = |worker: &&WorkerId| match self.workers.get(*worker) {
+            Some(known) => known.contact == Contact::Unknown,
+            None => !self.departed.contains(*worker),
+        };
         state.tasks.iter().filter_map(|task| task.inherited.as_ref()).find(open)
     }
 
--- a/components/sched/src/restore.rs
+++ b/components/sched/src/restore.rs
@@ -33,6 +33,7 @@
             }
             Record::Gone { id } => {
                 self.workers.remove(&id);
+                self.departed.insert(id);
             }
         }
     }
--- a/components/sched/tests/decisions.rs
+++ b/components/sched/tests/decisions.rs
@@ -347,3 +347,30 @@
     cell.engine.written(cell.clock(), upto);
     assert!(matches!(cell.engine.take_actions().as_slice(), [Action::Start(..)]));
 }
+
+#[test]
+fn a_task_on_a_worker_that_the_log_does_not_name_waits() {
+    let mut old = Cell::new(1).ready();
+    old.submit(1, "urgent", vec![step(1, 1)]);
+    assert_eq!(old.starts().len(), 1);
+    let log: Vec<Record> = old.log.into_iter().filter(|record| !record.names_worker()).collect();
+
+    let mut new = Cell::after(1, 2, &log);
+    let other = new.infos.remove("w0").expect("listed");
+    new.infos.insert("w7".to_owned(), sched::Info { address: "10.0.0.7:80".to_owned(), ..other });
+    new.engine.list(new.clock(), new.infos.clone());
+    new.write();
+    new.report("w7", &[], &[]);
+    new.now = Duration::from_secs(1);
+    new.report("w7", &[], &[]);
+    assert!(new.starts().is_empty(), "it may run on w0");
+    new.now = Duration::from_secs(14);
+    new.report("w7", &[], &[]);
+    assert_eq!(new.starts().len(), 1);
+}
+
+#[test]
+fn a_record_that_was_written_anew_still_names_its_worker() {
+    let record = Record::Worker { id: "w1".to_owned(), address: "10.0.0.1:80".to_owned() };
+    assert!(Record::Rewritten(Box::new(record)).names_worker());
+}
--- a/components/work/src/record.rs
+++ b/components/work/src/record.rs
@@ -41,6 +41,15 @@
         }
     }
 
+    /// Whether it names a worker that may get orders.
+    pub fn names_worker(&self) -> bool {
+        match self {
+            Record::Worker { .. } => true,
+            Record::Rewritten(record) => record.names_worker(),
+            _ => false,
+        }
+    }
+
     /// The job of which it records a start.
     pub fn placed(&self) -> Option<JobId> {
         match self {
