--- a/components/sched/src/cancel.rs
+++ b/components/sched/src/cancel.rs
@@ -1,6 +1,6 @@
 //! Cancels: nothing of the job starts any more, and what runs is stopped.
 
-use work::{JobId, Outcome, Task};
+use work::{JobId, Outcome, Task, Unit};
 
 use crate::engine::{Clock, Engine};
 use crate::entry::Phase;
@@ -20,13 +20,17 @@
     /// Stops all runs of a job.
     pub(crate) fn stop_all(&mut self, id: JobId) {
         let Some(entry) = self.jobs.get(&id) else { return };
+        let names: Vec<(u32, u16)> = entry.units.keys().copied().collect();
+        names.into_iter().for_each(|(round, step)| self.stop_unit(Unit { job: id, round, step }));
+    }
+
+    /// Stops all runs of a unit.
+    pub(crate) fn stop_unit(&mut self, name: Unit) {
+        let Some(unit) = self.unit(name) else { return };
         let mut held = Vec::new();
-        for ((round, step), unit) in &entry.units {
-            for (index, task) in unit.tasks.iter().enumerate() {
-                if let Phase::Held(worker, attempt) = &task.phase {
-                    let unit = work::Unit { job: id, round: *round, step: *step };
-                    held.push((worker.clone(), Task { unit, index: index as u32 }, *attempt));
-                }
+        for (index, task) in unit.tasks.iter().enumerate() {
+            if let Phase::Held(worker, attempt) = &task.phase {
+                held.push((worker.clone(), Task { unit: name, index: index as u32 }, *attempt));
             }
         }
         held.into_iter().for_each(|(worker, task, attempt)| self.stop_run(&worker, task, attempt));
--- a/components/sched/src/ends.rs
+++ b/components/sched/src/ends.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use model::Resources;
-use work::{Attempt, Outcome, Record, Step, Task, WorkerId};
+use work::{Attempt, Outcome, Record, Step, Task, Unit};
 
 use crate::engine::{Action, Clock, Engine};
 use crate::entry;
@@ -202,7 +202,7 @@
 
     /// Stops what is left of gangs that lost a member.
     pub(crate) fn stop_broken_gangs(&mut self) {
-        let mut broken: Vec<(WorkerId, Task, Attempt)> = Vec::new();
+        let mut broken: Vec<Unit> = Vec::new();
         for id in &self.live {
             let Some(entry) = self.jobs.get(id) else { continue };
             for ((round, step), unit) in &entry.units {
@@ -212,15 +212,10 @@
                 if !entry.step(*step).is_some_and(|step| step.gang) || !self.resolved(unit) {
                     continue;
                 }
-                let name = work::Unit { job: *id, round: *round, step: *step };
-                for (index, task) in unit.tasks.iter().enumerate() {
-                    if let entry::Phase::Held(worker, attempt) = &task.phase {
-                        broken.push((worker.clone(), Task { unit: name, index: index as u32 }, *attempt));
-                    }
-                }
+                broken.push(Unit { job: *id, round: *round, step: *step });
             }
         }
-        broken.into_iter().for_each(|(worker, task, attempt)| self.stop_run(&worker, task, attempt));
+        broken.into_iter().for_each(|unit| self.stop_unit(unit));
     }
 
     /// Whether a stop of this run is to be sent again after a new contact.
--- a/components/sched/src/order.rs
+++ b/components/sched/src/order.rs
@@ -44,6 +44,10 @@
                     worker.unanswered += 1;
                 }
                 self.stop_run(id, task, attempt);
+                // The others of its gang would wait for it in vain.
+                if self.step(task).is_some_and(|step| step.gang) {
+                    self.stop_unit(task.unit);
+                }
             }
             Outcome::Refused | Outcome::Ticket | Outcome::Unhealthy => {
                 if outcome == Outcome::Ticket {
--- a/components/sched/tests/decisions.rs
+++ b/components/sched/tests/decisions.rs
@@ -374,3 +374,14 @@
     let record = Record::Worker { id: "w1".to_owned(), address: "10.0.0.1:80".to_owned() };
     assert!(Record::Rewritten(Box::new(record)).names_worker());
 }
+
+#[test]
+fn a_gang_with_an_unanswered_start_is_stopped_whole_at_once() {
+    let mut cell = Cell::new(2).ready();
+    cell.submit(1, "urgent", vec![Step { gang: true, ..step(2, 9) }]);
+    let starts = cell.starts();
+    cell.started(&starts[0].0, &starts[0].1);
+    cell.engine.ordered(cell.clock(), &starts[1].0, starts[1].1.task, starts[1].1.attempt, OrderOutcome::Unknown);
+    let stops: Vec<_> = cell.plan().into_iter().filter(|action| matches!(action, Action::Stop(..))).collect();
+    assert_eq!(stops.len(), 2, "the other would wait alone: {stops:?}");
+}
