--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -268,6 +268,7 @@
         let position = self.record(Record::Ended { id, outcome });
         if let Some(entry) = self.jobs.get_mut(&id) {
             entry.outcome = Some(Ended { outcome, position, at: clock.now });
+            entry.forget_work();
         }
         self.live.remove(&id);
         position
--- a/components/sched/src/entry.rs
+++ b/components/sched/src/entry.rs
@@ -137,6 +137,12 @@
         described.after.iter().all(|on| self.units.get(&(round, *on)).is_some_and(UnitState::complete))
     }
 
+    /// Gives back the memory of what only a job that goes on needs: most jobs in the book have ended.
+    pub(crate) fn forget_work(&mut self) {
+        Arc::make_mut(&mut self.job).specification = String::new();
+        self.units.values_mut().for_each(|unit| unit.known = Known::default());
+    }
+
     /// Whether every task of every round is done. Lasting tasks never are.
     pub(crate) fn complete(&self) -> bool {
         self.opened == self.job.rounds() && self.units.values().all(UnitState::complete)
--- a/components/sched/src/restore.rs
+++ b/components/sched/src/restore.rs
@@ -105,6 +105,7 @@
         let Some(entry) = self.jobs.get_mut(&id) else { return };
         entry.outcome = Some(Ended { outcome, position: 0, at: clock.now });
         entry.begun = true;
+        entry.forget_work();
         self.live.remove(&id);
     }
 
