--- a/components/sched/src/lib.rs
+++ b/components/sched/src/lib.rs
@@ -24,5 +24,4 @@
 pub use lease::Lease;
 pub use limits::{AUTHORITY, Limits};
 pub use order::Outcome as OrderOutcome;
-pub use restore::Kept;
 pub use worker::{End, How, Info, Report, Running};
--- a/components/sched/src/restore.rs
+++ b/components/sched/src/restore.rs
@@ -9,13 +9,6 @@
 use crate::entry::{Accepted, Ended, Entry, Phase, UnitState};
 use crate::worker::{Info, Worker};
 
-/// What a part of the log holds that may be needed for long.
-#[derive(Clone, Debug, Default)]
-pub struct Kept {
-    /// Jobs accepted in it.
-    pub jobs: Vec<JobId>,
-}
-
 impl Engine {
     /// Replays a record that an earlier leader, or an earlier part of this reign, has written.
     pub fn replay(&mut self, clock: Clock, record: Record) {
