--- a/components/sched/src/cancel.rs
+++ b/components/sched/src/cancel.rs
@@ -1,9 +1,8 @@
 //! Cancels: nothing of the job starts any more, and what runs is stopped.
 
-use work::{JobId, Outcome, Task};
+use work::{JobId, Outcome, Unit};
 
 use crate::engine::{Clock, Engine};
-use crate::entry::Phase;
 
 impl Engine {
     /// Cancels a job. Returns the position whose durability makes it count; `None` for an unknown job.
@@ -20,15 +19,10 @@
     /// Stops all runs of a job.
     pub(crate) fn stop_all(&mut self, id: JobId) {
         let Some(entry) = self.jobs.get(&id) else { return };
-        let mut held = Vec::new();
+        let mut placements = Vec::new();
         for ((round, step), unit) in &entry.units {
-            for (index, task) in unit.tasks.iter().enumerate() {
-                if let Phase::Held(worker, attempt) = &task.phase {
-                    let unit = work::Unit { job: id, round: *round, step: *step };
-                    held.push((worker.clone(), Task { unit, index: index as u32 }, *attempt));
-                }
-            }
+            placements.extend(unit.placements(Unit { job: id, round: *round, step: *step }));
         }
-        held.into_iter().for_each(|(worker, task, attempt)| self.stop_run(&worker, task, attempt));
+        self.stop_runs(placements);
     }
 }
--- a/components/sched/src/ends.rs
+++ b/components/sched/src/ends.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeSet;
 
 use model::Resources;
-use work::{Attempt, Outcome, Record, Step, Task, WorkerId};
+use work::{Attempt, Outcome, Record, Step, Task, Unit};
 
-use crate::engine::{Action, Clock, Engine};
-use crate::entry;
+use crate::engine::{Clock, Engine};
+use crate::entry::{self, Placement};
 use crate::worker::{Contact, End, How, Phase, Report, Run, Running};
 
 /// Failures in a row, of any tasks, after which a worker is avoided.
@@ -88,19 +88,19 @@
         if state.phase == entry::Phase::Done {
             return;
         }
-        let indices = if gang { 0..unit.tasks.len() } else { task.index as usize..task.index as usize + 1 };
         let mut elsewhere = Vec::new();
-        for index in indices {
+        for index in unit.done_with(task.index, gang) {
             // Another run of the task, perhaps on the same worker, is needless now.
             if let entry::Phase::Held(worker, other) = &unit.tasks[index].phase
                 && (*other != attempt || (!gang && worker != id))
             {
-                elsewhere.push((worker.clone(), Task { unit: task.unit, index: index as u32 }, *other));
+                let task = Task { unit: task.unit, index: index as u32 };
+                elsewhere.push(Placement { worker: worker.clone(), task, attempt: *other });
             }
             unit.set(index, entry::Phase::Done);
         }
         self.record(Record::Done { task });
-        elsewhere.into_iter().for_each(|(worker, task, attempt)| self.stop_run(&worker, task, attempt));
+        self.stop_runs(elsewhere);
         self.finish(clock, task.unit.job);
     }
 
@@ -119,11 +119,11 @@
         let (gang, lasting, ended) = (step.gang, step.lasting, entry.outcome.is_some());
         let most = self.config.queue(&entry.queue).map_or(u32::MAX, |queue| queue.max_attempts);
         let Some(unit) = self.unit_mut(task.unit) else { return };
-        let Some(state) = unit.tasks.get_mut(task.index as usize) else { return };
+        let Some(state) = unit.tasks.get(task.index as usize) else { return };
         if lasting || ended || state.phase == entry::Phase::Done {
             return;
         }
-        let failed = if gang { &mut unit.failed } else { &mut state.failed };
+        let Some(failed) = unit.failures_mut(task.index, gang) else { return };
         if failed.contains(&attempt) {
             return;
         }
@@ -202,7 +202,7 @@
 
     /// Stops what is left of gangs that lost a member.
     pub(crate) fn stop_broken_gangs(&mut self) {
-        let mut broken: Vec<(WorkerId, Task, Attempt)> = Vec::new();
+        let mut broken = Vec::new();
         for id in &self.live {
             let Some(entry) = self.jobs.get(id) else { continue };
             for ((round, step), unit) in &entry.units {
@@ -212,22 +212,10 @@
                 if !entry.step(*step).is_some_and(|step| step.gang) || !self.resolved(unit) {
                     continue;
                 }
-                let name = work::Unit { job: *id, round: *round, step: *step };
-                for (index, task) in unit.tasks.iter().enumerate() {
-                    if let entry::Phase::Held(worker, attempt) = &task.phase {
-                        broken.push((worker.clone(), Task { unit: name, index: index as u32 }, *attempt));
-                    }
-                }
+                broken.extend(unit.placements(Unit { job: *id, round: *round, step: *step }));
             }
         }
-        broken.into_iter().for_each(|(worker, task, attempt)| self.stop_run(&worker, task, attempt));
-    }
-
-    /// Whether a stop of this run is to be sent again after a new contact.
-    pub fn stops_owed(&self, id: &str) -> Vec<Action> {
-        let Some(worker) = self.workers.get(id) else { return Vec::new() };
-        let stopping = worker.runs.iter().filter(|(_, run)| run.phase == Phase::Stopping);
-        stopping.map(|((task, attempt), _)| Action::Stop(id.to_owned(), *task, *attempt)).collect()
+        self.stop_runs(broken);
     }
 }
 
--- a/components/sched/src/entry.rs
+++ b/components/sched/src/entry.rs
@@ -1,10 +1,11 @@
 //! Jobs in the book: which tasks wait, where the others are, and what was kept of their runs.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
-use work::{Attempt, Job, Outcome, QueueName, Step, WorkerId};
+use work::{Attempt, Job, Outcome, QueueName, Step, Task, Unit, WorkerId};
 
 use crate::advice::Known;
 
@@ -33,6 +34,14 @@
     pub inherited: Option<WorkerId>,
 }
 
+/// Where a run is, or may be.
+#[derive(Clone, Debug)]
+pub(crate) struct Placement {
+    pub worker: WorkerId,
+    pub task: Task,
+    pub attempt: Attempt,
+}
+
 /// All tasks of a step in one round.
 #[derive(Clone, Debug)]
 pub(crate) struct UnitState {
@@ -72,6 +81,28 @@
         self.done == self.tasks.len()
     }
 
+    /// Tasks that are done once the task `index` is: all members of a gang, else that task alone.
+    pub(crate) fn done_with(&self, index: u32, gang: bool) -> Range<usize> {
+        let index = index as usize;
+        if gang { 0..self.tasks.len() } else { index..index + 1 }
+    }
+
+    /// Failed runs that count against the task `index`: a gang counts them together. `None` without such a task.
+    pub(crate) fn failures_mut(&mut self, index: u32, gang: bool) -> Option<&mut Vec<Attempt>> {
+        let task = self.tasks.get_mut(index as usize)?;
+        Some(if gang { &mut self.failed } else { &mut task.failed })
+    }
+
+    /// All its runs that are, or may be, on workers. `unit` is its name.
+    pub(crate) fn placements(&self, unit: Unit) -> impl Iterator<Item = Placement> + '_ {
+        self.tasks.iter().zip(0..).filter_map(move |(task, index)| match &task.phase {
+            Phase::Held(worker, attempt) => {
+                Some(Placement { worker: worker.clone(), task: Task { unit, index }, attempt: *attempt })
+            }
+            Phase::Pending | Phase::Done => None,
+        })
+    }
+
     /// Moves a task to another phase, keeping the counts.
     pub(crate) fn set(&mut self, index: usize, phase: Phase) {
         let Some(task) = self.tasks.get_mut(index) else { return };
@@ -131,6 +162,13 @@
         self.job.steps.get(usize::from(step))
     }
 
+    /// Opens a round: its tasks wait from now on.
+    pub(crate) fn open(&mut self, round: u32) {
+        let units = self.job.steps.iter().zip(0..);
+        self.units.extend(units.map(|(step, number)| ((round, number), UnitState::new(step))));
+        self.opened = round + 1;
+    }
+
     /// Whether all steps that `step` waits for are done in `round`.
     pub(crate) fn unblocked(&self, round: u32, step: u16) -> bool {
         let Some(described) = self.step(step) else { return false };
--- a/components/sched/src/order.rs
+++ b/components/sched/src/order.rs
@@ -3,6 +3,7 @@
 use work::{Attempt, Task};
 
 use crate::engine::{Action, Clock, Engine};
+use crate::entry::Placement;
 use crate::worker::Phase;
 
 /// What became of an order to start.
@@ -39,19 +40,16 @@
         match outcome {
             Outcome::Started => self.confirmed(id, task, attempt),
             Outcome::Unknown => {
-                if let Some(worker) = self.workers.get_mut(id) {
-                    worker.avoid(clock.now, worker.unanswered);
-                    worker.unanswered += 1;
-                }
+                self.unanswered(clock, id);
                 self.stop_run(id, task, attempt);
             }
-            Outcome::Refused | Outcome::Ticket | Outcome::Unhealthy => {
-                if outcome == Outcome::Ticket {
-                    self.drop_ticket(task.unit, id);
-                }
-                if outcome == Outcome::Unhealthy
-                    && let Some(worker) = self.workers.get_mut(id)
-                {
+            Outcome::Refused => self.release(clock, id, task, attempt),
+            Outcome::Ticket => {
+                self.drop_ticket(task.unit, id);
+                self.release(clock, id, task, attempt);
+            }
+            Outcome::Unhealthy => {
+                if let Some(worker) = self.workers.get_mut(id) {
                     worker.avoid(clock.now, 0);
                 }
                 self.release(clock, id, task, attempt);
@@ -59,6 +57,12 @@
         }
     }
 
+    fn unanswered(&mut self, clock: Clock, id: &str) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.avoid(clock.now, worker.unanswered);
+        worker.unanswered += 1;
+    }
+
     fn confirmed(&mut self, id: &str, task: Task, attempt: Attempt) {
         let mark = self.next_mark();
         self.begin(task);
@@ -82,6 +86,13 @@
         self.actions.push(Action::Stop(id.to_owned(), task, attempt));
     }
 
+    /// Orders stops of several runs.
+    pub(crate) fn stop_runs(&mut self, placements: Vec<Placement>) {
+        for Placement { worker, task, attempt } in placements {
+            self.stop_run(&worker, task, attempt);
+        }
+    }
+
     /// The worker took a stop: the run ends soon, or never begins.
     pub fn stopped(&mut self, id: &str, task: Task, attempt: Attempt) {
         let mark = self.next_mark();
--- a/components/sched/src/restore.rs
+++ b/components/sched/src/restore.rs
@@ -6,7 +6,7 @@
 use work::{JobId, Outcome, Record, Task, Unit, WorkerId};
 
 use crate::engine::{Clock, Engine};
-use crate::entry::{Accepted, Ended, Entry, Phase, UnitState};
+use crate::entry::{Accepted, Ended, Phase, UnitState};
 use crate::worker::{Info, Worker};
 
 impl Engine {
@@ -46,15 +46,14 @@
         if let Some(entry) = self.jobs.get_mut(&id)
             && entry.job.schedule.is_none()
         {
-            open_round(entry, 0);
+            entry.open(0);
         }
     }
 
     fn replay_unit(&mut self, unit: Unit) -> Option<&mut UnitState> {
         let entry = self.jobs.get_mut(&unit.job)?;
         while entry.opened <= unit.round && entry.opened < entry.job.rounds() {
-            let round = entry.opened;
-            open_round(entry, round);
+            entry.open(entry.opened);
         }
         entry.begun = true;
         entry.units.get_mut(&(unit.round, unit.step))
@@ -72,15 +71,13 @@
     fn replay_done(&mut self, task: Task) {
         let gang = self.step(task).is_some_and(|step| step.gang);
         let Some(unit) = self.replay_unit(task.unit) else { return };
-        let indices = if gang { 0..unit.tasks.len() } else { task.index as usize..task.index as usize + 1 };
-        indices.for_each(|index| unit.set(index, Phase::Done));
+        unit.done_with(task.index, gang).for_each(|index| unit.set(index, Phase::Done));
     }
 
     fn replay_failed(&mut self, task: Task, attempt: u64) {
         let gang = self.step(task).is_some_and(|step| step.gang);
         let Some(unit) = self.replay_unit(task.unit) else { return };
-        let Some(state) = unit.tasks.get_mut(task.index as usize) else { return };
-        let failed = if gang { &mut unit.failed } else { &mut state.failed };
+        let Some(failed) = unit.failures_mut(task.index, gang) else { return };
         if !failed.contains(&attempt) {
             failed.push(attempt);
         }
@@ -155,12 +152,6 @@
     records
 }
 
-fn open_round(entry: &mut Entry, round: u32) {
-    let units = entry.job.steps.iter().enumerate();
-    entry.units.extend(units.map(|(number, step)| ((round, number as u16), UnitState::new(step))));
-    entry.opened = round + 1;
-}
-
 /// A worker that the log names and the list doesn't: it is renewed, but gets no work.
 fn unlisted() -> Info {
     Info {
