--- a/components/link/src/lib.rs
+++ b/components/link/src/lib.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
 use parking_lot::Mutex;
 use serde::de::DeserializeOwned;
@@ -134,11 +135,14 @@
     }
 }
 
+type Connection = Framed<TcpStream, LengthDelimitedCodec>;
+
 fn encode<T: Serialize>(frame: &T) -> Option<Bytes> {
     postcard::to_stdvec(frame).ok().map(Bytes::from)
 }
 
-async fn run<Q, A, H, F>(link: Arc<Link<Q, A>>, stream: TcpStream, mut receiver: mpsc::Receiver<Bytes>, handler: H)
+/// Carries frames both ways until the connection ends; then all calls that wait fail.
+async fn run<Q, A, H, F>(link: Arc<Link<Q, A>>, stream: TcpStream, receiver: mpsc::Receiver<Bytes>, handler: H)
 where
     Q: Serialize + DeserializeOwned + Send + 'static,
     A: Serialize + DeserializeOwned + Send + 'static,
@@ -146,52 +150,69 @@
     F: Future<Output = A> + Send + 'static,
 {
     let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME).new_codec();
-    let (mut sink, mut source) = Framed::new(stream, codec).split();
-    let write = async {
-        while let Some(bytes) = receiver.recv().await {
-            if sink.feed(bytes).await.is_err() {
-                return;
-            }
-            // Frames that already wait go out in one write.
-            while let Ok(more) = receiver.try_recv() {
-                if sink.feed(more).await.is_err() {
-                    return;
-                }
-            }
-            if sink.flush().await.is_err() {
+    let (sink, source) = Framed::new(stream, codec).split();
+    tokio::select! {
+        () = write(receiver, sink) => {}
+        () = read(&link, source, handler) => {}
+        () = link.down() => {}
+    }
+    link.close();
+}
+
+/// Sends what waits, until the connection breaks.
+async fn write(mut receiver: mpsc::Receiver<Bytes>, mut sink: SplitSink<Connection, Bytes>) {
+    while let Some(bytes) = receiver.recv().await {
+        if sink.feed(bytes).await.is_err() {
+            return;
+        }
+        // Frames that already wait go out in one write.
+        while let Ok(more) = receiver.try_recv() {
+            if sink.feed(more).await.is_err() {
                 return;
             }
         }
-    };
-    let read = async {
-        while let Some(Ok(bytes)) = source.next().await {
-            *link.heard.lock() = Instant::now();
-            match postcard::from_bytes::<Frame<Q, A>>(&bytes) {
-                Ok(Frame::Call(number, call)) => {
-                    let (link, handler) = (link.clone(), handler.clone());
-                    tokio::spawn(async move {
-                        let answer = handler(link.clone(), call).await;
-                        if let Some(bytes) = encode(&Frame::<Q, A>::Answer(number, answer)) {
-                            // A link that went down meanwhile needs no answer.
-                            let _ = link.sender.send(bytes).await;
-                        }
-                    });
-                }
-                Ok(Frame::Answer(number, answer)) => {
-                    if let Some(waiting) = link.waiting.lock().remove(&number) {
-                        // The caller may have given up.
-                        let _ = waiting.send(answer);
-                    }
+        if sink.flush().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Takes in frames, until the connection breaks or brings one that can't be read.
+async fn read<Q, A, H, F>(link: &Arc<Link<Q, A>>, mut source: SplitStream<Connection>, handler: H)
+where
+    Q: Serialize + DeserializeOwned + Send + 'static,
+    A: Serialize + DeserializeOwned + Send + 'static,
+    H: Fn(Arc<Link<Q, A>>, Q) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = A> + Send + 'static,
+{
+    while let Some(Ok(bytes)) = source.next().await {
+        *link.heard.lock() = Instant::now();
+        match postcard::from_bytes::<Frame<Q, A>>(&bytes) {
+            Ok(Frame::Call(number, call)) => {
+                let (asked, handler) = (link.clone(), handler.clone());
+                let outcome = async move { handler(asked, call).await };
+                tokio::spawn(answer(link.clone(), number, outcome));
+            }
+            Ok(Frame::Answer(number, answer)) => {
+                if let Some(waiting) = link.waiting.lock().remove(&number) {
+                    // The caller may have given up.
+                    let _ = waiting.send(answer);
                 }
-                // The other side speaks another version: nothing of it can be trusted.
-                Err(_) => return,
             }
+            // The other side speaks another version: nothing of it can be trusted.
+            Err(_) => return,
         }
-    };
-    tokio::select! {
-        () = write => {}
-        () = read => {}
-        () = link.down() => {}
     }
-    link.close();
+}
+
+/// Sends the answer to one call of the other side.
+async fn answer<Q, A>(link: Arc<Link<Q, A>>, number: u64, outcome: impl Future<Output = A>)
+where
+    Q: Serialize,
+    A: Serialize,
+{
+    if let Some(bytes) = encode(&Frame::<Q, A>::Answer(number, outcome.await)) {
+        // A link that went down meanwhile needs no answer.
+        let _ = link.sender.send(bytes).await;
+    }
 }
