--- a/components/entry/src/election.rs
+++ b/components/entry/src/election.rs
@@ -228,7 +228,7 @@
 /// There is no leader's record: asks the leader that is still known whether it lives, and claims otherwise.
 async fn vacancy(host: &Arc<Host>, record: u64) {
     match host.role() {
-        Role::Leading(reign) => reign.restore_record().await,
+        Role::Leading(reign) => reign.restore_record(),
         Role::Following(_, link) => {
             let alive = link.call(Call::Missing, PING).await;
             if alive != Ok(Answer::Done) {
--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -8,7 +8,7 @@
 use parking_lot::Mutex;
 use slog::Logger;
 use tokio::sync::watch;
-use work::Config;
+use work::{Config, Unit, WorkerId};
 
 use crate::edge::{Adviser, Directory, Store, Workers};
 use crate::message::{Answer, Call, Leader};
@@ -208,6 +208,18 @@
         followers.iter().filter(|follower| follower.link.silence() < FOLLOWER_SILENCE).cloned().collect()
     }
 
+    /// Asks the adviser which of `workers` may run a unit. `None` without an adviser, or without its answer.
+    pub(crate) async fn advice(&self, unit: Unit, workers: &[WorkerId]) -> Option<Vec<(WorkerId, String)>> {
+        let adviser = self.edges.adviser.as_ref()?;
+        match adviser.advise(unit, workers).await {
+            Ok(healthy) => Some(healthy),
+            Err(fault) => {
+                emit!(self.log, events::ADVICE_FAILED, "unit" => unit.to_string(), "fault" => fault.to_string());
+                None
+            }
+        }
+    }
+
     /// Asks the leader, whoever that is, until `until`. Asks again when the leader changes: all calls may be
     /// repeated.
     pub async fn ask(&self, call: Call, until: Instant) -> Answer {
--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -57,10 +57,7 @@
     match call {
         Call::Hello { host: name, leader } => hello(&host, name, &leader, link),
         Call::Ping => Answer::Leader(host.leader()),
-        Call::Probe => match host.edges.store.get(election::LEADER_KEY).await {
-            Ok(_) => Answer::Done,
-            Err(_) => Answer::NotLeader,
-        },
+        Call::Probe => probe(&host).await,
         Call::TakeOver(record) => {
             emit!(host.log, events::TAKE_OVER_ASKED, "record" => record);
             tokio::spawn(election::take_over(host.clone(), record));
@@ -70,35 +67,9 @@
             host.take_config(config, "host");
             Answer::Done
         }
-        Call::Newer(leader) => {
-            let known = host.leader().map_or(0, |known| known.term);
-            if leader.term <= known {
-                return Answer::Done;
-            }
-            if let Role::Leading(reign) = host.role() {
-                reign.depose("a follower knows a newer leader");
-                host.set_role(Role::Nobody);
-            }
-            tokio::spawn(election::redirect(host.clone(), leader));
-            Answer::Done
-        }
-        Call::Missing => match host.role() {
-            Role::Leading(reign) if reign.holds_lease() => {
-                reign.restore_record().await;
-                Answer::Done
-            }
-            _ => Answer::NotLeader,
-        },
-        Call::Advise { unit, workers } => {
-            let Some(adviser) = &host.edges.adviser else { return Answer::Advice(None) };
-            match adviser.advise(unit, &workers).await {
-                Ok(healthy) => Answer::Advice(Some(healthy)),
-                Err(fault) => {
-                    emit!(host.log, events::ADVICE_FAILED, "unit" => unit.to_string(), "fault" => fault.to_string());
-                    Answer::Advice(None)
-                }
-            }
-        }
+        Call::Newer(leader) => newer(&host, leader),
+        Call::Missing => missing(&host),
+        Call::Advise { unit, workers } => Answer::Advice(host.advice(unit, &workers).await),
         call => match host.role() {
             Role::Leading(reign) => reign.answer(call).await,
             _ => Answer::NotLeader,
@@ -106,6 +77,39 @@
     }
 }
 
+/// Whether the store answers this host.
+async fn probe(host: &Host) -> Answer {
+    match host.edges.store.get(election::LEADER_KEY).await {
+        Ok(_) => Answer::Done,
+        Err(_) => Answer::NotLeader,
+    }
+}
+
+/// Links to a leader of a higher term than that of the one that is known; an own reign ends.
+fn newer(host: &Arc<Host>, leader: Leader) -> Answer {
+    let known = host.leader().map_or(0, |known| known.term);
+    if leader.term <= known {
+        return Answer::Done;
+    }
+    if let Role::Leading(reign) = host.role() {
+        reign.depose("a follower knows a newer leader");
+        host.set_role(Role::Nobody);
+    }
+    tokio::spawn(election::redirect(host.clone(), leader));
+    Answer::Done
+}
+
+/// A follower sees no leader's record: it is written anew while this host leads.
+fn missing(host: &Host) -> Answer {
+    match host.role() {
+        Role::Leading(reign) if reign.holds_lease() => {
+            reign.restore_record();
+            Answer::Done
+        }
+        _ => Answer::NotLeader,
+    }
+}
+
 /// Takes a follower in. One that means an earlier life of this process, or an earlier claim, is told so.
 fn hello(host: &Arc<Host>, name: String, leader: &Leader, link: Arc<Link>) -> Answer {
     let meant = leader.life == host.settings.life && leader.term <= host.seated.load(Ordering::Acquire);
--- a/components/entry/src/reign.rs
+++ b/components/entry/src/reign.rs
@@ -205,7 +205,7 @@
     }
 
     /// Writes the leader's record anew: it has vanished while this host leads.
-    pub(crate) async fn restore_record(&self) {
+    pub(crate) fn restore_record(&self) {
         self.restore.store(true, Ordering::Release);
         self.write.notify_one();
     }
--- a/components/entry/src/reign/ask.rs
+++ b/components/entry/src/reign/ask.rs
@@ -103,30 +103,19 @@
             let until = now + question.validity;
             let tickets = healthy.into_iter().map(|(worker, text)| (worker, Ticket { text, until })).collect();
             reign.engine.lock().advised(question.unit, &question.workers, tickets);
-            reign.desk.free(asker.name());
         }
         None => {
             tokio::time::sleep(PAUSE).await;
             reign.engine.lock().unadvised(question.unit);
-            reign.desk.free(asker.name());
         }
     }
+    reign.desk.free(asker.name());
     reign.plan.notify_one();
 }
 
 async fn answer(reign: &Reign, asker: &Asker, question: &Question) -> Option<Vec<(WorkerId, String)>> {
     match asker {
-        Asker::Own(_) => {
-            let adviser = reign.host.edges.adviser.as_ref()?;
-            match adviser.advise(question.unit, &question.workers).await {
-                Ok(healthy) => Some(healthy),
-                Err(fault) => {
-                    emit!(reign.host.log, events::ADVICE_FAILED, "unit" => question.unit.to_string(),
-                        "fault" => fault.to_string());
-                    None
-                }
-            }
-        }
+        Asker::Own(_) => reign.host.advice(question.unit, &question.workers).await,
         Asker::Other(_, link) => {
             let call = Call::Advise { unit: question.unit, workers: question.workers.clone() };
             match link.call(call, question.cost + SLACK).await {
--- a/components/entry/src/reign/duties.rs
+++ b/components/entry/src/reign/duties.rs
@@ -93,7 +93,7 @@
             Ok(true) => reign.confirm(sent),
             Ok(false) => {
                 emit!(reign.host.log, events::LEASE_LOST, "term" => reign.term);
-                reign.restore_record().await;
+                reign.restore_record();
             }
             Err(fault) => emit!(reign.host.log, events::PLATFORM_FAILED, "call" => "renewal of the lease",
                 "fault" => fault.to_string()),
