--- a/components/entry/src/reign/agent.rs
+++ b/components/entry/src/reign/agent.rs
@@ -47,81 +47,125 @@
     }
 }
 
+/// What the renewals of one worker have brought so far.
+struct Hold {
+    reign: Arc<Reign>,
+    target: Target,
+    lease: Arc<Mutex<Lease>>,
+    /// Whether the last renewals had no answer.
+    silent: bool,
+    /// Whether its leases have surely run out since its last answer.
+    lapsed: bool,
+}
+
 async fn run(reign: Arc<Reign>, target: Target, lease: Arc<Mutex<Lease>>) {
-    let mut silent = false;
-    let mut lapsed = false;
+    let mut hold = Hold { reign, target, lease, silent: false, lapsed: false };
     loop {
-        if !reign.authorized() {
+        if !hold.reign.authorized() {
             tokio::time::sleep(PAUSE).await;
             continue;
         }
+        if !hold.renew().await {
+            return;
+        }
+    }
+}
+
+impl Hold {
+    /// Renews once. Whether the worker is to be held on.
+    async fn renew(&mut self) -> bool {
         let (mark, acked) = {
-            let engine = reign.engine.lock();
-            (engine.mark(), engine.acked(&target.id))
+            let engine = self.reign.engine.lock();
+            (engine.mark(), engine.acked(&self.target.id))
         };
-        let until = lease.lock().end(reign.host.started.elapsed(), reign.host.settings.limits.max_lease);
-        let wait = if until.is_some() && !silent { WAIT } else { Duration::ZERO };
-        let renewal = Renewal { term: reign.term, until, acked, wait };
-        let outcome = reign.host.edges.workers.renew(&target, &renewal).await;
-        if let Some(until) = until
-            && !matches!(outcome, Err(Fault::NotDone(_)))
-        {
-            lease.lock().gave(until);
-        }
-        match outcome {
+        match self.send(acked).await {
             Ok(Reply::Done(held)) => {
-                if std::mem::take(&mut silent) {
-                    emit!(reign.host.log, events::WORKER_BACK, "worker" => &target.id, "lapsed" => lapsed);
-                }
-                lapsed = false;
-                let max_lease = reign.host.settings.limits.max_lease;
-                lease.lock().read(held.clock, reign.host.started.elapsed(), max_lease);
-                report(&reign, &target, mark, held).await;
+                self.answered(held.clock);
+                report(&self.reign, &self.target, mark, held).await;
             }
             Ok(Reply::Fenced) => {
-                reign.depose("a worker knows a newer leader");
-                reign.host.set_role(Role::Nobody);
-                return;
+                self.reign.depose("a worker knows a newer leader");
+                self.reign.host.set_role(Role::Nobody);
+                return false;
             }
             Ok(Reply::OtherLife) => {
-                emit!(reign.host.log, events::WORKER_REPLACED, "worker" => &target.id, "address" => &target.address);
-                reign.engine.lock().superseded(reign.host.clock(), &target.id);
-                reign.agents.lock().remove(&target.id);
-                reign.plan.notify_one();
-                return;
+                self.replaced();
+                return false;
             }
             Ok(Reply::Refused(refusal)) => {
-                emit!(reign.host.log, events::WORKER_SILENT, "worker" => &target.id,
+                emit!(self.reign.host.log, events::WORKER_SILENT, "worker" => &self.target.id,
                     "fault" => format!("{refusal:?}"));
                 tokio::time::sleep(PAUSE).await;
             }
             Err(fault) => {
-                if !std::mem::replace(&mut silent, true) {
-                    emit!(reign.host.log, events::WORKER_SILENT, "worker" => &target.id, "fault" => fault.to_string());
-                }
-                let over = lease.lock().lapsed(reign.host.started.elapsed());
-                if over && !std::mem::replace(&mut lapsed, true) {
-                    emit!(reign.host.log, events::WORKER_LAPSED, "worker" => &target.id);
-                    reign.engine.lock().lapsed(reign.host.clock(), &target.id);
-                    reign.plan.notify_one();
-                }
+                self.unanswered(&fault);
                 tokio::time::sleep(PAUSE).await;
             }
         }
+        true
+    }
+
+    /// Sends a renewal, and takes note of the lease that it may have carried there.
+    async fn send(&self, acked: u64) -> Result<Reply<Held>, Fault> {
+        let host = &self.reign.host;
+        let until = self.lease.lock().end(host.started.elapsed(), host.settings.limits.max_lease);
+        let wait = if until.is_some() && !self.silent { WAIT } else { Duration::ZERO };
+        let renewal = Renewal { term: self.reign.term, until, acked, wait };
+        let outcome = host.edges.workers.renew(&self.target, &renewal).await;
+        if let Some(until) = until
+            && !matches!(outcome, Err(Fault::NotDone(_)))
+        {
+            self.lease.lock().gave(until);
+        }
+        outcome
+    }
+
+    fn answered(&mut self, clock: Duration) {
+        let host = &self.reign.host;
+        if std::mem::take(&mut self.silent) {
+            emit!(host.log, events::WORKER_BACK, "worker" => &self.target.id, "lapsed" => self.lapsed);
+        }
+        self.lapsed = false;
+        self.lease.lock().read(clock, host.started.elapsed(), host.settings.limits.max_lease);
+    }
+
+    /// Another life is at the worker's address: this one is over.
+    fn replaced(&self) {
+        let id = &self.target.id;
+        let host = &self.reign.host;
+        emit!(host.log, events::WORKER_REPLACED, "worker" => id, "address" => &self.target.address);
+        self.reign.engine.lock().superseded(host.clock(), id);
+        self.reign.agents.lock().remove(id);
+        self.reign.plan.notify_one();
+    }
+
+    fn unanswered(&mut self, fault: &Fault) {
+        let id = &self.target.id;
+        let host = &self.reign.host;
+        if !std::mem::replace(&mut self.silent, true) {
+            emit!(host.log, events::WORKER_SILENT, "worker" => id, "fault" => fault.to_string());
+        }
+        let over = self.lease.lock().lapsed(host.started.elapsed());
+        if over && !std::mem::replace(&mut self.lapsed, true) {
+            emit!(host.log, events::WORKER_LAPSED, "worker" => id);
+            self.reign.engine.lock().lapsed(host.clock(), id);
+            self.reign.plan.notify_one();
+        }
     }
 }
 
+/// Gives a worker's answer to the engine, and waits a little until its ends can be acknowledged.
 async fn report(reign: &Arc<Reign>, target: &Target, mark: u64, held: Held) {
     let newest = held.ended.last().map(|end| end.number);
     let report = Report { mark, running: held.running, ended: held.ended };
-    let first = {
+    let fresh = {
         let mut engine = reign.engine.lock();
         let acked = engine.acked(&target.id);
         let fresh: Vec<_> = report.ended.iter().filter(|end| end.number > acked).cloned().collect();
         engine.report(reign.host.clock(), &target.id, report);
         fresh
     };
-    for end in &first {
+    for end in &fresh {
         reign.host.metrics.ends.get_or_create(&metrics::Outcome { outcome: end.how.name() }).inc();
         emit!(reign.host.log, events::RUN_ENDED, "task" => end.task.to_string(), "attempt" => end.attempt,
             "worker" => &target.id, "how" => format!("{:?}", end.how), "number" => end.number);
