--- a/components/entry/src/election.rs
+++ b/components/entry/src/election.rs
@@ -129,7 +129,11 @@
     };
     let hello = Call::Hello { host: host.settings.host.clone(), leader: leader.clone() };
     match link.call(hello, CONNECT).await {
-        Ok(Answer::Done) => {}
+        Ok(Answer::Done) => {
+            tell_old_leader(host, &leader);
+            host.set_role(Role::Following(leader.clone(), link.clone()));
+            tokio::spawn(watch_link(host.clone(), leader, link));
+        }
         Ok(_) => {
             link.close();
             emit!(host.log, events::LEADER_DENIES, "leader" => &leader.host, "term" => leader.term);
@@ -138,27 +142,23 @@
             if let Some(record) = record {
                 claim_if_free(host, record).await;
             }
-            return;
-        }
-        Err(_) => {
-            link.close();
-            return;
         }
+        Err(_) => link.close(),
     }
-    let before = host.role();
-    if let Role::Following(old, old_link) = &before
-        && *old != leader
-    {
-        // The old leader may be cut off from the store: it learns from its followers that it was replaced.
-        let old_link = old_link.clone();
-        let newer = Call::Newer(leader.clone());
-        tokio::spawn(async move {
-            let _ = old_link.call(newer, CONNECT).await;
-            old_link.close();
-        });
+}
+
+/// Tells the leader that this host follows so far that another one has replaced it: it may be cut off from the store.
+fn tell_old_leader(host: &Host, leader: &Leader) {
+    let Role::Following(old, link) = host.role() else { return };
+    if old == *leader {
+        return;
     }
-    host.set_role(Role::Following(leader.clone(), link.clone()));
-    tokio::spawn(watch_link(host.clone(), leader, link));
+    let newer = Call::Newer(leader.clone());
+    tokio::spawn(async move {
+        // Whether it answers or not, it isn't followed any more.
+        let _ = link.call(newer, CONNECT).await;
+        link.close();
+    });
 }
 
 /// Links to a leader that another host has named. Boxed, since links answer calls that lead here.
@@ -178,7 +178,7 @@
     Some(Link::spawn(stream, move |link, call| handle(host.clone(), link, call)))
 }
 
-/// Boxed: a link that breaks is dialled again, and the new one is watched likewise.
+/// Keeps a link until it breaks. Boxed: a link that breaks is dialled again, and the new one is watched likewise.
 fn watch_link(host: Arc<Host>, leader: Leader, link: Arc<Link>) -> Pin<Box<dyn Future<Output = ()> + Send>> {
     Box::pin(keep_link(host, leader, link))
 }
@@ -201,22 +201,26 @@
         }
     }
     link.close();
-    if !follows(&host, &leader) {
-        return;
+    if follows(&host, &leader) {
+        host.set_role(Role::Nobody);
+        reconnect(&host, leader).await;
     }
-    host.set_role(Role::Nobody);
+}
+
+/// Links to a leader again while the store names it, and no other one is known.
+async fn reconnect(host: &Arc<Host>, leader: Leader) {
     // The leader may only have been restarted, or its host cut off for a moment.
     while matches!(host.role(), Role::Nobody) && !host.stopping() {
         let found = host.edges.store.get(LEADER_KEY).await;
         let record = match found {
-            Ok(Read { item: Some(item), .. }) if read_leader(&host, &item).as_ref() == Some(&leader) => {
+            Ok(Read { item: Some(item), .. }) if read_leader(host, &item).as_ref() == Some(&leader) => {
                 Some(item.revision)
             }
             // The loop that follows the record takes over.
             Ok(_) => return,
             Err(_) => None,
         };
-        connect(&host, leader.clone(), record).await;
+        connect(host, leader.clone(), record).await;
         tokio::time::sleep(PAUSE).await;
     }
 }
@@ -258,6 +262,7 @@
     }
 }
 
+/// Writes the next term and the leader's record in one transaction, then leads.
 async fn claim(host: &Arc<Host>, record: u64) -> anyhow::Result<()> {
     let store = &host.edges.store;
     let chain = store.get(CHAIN_KEY).await.context("reading the counter of terms")?.item;
@@ -287,8 +292,12 @@
         Err(fault) => return Err(fault.into()),
     };
     emit!(host.log, events::CLAIMED, "term" => chain.term, "revision" => revision);
-    host.seated.store(chain.term, Ordering::Release);
-    let seat = Seat { chain, revision, lease, leader, record: revision, confirmed };
+    lead(host, Seat { chain, revision, lease, leader, record: revision, confirmed }).await
+}
+
+/// Begins the reign that a claim has won. When the log can't be read, the host may claim again.
+async fn lead(host: &Arc<Host>, seat: Seat) -> anyhow::Result<()> {
+    host.seated.store(seat.chain.term, Ordering::Release);
     let reign = match Reign::begin(host.clone(), seat).await {
         Ok(reign) => reign,
         Err(fault) => {
