--- a/components/console/src/lib.rs
+++ b/components/console/src/lib.rs
@@ -3,5 +3,5 @@
 mod server;
 mod types;
 
-pub use server::{Console, description, start};
+pub use server::{Console, Server, description, start};
 pub use types::{Host, Job, Queue, Step, Submission};
--- a/components/console/src/server.rs
+++ b/components/console/src/server.rs
@@ -32,8 +32,11 @@
 
 type Context = Arc<Console>;
 
+/// A server that runs until it is closed.
+pub type Server = HttpServer<Context>;
+
 /// Starts the server. It ends when the returned handle is closed.
-pub fn start(address: SocketAddr, console: Context, log: &Logger) -> Result<HttpServer<Context>, String> {
+pub fn start(address: SocketAddr, console: Context, log: &Logger) -> Result<Server, String> {
     let config =
         ConfigDropshot { bind_address: address, default_request_body_max_bytes: MAX_BODY, ..ConfigDropshot::default() };
     ServerBuilder::new(description()?, console, log.clone()).config(config).start().map_err(|fault| fault.to_string())
