--- a/components/fakes/src/cell.rs
+++ b/components/fakes/src/cell.rs
@@ -27,11 +27,24 @@
     pub how: How,
 }
 
+/// A value in the store.
+struct Kept {
+    value: Vec<u8>,
+    revision: u64,
+    /// 0 for none.
+    lease: LeaseId,
+}
+
+struct Lease {
+    ends: Instant,
+    ttl: Duration,
+}
+
 #[derive(Default)]
 struct State {
     revision: u64,
-    items: BTreeMap<String, (Vec<u8>, u64, LeaseId)>,
-    leases: BTreeMap<LeaseId, (Instant, Duration)>,
+    items: BTreeMap<String, Kept>,
+    leases: BTreeMap<LeaseId, Lease>,
     next_lease: LeaseId,
     turned_away: BTreeSet<String>,
     lost_answers: usize,
@@ -95,8 +108,7 @@
     pub fn configure(&self, config: Config) {
         let mut state = self.state.lock();
         state.config = Some(config);
-        state.revision += 1;
-        self.changed.send_replace(state.revision);
+        self.change(&mut state);
     }
 
     /// The store answers this host no more, or again.
@@ -118,8 +130,7 @@
     pub fn revoke(&self, key: &str) {
         let mut state = self.state.lock();
         state.items.remove(key);
-        state.revision += 1;
-        self.changed.send_replace(state.revision);
+        self.change(&mut state);
     }
 
     /// Transactions that were done.
@@ -150,28 +161,33 @@
         Ok(host)
     }
 
+    /// Counts a change, and wakes those who wait for one.
+    fn change(&self, state: &mut State) {
+        state.revision += 1;
+        self.changed.send_replace(state.revision);
+    }
+
     fn now(&self) -> Duration {
         self.began.elapsed()
     }
 
     fn expire(&self, state: &mut State) {
         let now = Instant::now();
-        let over: Vec<LeaseId> = state.leases.iter().filter(|(_, (end, _))| *end < now).map(|(id, _)| *id).collect();
+        let over: Vec<LeaseId> = state.leases.iter().filter(|(_, lease)| lease.ends < now).map(|(id, _)| *id).collect();
         over.into_iter().for_each(|lease| self.drop_lease(state, lease));
     }
 
     fn drop_lease(&self, state: &mut State, lease: LeaseId) {
         state.leases.remove(&lease);
         let before = state.items.len();
-        state.items.retain(|_, (_, _, owner)| *owner != lease);
+        state.items.retain(|_, kept| kept.lease != lease);
         if state.items.len() != before {
-            state.revision += 1;
-            self.changed.send_replace(state.revision);
+            self.change(state);
         }
     }
 
     fn carry_out(&self, state: &mut State, transaction: &Transaction) -> Commit {
-        let present = |key: &String| state.items.get(key).map_or(0, |(_, revision, _)| *revision);
+        let present = |key: &String| state.items.get(key).map_or(0, |kept| kept.revision);
         if transaction.expected.iter().any(|(key, revision)| present(key) != *revision) {
             let items = transaction.expected.iter().filter_map(|(key, _)| item(state, key));
             return Commit::Conflict(items.collect());
@@ -183,7 +199,7 @@
         state.commits += 1;
         let revision = state.revision;
         for put in &transaction.puts {
-            state.items.insert(put.key.clone(), (put.value.clone(), revision, put.lease));
+            state.items.insert(put.key.clone(), Kept { value: put.value.clone(), revision, lease: put.lease });
         }
         transaction.removes.iter().for_each(|key| {
             state.items.remove(key);
@@ -194,8 +210,8 @@
 }
 
 fn item(state: &State, key: &str) -> Option<Item> {
-    let (value, revision, _) = state.items.get(key)?;
-    Some(Item { key: key.to_owned(), value: value.clone(), revision: *revision })
+    let kept = state.items.get(key)?;
+    Some(Item { key: key.to_owned(), value: kept.value.clone(), revision: kept.revision })
 }
 
 impl View {
@@ -256,15 +272,15 @@
     async fn lease(&self, ttl: Duration) -> Result<LeaseId, Fault> {
         self.store(|state| {
             state.next_lease += 1;
-            state.leases.insert(state.next_lease, (Instant::now() + ttl, ttl));
+            state.leases.insert(state.next_lease, Lease { ends: Instant::now() + ttl, ttl });
             state.next_lease
         })
     }
 
     async fn keep(&self, lease: LeaseId) -> Result<bool, Fault> {
         self.store(|state| match state.leases.get_mut(&lease) {
-            Some((end, ttl)) => {
-                *end = Instant::now() + *ttl;
+            Some(lease) => {
+                lease.ends = Instant::now() + lease.ttl;
                 true
             }
             None => false,
