--- a/components/entry/src/follow.rs
+++ b/components/entry/src/follow.rs
@@ -3,10 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use events::emit;
-
 use crate::edge::Change;
 use crate::host::Host;
+use crate::outage::Outage;
 
 /// A watch that brought nothing is renewed after this time.
 const WATCH: Duration = Duration::from_secs(20);
@@ -15,26 +14,19 @@
 
 /// Reads the configuration whenever it may have changed.
 pub(crate) async fn config(host: Arc<Host>) {
-    let mut revision;
-    let mut failing = false;
+    let mut outage = Outage::new("configuration");
     loop {
-        match host.edges.directory.config().await {
-            Ok((config, seen)) => {
-                revision = seen;
-                if std::mem::take(&mut failing) {
-                    emit!(host.log, events::PLATFORM_BACK, "call" => "configuration");
-                }
-                if let Some(config) = config {
-                    host.take_config(config, "store");
-                }
-            }
+        let (config, mut revision) = match host.edges.directory.config().await {
+            Ok(found) => found,
             Err(fault) => {
-                if !std::mem::replace(&mut failing, true) {
-                    emit!(host.log, events::PLATFORM_FAILED, "call" => "configuration", "fault" => fault.to_string());
-                }
+                outage.failed(&host.log, &fault);
                 tokio::time::sleep(PAUSE).await;
                 continue;
             }
+        };
+        outage.succeeded(&host.log);
+        if let Some(config) = config {
+            host.take_config(config, "store");
         }
         while let Some(seen) = unchanged(&host, revision).await {
             revision = seen;
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -8,6 +8,7 @@
 mod follow;
 mod host;
 mod message;
+mod outage;
 mod peers;
 mod reign;
 
--- a/components/entry/src/reign/duties.rs
+++ b/components/entry/src/reign/duties.rs
@@ -6,6 +6,7 @@
 use events::emit;
 use sched::Engine;
 
+use crate::outage::Outage;
 use crate::reign::{Reign, agent, orders};
 
 /// Decisions are made anew at least this often: tickets and due times come without an event.
@@ -58,23 +59,18 @@
 
 /// Reads the list of workers.
 pub(crate) async fn list(reign: Arc<Reign>) {
-    let mut failing = false;
+    let mut outage = Outage::new("list of workers");
     loop {
         match reign.host.edges.directory.workers().await {
             Ok(workers) => {
-                if std::mem::take(&mut failing) {
-                    emit!(reign.host.log, events::PLATFORM_BACK, "call" => "list of workers");
-                }
+                outage.succeeded(&reign.host.log);
                 reign.engine.lock().list(reign.host.clock(), workers);
                 agent::follow(&reign);
                 reign.write.notify_one();
                 reign.plan.notify_one();
             }
             Err(fault) => {
-                if !std::mem::replace(&mut failing, true) {
-                    emit!(reign.host.log, events::PLATFORM_FAILED, "call" => "list of workers",
-                        "fault" => fault.to_string());
-                }
+                outage.failed(&reign.host.log, &fault);
                 agent::follow(&reign);
             }
         }
