--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -61,13 +61,13 @@
     /// Its settings.
     pub settings: Settings,
     /// Its outside.
-    pub edges: Edges,
+    pub(crate) edges: Edges,
     /// Its log.
     pub log: Logger,
     /// Its metrics.
     pub metrics: metrics::Jobs,
     /// Zero of its steady clock.
-    pub started: Instant,
+    pub(crate) started: Instant,
     config: watch::Sender<Arc<Config>>,
     role: watch::Sender<Role>,
     /// Links of followers, while it leads.
@@ -114,7 +114,7 @@
     }
 
     /// The time on this host's clocks.
-    pub fn clock(&self) -> sched::Clock {
+    pub(crate) fn clock(&self) -> sched::Clock {
         let wall = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
         sched::Clock { now: self.started.elapsed(), wall }
     }
@@ -125,7 +125,7 @@
     }
 
     /// Follows the configuration.
-    pub fn configs(&self) -> watch::Receiver<Arc<Config>> {
+    pub(crate) fn configs(&self) -> watch::Receiver<Arc<Config>> {
         self.config.subscribe()
     }
 
--- a/components/entry/src/reign.rs
+++ b/components/entry/src/reign.rs
@@ -146,7 +146,7 @@
     }
 
     /// Whether this host surely leads, for answers to callers.
-    pub fn confirmed(&self) -> bool {
+    pub(crate) fn confirmed(&self) -> bool {
         !self.is_over() && self.unconfirmed_for() < CERTAIN
     }
 
@@ -165,7 +165,7 @@
     }
 
     /// Ends the reign: another leader has taken over.
-    pub fn depose(&self, why: &'static str) {
+    pub(crate) fn depose(&self, why: &'static str) {
         if self.over.send_replace(true) {
             return;
         }
