--- a/components/sched/src/lease.rs
+++ b/components/sched/src/lease.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
+use crate::limits::LAPSE_MARGIN;
+
 /// A worker's clock may run this much slow.
 const SLOWEST: f64 = 0.98;
-/// Added for timers that fire late.
-const MARGIN: Duration = Duration::from_millis(100);
 
 /// What is known of a worker's clock and of the leases that were given there.
 #[derive(Clone, Copy, Debug, Default)]
@@ -41,7 +41,7 @@
     /// Whether every lease has surely run out.
     pub fn lapsed(&self, now: Duration) -> bool {
         let Some((clock, at)) = self.reading else { return false };
-        let least = clock + now.saturating_sub(at + MARGIN).mul_f64(SLOWEST);
+        let least = clock + now.saturating_sub(at + LAPSE_MARGIN).mul_f64(SLOWEST);
         least > self.until
     }
 }
