--- a/bins/walkhook/src/log.rs
+++ b/bins/walkhook/src/log.rs
@@ -9,15 +9,15 @@
 
 /// A line of a log.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Line {
+pub(crate) struct Line {
     /// Time of day at the host that wrote it.
-    pub time: String,
+    time: String,
     /// The host.
-    pub host: String,
+    host: String,
     /// What happened.
-    pub text: String,
+    text: String,
     /// Its other fields.
-    pub fields: Vec<(String, String)>,
+    fields: Vec<(String, String)>,
 }
 
 /// Fields that every line has.
@@ -50,7 +50,7 @@
 }
 
 /// The lines of a log that name an id. What isn't a line of ours is passed over: logs may hold other programs' lines.
-pub fn select(text: &str, id: &str) -> Vec<Line> {
+pub(crate) fn select(text: &str, id: &str) -> Vec<Line> {
     text.lines().filter(|line| line.contains(id)).filter_map(parse).collect()
 }
 
