--- a/deploy/days/play.py
+++ b/deploy/days/play.py
@@ -27,7 +27,9 @@
 
 def variants(trouble):
     """The entries of each day for one trouble."""
-    at = lambda second: f"{{ at = {second}, {trouble} }}"
+    def at(second):
+        return f"{{ at = {second}, {trouble} }}"
+
     yield "alone", [at(9.0)]
     yield "twice", [at(7.0), at(15.0)]
     yield "cut", [at(10.0), ZONE_CUT]
@@ -38,14 +40,25 @@
     """A day's file."""
     planned = [entry for entry in entries if re.search(r'kind = "(\w+)"', entry).group(1) in PLANNED]
     faults = [entry for entry in entries if entry not in planned]
-    rows = lambda list_: "[\n" + "".join(f"  {entry},\n" for entry in list_) + "]"
     return (
         f'name = "{name}"\nslot = "trouble"\nseed = {zlib.crc32(name.encode())}\nlabels = []\n'
-        f"one = 1.0\nzero = 0.0\ngoal = {{ floor = 0.0 }}\n"
-        f"plan = {rows(planned)}\nfaults = {rows(faults)}\n{traffic(site)}\n"
+        "one = 1.0\nzero = 0.0\ngoal = { floor = 0.0 }\n"
+        f"plan = {array(planned)}\nfaults = {array(faults)}\n{traffic(site)}\n"
     )
 
 
+def array(entries):
+    """A TOML array, an entry a line."""
+    return "[\n" + "".join(f"  {entry},\n" for entry in entries) + "]"
+
+
+def plays(trouble, before, site):
+    """Name and file of each day for one trouble, of which `before` days come before."""
+    label = re.sub(r'kind = |"', "", trouble)
+    for name, entries in variants(trouble):
+        yield f"{label} / {name}", day(f"own-{before}-{name}", entries, site)
+
+
 def play(bench, site, name, text):
     """Plays one day. Its row."""
     with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
@@ -75,8 +88,7 @@
     days = []
     for trouble in troubles:
         if options.only in trouble:
-            label = re.sub(r'kind = |"', "", trouble)
-            days += [(f"{label} / {name}", day(f"own-{len(days)}-{name}", entries, site)) for name, entries in variants(trouble)]
+            days += plays(trouble, len(days), site)
     with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
         for row in pool.map(lambda item: play(options.bench, options.site, *item), days):
             print(row, flush=True)
