--- a/components/entry/src/election.rs
+++ b/components/entry/src/election.rs
@@ -183,6 +183,7 @@
     Box::pin(keep_link(host, leader, link))
 }
 
+/// Asks the leader for signs of life until the link is down or unanswered, or a newer leader is named.
 async fn keep_link(host: Arc<Host>, leader: Leader, link: Arc<Link>) {
     let mut missed = 0;
     while missed < PINGS_MISSED {
--- a/components/entry/src/reign.rs
+++ b/components/entry/src/reign.rs
@@ -140,6 +140,7 @@
         self.confirmed.fetch_max(at.as_millis() as u64, Ordering::Relaxed);
     }
 
+    /// Time since it was last certain that nobody else led.
     pub(crate) fn unconfirmed_for(&self) -> Duration {
         let confirmed = Duration::from_millis(self.confirmed.load(Ordering::Relaxed));
         self.host.started.elapsed().saturating_sub(confirmed)
@@ -226,6 +227,7 @@
         Answer::Refused(STORE_RETRY)
     }
 
+    /// Accepts a job and waits until it is kept; takes it back when the store is too slow for that.
     async fn submit(&self, queue: String, id: JobId, job: Job, wait: Duration) -> Answer {
         if self.store_away() && !self.engine.lock().keeps(id) {
             return self.refuse(id);
--- a/components/entry/src/reign/agent.rs
+++ b/components/entry/src/reign/agent.rs
@@ -58,6 +58,7 @@
     lapsed: bool,
 }
 
+/// Renews until the worker is replaced or the reign ends.
 async fn run(reign: Arc<Reign>, target: Target, lease: Arc<Mutex<Lease>>) {
     let mut hold = Hold { reign, target, lease, silent: false, lapsed: false };
     loop {
@@ -120,6 +121,7 @@
         outcome
     }
 
+    /// The worker answered: takes its clock in.
     fn answered(&mut self, clock: Duration) {
         let host = &self.reign.host;
         if std::mem::take(&mut self.silent) {
@@ -139,6 +141,7 @@
         self.reign.plan.notify_one();
     }
 
+    /// The worker did not answer: its runs are given up once its leases have surely run out.
     fn unanswered(&mut self, fault: &Fault) {
         let id = &self.target.id;
         let host = &self.reign.host;
--- a/components/entry/src/reign/ask.rs
+++ b/components/entry/src/reign/ask.rs
@@ -71,6 +71,7 @@
     }
 }
 
+/// The question to ask next, and by which host; `None` while no host or no question is free.
 fn next(reign: &Reign) -> Option<(Asker, Question)> {
     let askers = askers(reign);
     let busy = reign.desk.busy.lock().clone();
@@ -84,12 +85,14 @@
     Some((asker, waiting.remove(best)))
 }
 
+/// Hosts that can ask: followers first, this one last.
 fn askers(reign: &Reign) -> Vec<Asker> {
     let followers = reign.host.live_followers();
     let others = followers.into_iter().map(|follower| Asker::Other(follower.host, follower.link));
     others.chain([Asker::Own(reign.host.settings.host.clone())]).collect()
 }
 
+/// Asks one question and gives the answer to the engine.
 async fn ask(reign: Arc<Reign>, asker: Asker, question: Question) {
     let sent = reign.host.started.elapsed();
     let healthy = answer(&reign, &asker, &question).await;
@@ -113,6 +116,7 @@
     reign.plan.notify_one();
 }
 
+/// Workers that may run the unit, with their tickets; `None` without an answer.
 async fn answer(reign: &Reign, asker: &Asker, question: &Question) -> Option<Vec<(WorkerId, String)>> {
     match asker {
         Asker::Own(_) => reign.host.advice(question.unit, &question.workers).await,
--- a/components/entry/src/reign/commit.rs
+++ b/components/entry/src/reign/commit.rs
@@ -91,6 +91,7 @@
     true
 }
 
+/// Takes the counter of terms, and the revision that the next transaction expects, from the one that was done.
 fn advance(reign: &Reign, next: Chain, batch: &Batch, revision: u64) {
     let mut seat = reign.seat.lock();
     seat.chain = next;
--- a/components/entry/src/reign/orders.rs
+++ b/components/entry/src/reign/orders.rs
@@ -46,6 +46,7 @@
     reign.plan.notify_one();
 }
 
+/// Sends a start, with a lease that ends like those of the next renewal.
 async fn send_start(reign: &Arc<Reign>, worker: &WorkerId, start: &Start) -> OrderOutcome {
     let now = reign.host.started.elapsed();
     let lease = reign.agents.lock().get(worker).map(|agent| (agent.target.clone(), agent.lease.clone()));
--- a/components/entry/src/reign/yielding.rs
+++ b/components/entry/src/reign/yielding.rs
@@ -23,6 +23,7 @@
 /// Pause after followers were asked in vain.
 const PAUSE: Duration = Duration::from_millis(300);
 
+/// Looks out for an outage that only this host has, and yields then.
 pub(crate) async fn run(reign: Arc<Reign>) {
     loop {
         tokio::time::sleep(LOOK).await;
--- a/components/link/src/lib.rs
+++ b/components/link/src/lib.rs
@@ -45,11 +45,15 @@
 
 /// One connection to another entry host.
 pub struct Link<Q, A> {
+    /// Encoded frames to send.
     sender: mpsc::Sender<Bytes>,
+    /// Calls without an answer so far, by number.
     waiting: Mutex<HashMap<u64, oneshot::Sender<A>>>,
+    /// Number of the next call.
     next: AtomicU64,
     /// When the last frame came in.
     heard: Mutex<Instant>,
+    /// Set once, when the connection has ended.
     down: AtomicBool,
     closed: Notify,
     calls: PhantomData<fn(Q)>,
--- a/components/sched/src/ends.rs
+++ b/components/sched/src/ends.rs
@@ -28,6 +28,7 @@
         self.missing(clock, id, &report);
     }
 
+    /// Takes in an end; it may be acknowledged once the records that it led to are durable.
     fn ended(&mut self, clock: Clock, id: &str, end: &End) {
         self.begin(end.task);
         if let Some(worker) = self.workers.get_mut(id) {
@@ -59,6 +60,7 @@
         }
     }
 
+    /// Keeps the last checkpoint of a task, and of its gang if it is in one.
     fn keep_saved(&mut self, task: Task, saved: &str) {
         let gang = self.step(task).is_some_and(|step| step.gang);
         let Some(unit) = self.unit_mut(task.unit) else { return };
@@ -74,6 +76,7 @@
         self.jobs.get(&task.unit.job)?.step(task.unit.step)
     }
 
+    /// A run has done its task. A gang's tasks are all done with the first member that is; a lasting task never is.
     fn done(&mut self, clock: Clock, id: &str, task: Task, attempt: Attempt) {
         if let Some(worker) = self.workers.get_mut(id) {
             worker.failures = 0;
@@ -112,6 +115,7 @@
         }
     }
 
+    /// Counts a failed run once, and fails the job when its attempts are used up.
     fn failed(&mut self, clock: Clock, id: &str, task: Task, attempt: Attempt) {
         self.distrust(clock, id);
         let Some(entry) = self.jobs.get(&task.unit.job) else { return };
@@ -136,6 +140,7 @@
         }
     }
 
+    /// Avoids a worker on which several runs in a row have failed.
     fn distrust(&mut self, clock: Clock, id: &str) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.failures += 1;
@@ -144,6 +149,7 @@
         }
     }
 
+    /// Takes in a run that a worker lists, known or not.
     fn running(&mut self, clock: Clock, id: &str, row: &Running) {
         self.begin(row.task);
         let Some(worker) = self.workers.get_mut(id) else { return };
@@ -227,6 +233,7 @@
     }
 }
 
+/// Whether a report shows a run in this phase for certain, if its renewal was sent at `mark`.
 fn must_show(phase: Phase, mark: u64) -> bool {
     match phase {
         Phase::Running(settled) | Phase::Stopped(settled) => settled <= mark,
--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -55,6 +55,7 @@
 pub struct Engine {
     pub(crate) limits: Limits,
     pub(crate) term: Term,
+    /// When this reign began, on the steady clock.
     pub(crate) reign: Duration,
     pub(crate) config: Arc<Config>,
     pub(crate) workers: BTreeMap<WorkerId, Worker>,
@@ -67,9 +68,13 @@
     pub(crate) actions: Vec<Action>,
     /// Starts whose records aren't durable yet, by position.
     pub(crate) decided: VecDeque<(u64, WorkerId, Start)>,
+    /// Records that the log hasn't taken yet, by position.
     records: VecDeque<(u64, Record)>,
+    /// Position of the newest record; positions count from 1 in each reign.
     position: u64,
+    /// Highest position that is in the store.
     pub(crate) durable: u64,
+    /// Settled orders so far; see [`Engine::mark`].
     mark: u64,
 }
 
@@ -121,6 +126,7 @@
         }
     }
 
+    /// Takes in one worker of the list.
     fn enlist(&mut self, clock: Clock, id: WorkerId, info: Info) {
         if let Some(worker) = self.workers.get_mut(&id) {
             worker.missing = None;
@@ -149,6 +155,7 @@
         self.mark
     }
 
+    /// Counts an order as settled.
     pub(crate) fn next_mark(&mut self) -> u64 {
         self.mark += 1;
         self.mark
@@ -166,6 +173,7 @@
         position
     }
 
+    /// Puts a job into the book, without a record.
     pub(crate) fn insert(&mut self, id: JobId, queue: String, job: Arc<Job>, accepted: Accepted) {
         let units = BTreeMap::new();
         let entry = Entry { queue, job, accepted, begun: false, outcome: None, units, opened: 0 };
@@ -247,6 +255,7 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Ends a job. Returns the position whose durability makes the end count.
     pub(crate) fn end(&mut self, clock: Clock, id: JobId, outcome: Outcome) -> u64 {
         let position = self.record(Record::Ended { id, outcome });
         if let Some(entry) = self.jobs.get_mut(&id) {
@@ -294,6 +303,7 @@
         }
     }
 
+    /// Frees the tasks of all runs on a worker.
     fn vacate(&mut self, clock: Clock, id: &str) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         let runs = std::mem::take(&mut worker.runs);
--- a/components/sched/src/order.rs
+++ b/components/sched/src/order.rs
@@ -57,12 +57,14 @@
         }
     }
 
+    /// A start had no answer: the worker is avoided, longer each time in a row.
     fn unanswered(&mut self, clock: Clock, id: &str) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.avoid(clock.now, worker.unanswered);
         worker.unanswered += 1;
     }
 
+    /// The worker has taken a start.
     fn confirmed(&mut self, id: &str, task: Task, attempt: Attempt) {
         let mark = self.next_mark();
         self.begin(task);
--- a/components/sched/src/restore.rs
+++ b/components/sched/src/restore.rs
@@ -50,6 +50,7 @@
         }
     }
 
+    /// The state of a unit that the log names: a round that a record names was open, and its job had begun.
     fn replay_unit(&mut self, unit: Unit) -> Option<&mut UnitState> {
         let entry = self.jobs.get_mut(&unit.job)?;
         while entry.opened <= unit.round && entry.opened < entry.job.rounds() {
@@ -132,6 +133,7 @@
     }
 }
 
+/// Records from which a unit is rebuilt.
 fn unit_records(name: Unit, unit: &UnitState) -> Vec<Record> {
     let mut records = Vec::new();
     for (index, task) in unit.tasks.iter().enumerate() {
