--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -161,6 +161,13 @@
         }
     }
 
+    /// A reign of this host is over: nobody is known to lead, unless that has changed already.
+    pub(crate) fn left(&self, term: work::Term) {
+        if matches!(self.role(), Role::Leading(reign) if reign.term == term) {
+            self.set_role(Role::Nobody);
+        }
+    }
+
     pub(crate) fn set_role(&self, role: Role) {
         let term = match &role {
             Role::Leading(reign) => reign.term,
--- a/components/entry/src/reign/agent.rs
+++ b/components/entry/src/reign/agent.rs
@@ -9,7 +9,6 @@
 use tokio::task::AbortHandle;
 
 use crate::edge::{Fault, Held, Renewal, Reply, Target};
-use crate::host::Role;
 use crate::reign::Reign;
 
 /// How long an answer waits for an end. Also the time between renewals: a cut of 5.5 s must leave a lease of 6 s alive.
@@ -86,7 +85,7 @@
             }
             Ok(Reply::Fenced) => {
                 self.reign.depose("a worker knows a newer leader");
-                self.reign.host.set_role(Role::Nobody);
+                self.reign.host.left(self.reign.term);
                 return false;
             }
             Ok(Reply::OtherLife) => {
@@ -94,8 +93,10 @@
                 return false;
             }
             Ok(Reply::Refused(refusal)) => {
-                emit!(self.reign.host.log, events::WORKER_SILENT, "worker" => &self.target.id,
-                    "fault" => format!("{refusal:?}"));
+                if !std::mem::replace(&mut self.silent, true) {
+                    emit!(self.reign.host.log, events::WORKER_SILENT, "worker" => &self.target.id,
+                        "fault" => format!("{refusal:?}"));
+                }
                 tokio::time::sleep(PAUSE).await;
             }
             Err(fault) => {
--- a/components/entry/src/reign/commit.rs
+++ b/components/entry/src/reign/commit.rs
@@ -12,7 +12,6 @@
 
 use crate::edge::{Commit, Fault, Item, Put, Transaction};
 use crate::election::{CHAIN_KEY, Chain, chain_put, leader_put};
-use crate::host::Role;
 use crate::reign::{LOG_PREFIX, Reign, Seat, part};
 
 /// Shortest time between two transactions: each has a price, and a group costs no more than one record.
@@ -128,7 +127,7 @@
                 Some(revision) => return Some(Settled { revision, sent }),
                 None => {
                     reign.depose("the counter of terms was changed by another host");
-                    reign.host.set_role(Role::Nobody);
+                    reign.host.left(reign.term);
                     return None;
                 }
             },
--- a/components/entry/src/reign/orders.rs
+++ b/components/entry/src/reign/orders.rs
@@ -8,7 +8,6 @@
 use work::{Attempt, Task, WorkerId};
 
 use crate::edge::{Fault, Refusal, Reply, Target};
-use crate::host::Role;
 use crate::reign::Reign;
 
 /// Pause before a stop without an answer is sent again.
@@ -64,7 +63,7 @@
         Ok(Reply::Done(())) => OrderOutcome::Started,
         Ok(Reply::Fenced) => {
             reign.depose("a worker knows a newer leader");
-            reign.host.set_role(Role::Nobody);
+            reign.host.left(reign.term);
             OrderOutcome::Refused
         }
         Ok(Reply::OtherLife) => OrderOutcome::Refused,
--- a/components/entry/src/reign/yielding.rs
+++ b/components/entry/src/reign/yielding.rs
@@ -9,7 +9,7 @@
 use tokio::task::JoinSet;
 
 use crate::election::LEADER_KEY;
-use crate::host::{Follower, Role};
+use crate::host::Follower;
 use crate::message::{Answer, Call};
 use crate::reign::Reign;
 
@@ -63,7 +63,7 @@
     emit!(reign.host.log, events::YIELDED, "key" => LEADER_KEY, "to" => &follower.host, "term" => reign.term,
         "unanswered_ms" => reign.unheard_for().as_millis() as u64);
     // It must have ended before the other begins: then nothing of it prolongs a lease any more.
-    reign.host.set_role(Role::Nobody);
+    reign.host.left(reign.term);
     let link = follower.link.clone();
     let asked = tokio::spawn(async move { link.call(Call::TakeOver(record), PROBE).await });
     reign.depose("the store answers a follower and not this host");
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -48,6 +48,11 @@
     }
 }
 
+/// Rounds of one job that are taken up in one pass.
+const OPEN_ROUNDS: u32 = 16;
+/// Units of one job that may be open before further rounds are taken up.
+const OPEN_UNITS: usize = 256;
+
 /// What places are compared by; the least is taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Cost {
@@ -88,15 +93,17 @@
     }
 
     fn open_units(&mut self, clock: Clock) {
-        let early = self.limits.early;
         let ids: Vec<_> = self.live.iter().copied().collect();
         for id in ids {
             let Some(entry) = self.jobs.get_mut(&id) else { continue };
-            while entry.opened < entry.job.rounds() && due(entry.job.due(entry.opened), clock.wall, early) {
-                let round = entry.opened;
-                let units = entry.job.steps.iter().enumerate();
-                entry.units.extend(units.map(|(number, step)| ((round, number as u16), UnitState::new(step))));
-                entry.opened += 1;
+            // Rounds that fell due while nobody led are taken up a few at a time.
+            let unfinished = entry.units.values().filter(|unit| !unit.complete()).count();
+            let most = entry.opened.saturating_add(OPEN_ROUNDS);
+            while entry.opened < entry.job.rounds() && entry.job.due(entry.opened) <= clock.wall {
+                if entry.opened >= most || unfinished >= OPEN_UNITS {
+                    break;
+                }
+                entry.open(entry.opened);
             }
         }
     }
@@ -243,11 +250,6 @@
     }
 }
 
-/// Whether a round may start.
-fn due(at: Duration, wall: Duration, _early: Duration) -> bool {
-    at <= wall
-}
-
 /// Chooses places for the waiting tasks of a unit, as many as there are.
 fn choose(now: Duration, state: &UnitState, step: &Step, queue: &Queue, room: &Room) -> Vec<Choice> {
     let need = taken_room(step);
--- a/components/sched/src/rank.rs
+++ b/components/sched/src/rank.rs
@@ -56,7 +56,7 @@
             None => entry.accepted.now,
         };
         let chain = chain(&entry.job);
-        let objective = chain.mul_f64(queue.stretch) + queue.objective;
+        let objective = stretched(chain, queue.stretch) + queue.objective;
         let waited = clock.now.saturating_sub(begun);
         let tier = if waited + remaining(entry, round) <= objective {
             Tier::OnTime
@@ -69,6 +69,11 @@
     }
 }
 
+/// A time by a factor of the configuration; a factor that makes no sense counts as 1.
+fn stretched(time: Duration, factor: f64) -> Duration {
+    Duration::try_from_secs_f64(time.as_secs_f64() * factor).unwrap_or(time)
+}
+
 /// The longest chain of steps, by the caller's estimates.
 fn chain(job: &Job) -> Duration {
     let mut ends: Vec<Duration> = Vec::new();
--- a/components/sched/src/restore.rs
+++ b/components/sched/src/restore.rs
@@ -34,7 +34,26 @@
     /// Ends jobs that the log shows as done without a record of their end.
     pub fn replayed(&mut self, clock: Clock) {
         let ids: Vec<JobId> = self.live.iter().copied().collect();
-        ids.into_iter().for_each(|id| self.finish(clock, id));
+        for id in ids {
+            match self.spent(id) {
+                true => {
+                    self.end(clock, id, Outcome::Failed);
+                }
+                false => self.finish(clock, id),
+            }
+        }
+    }
+
+    /// Whether a task, or a gang, of a job has used up its attempts.
+    fn spent(&self, id: JobId) -> bool {
+        let Some(entry) = self.jobs.get(&id) else { return false };
+        let Some(queue) = self.config.queue(&entry.queue) else { return false };
+        let most = queue.max_attempts as usize;
+        let spent = |((_, step), unit): (&(u32, u16), &UnitState)| {
+            let lasting = entry.step(*step).is_some_and(|step| step.lasting);
+            !lasting && (unit.failed.len() >= most || unit.tasks.iter().any(|task| task.failed.len() >= most))
+        };
+        entry.units.iter().any(spent)
     }
 
     fn replay_job(&mut self, clock: Clock, id: JobId, queue: String, at: Duration, job: work::Job) {
--- a/components/sched/tests/decisions.rs
+++ b/components/sched/tests/decisions.rs
@@ -385,3 +385,42 @@
     let stops: Vec<_> = cell.plan().into_iter().filter(|action| matches!(action, Action::Stop(..))).collect();
     assert_eq!(stops.len(), 2, "the other would wait alone: {stops:?}");
 }
+
+#[test]
+fn jobs_of_any_size_are_checked_and_planned_without_a_fault() {
+    let year = Duration::from_secs(365 * 86_400);
+    let schedule = |rounds| Some(work::Schedule { rounds, first: Duration::ZERO, every: Duration::ZERO });
+    let job = |steps, schedule| work::Job { specification: String::new(), steps, schedule };
+    let refused = [
+        job(vec![Step { estimate: year, ..step(1, 1) }], None),
+        job(vec![Step { tail: year, ..step(1, 1) }], None),
+        job(vec![step(2000, 1); 6], None),
+        job(vec![step(1, 1)], schedule(u32::MAX)),
+        job(vec![step(1, 1)], schedule(0)),
+    ];
+    for job in refused {
+        assert!(job.check().is_err(), "{:?}", job.schedule);
+    }
+    let mut cell = Cell::new(1).ready();
+    let largest = job(vec![Step { estimate: Duration::from_secs(7 * 86_400), ..step(1, 1) }], schedule(10_000));
+    largest.check().expect("large, but taken");
+    cell.engine.accept(cell.clock(), 1, "urgent".to_owned(), largest);
+    cell.write();
+    let first = cell.starts().len();
+    assert!((1..=16).contains(&first), "rounds that are due at once are opened a few at a time: {first}");
+}
+
+#[test]
+fn a_job_whose_attempts_were_used_up_before_a_takeover_has_failed() {
+    let mut old = Cell::new(1).ready();
+    old.submit(1, "urgent", vec![step(1, 1)]);
+    for _ in 0..2 {
+        let (worker, start) = old.starts().remove(0);
+        old.end(&worker, &start, How::Failed);
+    }
+    // The part of the log with the end was never written.
+    let log: Vec<Record> = old.log.into_iter().filter(|record| !matches!(record, Record::Ended { .. })).collect();
+    let mut new = Cell::after(1, 2, &log).ready();
+    assert!(new.starts().is_empty(), "two of two attempts have failed");
+    assert_eq!(new.engine.state(1), Some(State::Ended(Outcome::Failed)));
+}
--- a/components/work/src/job.rs
+++ b/components/work/src/job.rs
@@ -72,6 +72,13 @@
     pub misses: u32,
 }
 
+/// Most tasks of one round of a job: what the whole cell is designed to run.
+const MAX_TASKS_A_ROUND: u32 = 10_000;
+/// Most rounds of a repeated job: one an hour for a year.
+const MAX_ROUNDS: u32 = 10_000;
+/// Longest time that a job may name, far above any run seen so far.
+const MAX_TIME: Duration = Duration::from_secs(7 * 86_400);
+
 /// Why a job can't be taken.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum Fault {
@@ -89,6 +96,20 @@
         /// Its tasks.
         count: u32,
     },
+    /// The steps have too many tasks together.
+    #[error("the steps have {0} tasks together, at most {MAX_TASKS_A_ROUND} are taken")]
+    Total(u32),
+    /// There are no rounds, or too many.
+    #[error("the job has {0} rounds, between 1 and {MAX_ROUNDS} are taken")]
+    Rounds(u32),
+    /// A time is too long.
+    #[error("step {step} names a time of {} s, at most {} s are taken", time.as_secs(), MAX_TIME.as_secs())]
+    Time {
+        /// The step.
+        step: usize,
+        /// The time.
+        time: Duration,
+    },
     /// A step waits for itself or for a later one.
     #[error("step {step} depends on step {on}, which doesn't come before it")]
     Order {
@@ -108,7 +129,15 @@
         if self.steps.is_empty() || self.steps.len() > MAX_STEPS {
             return Err(Fault::Steps(self.steps.len()));
         }
-        self.steps.iter().enumerate().try_for_each(|(number, step)| step.check(number))
+        self.steps.iter().enumerate().try_for_each(|(number, step)| step.check(number))?;
+        let total = self.steps.iter().map(|step| step.count).sum();
+        if total > MAX_TASKS_A_ROUND {
+            return Err(Fault::Total(total));
+        }
+        match self.rounds() {
+            1..=MAX_ROUNDS => Ok(()),
+            rounds => Err(Fault::Rounds(rounds)),
+        }
     }
 
     /// Number of rounds; 1 for a job that isn't repeated.
@@ -118,7 +147,8 @@
 
     /// When a round is due, since 1970; zero for a job that isn't repeated.
     pub fn due(&self, round: u32) -> Duration {
-        self.schedule.map_or(Duration::ZERO, |schedule| schedule.first + schedule.every * round)
+        self.schedule
+            .map_or(Duration::ZERO, |schedule| schedule.first.saturating_add(schedule.every.saturating_mul(round)))
     }
 }
 
@@ -127,6 +157,9 @@
         if self.count == 0 || self.count > MAX_TASKS {
             return Err(Fault::Tasks { step: number, count: self.count });
         }
+        if let Some(time) = [self.estimate, self.tail].into_iter().find(|time| *time > MAX_TIME) {
+            return Err(Fault::Time { step: number, time });
+        }
         match self.after.iter().find(|on| usize::from(**on) >= number) {
             Some(on) => Err(Fault::Order { step: number, on: *on }),
             None => Ok(()),
--- a/deploy/days/play.py
+++ b/deploy/days/play.py
@@ -52,11 +52,11 @@
     return "[\n" + "".join(f"  {entry},\n" for entry in entries) + "]"
 
 
-def plays(trouble, before, site):
-    """Name and file of each day for one trouble, of which `before` days come before."""
+def plays(trouble, site):
+    """Name and file of each day for one trouble. The seed goes by the trouble, so that it plays alike on its own."""
     label = re.sub(r'kind = |"', "", trouble)
     for name, entries in variants(trouble):
-        yield f"{label} / {name}", day(f"own-{before}-{name}", entries, site)
+        yield f"{label} / {name}", day(f"own-{zlib.crc32(label.encode())}-{name}", entries, site)
 
 
 def play(bench, site, name, text):
@@ -88,7 +88,7 @@
     days = []
     for trouble in troubles:
         if options.only in trouble:
-            days += plays(trouble, len(days), site)
+            days += plays(trouble, site)
     with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
         for row in pool.map(lambda item: play(options.bench, options.site, *item), days):
             print(row, flush=True)
