--- a/components/entry/src/election.rs
+++ b/components/entry/src/election.rs
@@ -33,6 +33,8 @@
 const CONNECT: Duration = Duration::from_millis(400);
 /// A claim without an answer is given up after this time.
 const CLAIM: Duration = Duration::from_millis(900);
+/// A lease is renewed this often within its time to live.
+pub(crate) const RENEWALS: u32 = 4;
 /// Pause after a failed attempt.
 const PAUSE: Duration = Duration::from_millis(100);
 /// A follower asks the leader for a sign of life this often.
@@ -262,7 +264,11 @@
         return;
     }
     let spread = rand::rng().random_range(Duration::ZERO..SPREAD);
-    tokio::time::sleep(spread).await;
+    let delay = match before {
+        Before::Ended => Duration::ZERO,
+        Before::Unknown => host.settings.claim_delay,
+    };
+    tokio::time::sleep(spread + delay).await;
     // One claim at a time: the record's follower and the old leader may both ask for it.
     let _claiming = host.claiming.lock().await;
     if host.seated.load(Ordering::Acquire) != 0 {
@@ -307,10 +313,24 @@
     lead(host, Seat { chain, revision, lease, leader, record: revision, confirmed }, before).await
 }
 
+/// Renews the lease of a claim until its reign begins and does so itself.
+async fn keep_lease(host: Arc<Host>, lease: LeaseId) {
+    loop {
+        tokio::time::sleep(host.settings.lease_ttl / RENEWALS).await;
+        if let Err(fault) = host.edges.store.keep(lease).await {
+            emit!(host.log, events::PLATFORM_FAILED, "call" => "renewal of the lease", "fault" => fault.to_string());
+        }
+    }
+}
+
 /// Begins the reign that a claim has won. When the log can't be read, the host may claim again.
 async fn lead(host: &Arc<Host>, seat: Seat, before: Before) -> anyhow::Result<()> {
     host.seated.store(seat.chain.term, Ordering::Release);
-    let reign = match Reign::begin(host.clone(), seat, before).await {
+    // A long log over a slow link takes longer to read than the lease lasts.
+    let keeper = tokio::spawn(keep_lease(host.clone(), seat.lease)).abort_handle();
+    let begun = Reign::begin(host.clone(), seat, before).await;
+    keeper.abort();
+    let reign = match begun {
         Ok(reign) => reign,
         Err(fault) => {
             host.seated.store(0, Ordering::Release);
--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -30,6 +30,8 @@
     pub limits: sched::Limits,
     /// Time to live of the leader's lease in the store.
     pub lease_ttl: Duration,
+    /// How much longer than others this host waits before it claims: a weak host leads only when no other does.
+    pub claim_delay: Duration,
 }
 
 /// The outside of an entry host.
--- a/components/entry/src/reign/duties.rs
+++ b/components/entry/src/reign/duties.rs
@@ -6,6 +6,7 @@
 use events::emit;
 use sched::Engine;
 
+use crate::election::RENEWALS;
 use crate::outage::Outage;
 use crate::reign::{Reign, agent, orders};
 
@@ -15,8 +16,6 @@
 const PASS: Duration = Duration::from_millis(2);
 /// The list of workers is read this often: a leaving one must get nothing new after two seconds.
 const LIST: Duration = Duration::from_millis(450);
-/// The lease is renewed this often within its time to live.
-const RENEWALS: u32 = 4;
 /// Ended jobs are looked through this often.
 const FORGET: Duration = Duration::from_secs(5);
 
--- a/components/entry/tests/hosts.rs
+++ b/components/entry/tests/hosts.rs
@@ -238,3 +238,17 @@
     assert_eq!(ends(&second, 7).await, Outcome::Completed);
     assert_eq!(cell.starts().len(), 2, "what ran was adopted");
 }
+
+#[tokio::test]
+async fn a_claim_holds_while_a_long_log_is_read() {
+    let cell = cell();
+    let hosts = hosts(&cell, 3).await;
+    // Longer than the lease of 1.5 s lasts.
+    cell.range_takes(Duration::from_millis(2500));
+    hosts[0].stop().await;
+    until("another leads", || leads(&hosts[1]) || leads(&hosts[2])).await;
+    let late = cell.host("late").await.expect("a free port");
+    until("ready", || late.ready()).await;
+    let Role::Following(leader, _) = late.role() else { panic!("it follows") };
+    assert_eq!(leader.term, 2, "nobody claims over it");
+}
--- a/components/fakes/src/cell.rs
+++ b/components/fakes/src/cell.rs
@@ -152,6 +152,7 @@
             address: listener.local_addr()?.to_string(),
             limits: Limits::example(),
             lease_ttl: Duration::from_millis(1500),
+            claim_delay: Duration::ZERO,
         };
         let view = Arc::new(View { cell: self.clone(), host: name.to_owned() });
         let edges =
