Remove settings that nothing reads, and a check that its loop makes anyway

Read from the settings and never used: the penalty of distance, the time of a stop, how early a round may start. The check for jobs without units is what the loop over their units does. The bounds for tests stand with the bounds.

--- a/components/sched/src/limits.rs
+++ b/components/sched/src/limits.rs
@@ -7,14 +7,8 @@
 pub struct Limits {
     /// Longest lease of what runs on a worker.
     pub max_lease: Duration,
-    /// How much longer a task takes away from its data, or spread over racks.
-    pub remote_penalty: f64,
-    /// Time from a stop to the end of what was stopped.
-    pub stop_timeout: Duration,
     /// How long the state of an ended job can be asked for.
     pub keep_ended: Duration,
-    /// How much earlier than due a round may start.
-    pub early: Duration,
 }
 
 /// How long after its last confirmation a leader may still give orders. Until then the next one does not repeat what
@@ -28,6 +22,12 @@
 pub(crate) const TICKET_MARGIN: Duration = Duration::from_millis(60);
 
 impl Limits {
+    /// Bounds for tests.
+    #[doc(hidden)]
+    pub fn example() -> Limits {
+        Limits { max_lease: Duration::from_secs(6), keep_ended: Duration::from_secs(120) }
+    }
+
     /// Time after which everything that nobody renewed has surely ended.
     pub(crate) fn surely_lapsed(&self) -> Duration {
         self.max_lease.mul_f64(CLOCK_SLACK) + LAPSE_MARGIN
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -10,7 +10,6 @@
 use crate::ends::taken_room;
 use crate::engine::{Action, Clock, Engine, Start};
 use crate::entry::{Phase, UnitState};
-use crate::limits::Limits;
 use crate::worker::{self, Contact, Run, Worker};
 
 /// A worker that may get new work, with the room that is left in this pass.
@@ -323,17 +322,3 @@
         left_cpu: free.saturating_sub(need).cpu_milli,
     }
 }
-
-impl Limits {
-    /// Bounds for tests.
-    #[doc(hidden)]
-    pub fn example() -> Limits {
-        Limits {
-            max_lease: Duration::from_secs(6),
-            remote_penalty: 1.5,
-            stop_timeout: Duration::from_millis(400),
-            keep_ended: Duration::from_secs(120),
-            early: Duration::from_millis(250),
-        }
-    }
-}
--- a/components/sched/src/rank.rs
+++ b/components/sched/src/rank.rs
@@ -34,9 +34,6 @@
         let mut found = Vec::new();
         for id in &self.live {
             let Some(entry) = self.jobs.get(id) else { continue };
-            if entry.accepted.position > self.durable && entry.units.is_empty() {
-                continue;
-            }
             let Some(queue) = self.config.queue(&entry.queue) else { continue };
             for ((round, step), unit) in &entry.units {
                 if unit.pending == 0 || !entry.unblocked(*round, *step) {
--- a/components/sched/src/worker.rs
+++ b/components/sched/src/worker.rs
@@ -32,13 +32,6 @@
     pub draining: bool,
 }
 
-impl Info {
-    /// The rack, by which data and gangs are placed.
-    pub fn rack(&self) -> &str {
-        self.labels.last().map_or("", String::as_str)
-    }
-}
-
 /// A run that a worker lists as running.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Running {
