Make a planning pass cheap while many jobs wait

With half a core the leader fell behind its own tickets and renewals and never caught up: starts sank from 640 to 40 a second.

Ruled out: the election (term 4 led undisturbed for 35 s), the adviser (its hosts were busy with questions whose tickets ran out before the start), the log (22 parts).

Change: a job whose tasks fit nowhere is passed over by the largest free room; only workers with a ticket are looked at; a place is filled before the next is compared; queues are found by name at once; a unit that no question helps is looked at again 50 ms later. The pause after a pass is twice as long as the pass.

--- a/components/entry/src/reign/duties.rs
+++ b/components/entry/src/reign/duties.rs
@@ -14,6 +14,9 @@
 const TICK: Duration = Duration::from_millis(50);
 /// Shortest time between two passes: events that come together are decided together.
 const PASS: Duration = Duration::from_millis(2);
+/// The pause after a pass is at least this many times as long as the pass was: renewals, records and callers need the
+/// processor, too.
+const PASS_SHARE: u32 = 2;
 /// The list of workers is read this often: a leaving one must get nothing new after two seconds.
 const LIST: Duration = Duration::from_millis(450);
 /// Ended jobs are looked through this often.
@@ -43,7 +46,8 @@
         if reign.engine.lock().owes() {
             reign.write.notify_one();
         }
-        tokio::time::sleep(PASS).await;
+        let took = reign.host.started.elapsed() - clock.now;
+        tokio::time::sleep(PASS.max(took * PASS_SHARE)).await;
     }
 }
 
--- a/components/sched/src/advice.rs
+++ b/components/sched/src/advice.rs
@@ -6,11 +6,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use work::{Advice, QueueName, Unit, WorkerId};
+use work::{Advice, Queue, QueueName, Unit, WorkerId};
 
 use crate::engine::{Clock, Engine};
 use crate::limits::TICKET_MARGIN;
-use crate::place::{Place, Room};
+use crate::room::{Place, Room};
 
 /// Permission to start the tasks of a unit on one worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -21,6 +21,13 @@
     pub until: Duration,
 }
 
+impl Ticket {
+    /// Whether it holds long enough for a start that is sent now.
+    fn holds(&self, now: Duration) -> bool {
+        self.until > now + TICKET_MARGIN
+    }
+}
+
 /// What is known of a unit's workers.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Known {
@@ -30,6 +37,8 @@
     pub healthy: BTreeMap<WorkerId, Ticket>,
     /// Whether a question is under way.
     pub asking: bool,
+    /// Before this time no question would help.
+    pub ask_at: Duration,
 }
 
 /// A question to the adviser.
@@ -80,7 +89,12 @@
 impl Known {
     /// Whether a start on this worker may be sent now.
     pub(crate) fn allows(&self, worker: &str, now: Duration) -> bool {
-        self.healthy.get(worker).is_some_and(|ticket| ticket.until > now + TICKET_MARGIN)
+        self.healthy.get(worker).is_some_and(|ticket| ticket.holds(now))
+    }
+
+    /// Workers on which a start may be sent now.
+    pub(crate) fn tickets(&self, now: Duration) -> impl Iterator<Item = &WorkerId> {
+        self.healthy.iter().filter(move |(_, ticket)| ticket.holds(now)).map(|(worker, _)| worker)
     }
 }
 
@@ -115,44 +129,33 @@
         }
     }
 
-    /// The next question for a unit that needs `tasks` more places, if one would help.
+    /// The next question for a unit, if one would help.
     pub(crate) fn question(
         &self,
         clock: Clock,
         unit: Unit,
         advice: Advice,
-        tasks: usize,
+        queue: &Queue,
         room: &Room,
     ) -> Option<Question> {
         let entry = self.jobs.get(&unit.job)?;
         let state = self.unit(unit)?;
-        if state.known.asking {
-            return None;
-        }
         let step = entry.step(unit.step)?;
         let need = crate::ends::taken_room(step);
-        let queue = self.config.queue(&entry.queue)?;
-        let slots = |place: &Place| place.slots(&need);
+        let tasks = state.pending;
         let fitting = |place: &&Place| place.suits(queue, step);
-        let expired: Vec<&Place> = room
-            .places
-            .iter()
-            .filter(fitting)
-            .filter(|place| state.known.healthy.contains_key(&place.id) && !state.known.allows(&place.id, clock.now))
-            .filter(|place| slots(place) > 0)
+        let known: Vec<&Place> =
+            state.known.healthy.keys().filter_map(|worker| room.place(worker)).filter(fitting).collect();
+        let known_room: usize = known.iter().map(|place| place.slots(&need)).sum();
+        let expired: Vec<&Place> = known
+            .into_iter()
+            .filter(|place| !state.known.allows(&place.id, clock.now) && place.slots(&need) > 0)
             .collect();
-        let known_room: usize = room
-            .places
-            .iter()
-            .filter(fitting)
-            .filter(|place| state.known.healthy.contains_key(&place.id))
-            .map(slots)
-            .sum();
         let enough = if step.gang { known_room >= tasks } else { !expired.is_empty() };
         let workers = match enough {
-            true => renewed(expired, tasks, slots),
-            false => self.unasked(state.known.asked.iter().collect(), &entry.queue, tasks, room, |place| {
-                fitting(&place).then(|| slots(place))
+            true => renewed(expired, tasks, |place| place.slots(&need)),
+            false => self.unasked(&state.known.asked, &queue.name, tasks, room, |place| {
+                fitting(&place).then(|| place.slots(&need))
             }),
         };
         if workers.is_empty() {
@@ -164,7 +167,7 @@
 
     fn unasked(
         &self,
-        asked: BTreeSet<&WorkerId>,
+        asked: &BTreeSet<WorkerId>,
         queue: &str,
         tasks: usize,
         room: &Room,
--- a/components/sched/src/ends.rs
+++ b/components/sched/src/ends.rs
@@ -121,7 +121,7 @@
         let Some(entry) = self.jobs.get(&task.unit.job) else { return };
         let Some(step) = entry.step(task.unit.step) else { return };
         let (gang, lasting, ended) = (step.gang, step.lasting, entry.outcome.is_some());
-        let most = self.config.queue(&entry.queue).map_or(u32::MAX, |queue| queue.max_attempts);
+        let most = self.queues.get(&entry.queue).map_or(u32::MAX, |queue| queue.max_attempts);
         let Some(unit) = self.unit_mut(task.unit) else { return };
         let Some(state) = unit.tasks.get(task.index as usize) else { return };
         if lasting || ended || state.phase == entry::Phase::Done {
--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -1,10 +1,10 @@
 //! The book of one leader: jobs, workers, and what is owed to the log.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
-use work::{Attempt, Config, Job, JobId, Outcome, QueueName, Record, State, Task, Term, Unit, WorkerId};
+use work::{Attempt, Config, Job, JobId, Outcome, Queue, QueueName, Record, State, Task, Term, Unit, WorkerId};
 
 use crate::advice::{Question, Shares};
 use crate::entry::{Accepted, Ended, Entry, Phase, UnitState};
@@ -60,10 +60,12 @@
     /// How long after the reign began the leader before may still have given leases.
     pub(crate) predecessor: Duration,
     pub(crate) config: Arc<Config>,
+    /// Its queues by name.
+    pub(crate) queues: HashMap<QueueName, Arc<Queue>>,
     pub(crate) workers: BTreeMap<WorkerId, Worker>,
     /// Workers that are known to be gone.
     pub(crate) departed: BTreeSet<WorkerId>,
-    pub(crate) jobs: BTreeMap<JobId, Entry>,
+    pub(crate) jobs: HashMap<JobId, Entry>,
     /// Jobs that haven't ended.
     pub(crate) live: BTreeSet<JobId>,
     /// Whether everything that earlier leaders started is known or has surely ended.
@@ -90,10 +92,11 @@
             term,
             reign: now,
             predecessor: AUTHORITY,
+            queues: by_name(&config),
             config,
             workers: BTreeMap::new(),
             departed: BTreeSet::new(),
-            jobs: BTreeMap::new(),
+            jobs: HashMap::new(),
             live: BTreeSet::new(),
             settled: false,
             shares: Shares::default(),
@@ -114,6 +117,7 @@
     /// Takes a newer configuration.
     pub fn configure(&mut self, config: Arc<Config>) {
         if config.version > self.config.version {
+            self.queues = by_name(&config);
             self.config = config;
         }
     }
@@ -143,7 +147,7 @@
             worker.missing = None;
             // A worker that is leaving never stays after all.
             let draining = worker.info.draining || info.draining;
-            worker.info = Info { draining, ..info };
+            worker.info = Arc::new(Info { draining, ..info });
             worker.recount();
             return;
         }
@@ -365,3 +369,8 @@
         self.jobs.contains_key(&id)
     }
 }
+
+/// The queues of a configuration by their names.
+fn by_name(config: &Config) -> HashMap<QueueName, Arc<Queue>> {
+    config.queues.iter().map(|queue| (queue.name.clone(), Arc::new(queue.clone()))).collect()
+}
--- a/components/sched/src/explain.rs
+++ b/components/sched/src/explain.rs
@@ -91,7 +91,7 @@
         if let Some(worker) = self.unresolved(unit) {
             return format!("a task may still run on {worker}, which hasn't answered since the last takeover");
         }
-        let Some(queue) = self.config.queue(&entry.queue) else {
+        let Some(queue) = self.queues.get(&entry.queue) else {
             return format!("the configuration (version {}) has no queue {}", self.config.version, entry.queue);
         };
         let Some(step) = entry.step(name.step) else { return String::new() };
--- a/components/sched/src/lib.rs
+++ b/components/sched/src/lib.rs
@@ -16,6 +16,7 @@
 mod place;
 mod rank;
 mod restore;
+mod room;
 mod worker;
 
 pub use advice::{Question, Ticket};
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -1,68 +1,23 @@
 //! Places the tasks of units on workers.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
-use model::Resources;
 use work::{Queue, Record, Step, Task, Unit, WorkerId};
 
 use crate::advice::Question;
 use crate::ends::taken_room;
 use crate::engine::{Action, Clock, Engine, Start};
 use crate::entry::{Phase, UnitState};
+use crate::room::{Choice, Room};
 use crate::worker::{self, Contact, Run, Worker};
 
-/// A worker that may get new work, with the room that is left in this pass.
-#[derive(Clone, Debug)]
-pub(crate) struct Place {
-    pub id: WorkerId,
-    pub pool: String,
-    pub labels: Vec<String>,
-    pub free: Resources,
-    pub avoided: bool,
-}
-
-/// All workers that may get new work.
-pub(crate) struct Room {
-    pub places: Vec<Place>,
-}
-
-impl Place {
-    /// Tasks of this need that fit at the moment.
-    pub(crate) fn slots(&self, need: &Resources) -> usize {
-        let ratio = |free: u32, need: u32| free.checked_div(need).unwrap_or(u32::MAX);
-        let cpu = ratio(self.free.cpu_milli, need.cpu_milli);
-        let memory = ratio(self.free.memory_mib, need.memory_mib);
-        let accelerators = ratio(self.free.accelerators, need.accelerators);
-        cpu.min(memory).min(accelerators).min(1000) as usize
-    }
-
-    /// Whether the worker is of the right pool and has the label.
-    pub(crate) fn suits(&self, queue: &Queue, step: &Step) -> bool {
-        self.pool == queue.pool && (step.label.is_empty() || self.labels.contains(&step.label))
-    }
-
-    fn rack(&self) -> &str {
-        self.labels.last().map_or("", String::as_str)
-    }
-}
-
+/// A unit for which no question would help is looked at again after this time: about as often as room changes.
+const ASK_AGAIN: Duration = Duration::from_millis(50);
 /// Rounds of one job that are taken up in one pass.
 const OPEN_ROUNDS: u32 = 16;
 /// Units of one job that may be open before further rounds are taken up.
 const OPEN_UNITS: usize = 256;
 
-/// What places are compared by; the least is taken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Cost {
-    avoided: bool,
-    far: bool,
-    left_cpu: u32,
-}
-
-/// One task's place: its index in the unit, and the place's index in the room.
-type Choice = (usize, usize);
-
 impl Engine {
     /// Starts what can be started, asks what must be known, stops what is left of broken gangs.
     pub fn plan(&mut self, clock: Clock) {
@@ -108,28 +63,15 @@
     }
 
     pub(crate) fn room(&self, clock: Clock) -> Room {
-        let usable = |worker: &&(&WorkerId, &Worker)| worker.1.usable(clock.now, self.durable);
-        let all: Vec<_> = self.workers.iter().collect();
-        let places = all.iter().filter(usable).map(|(id, worker)| Place {
-            id: (*id).clone(),
-            pool: worker.info.pool.clone(),
-            labels: worker.info.labels.clone(),
-            free: worker.free,
-            avoided: worker.avoid_until > clock.now,
-        });
-        let places: Vec<Place> = places.collect();
-        let good: Vec<Place> = places.iter().filter(|place| !place.avoided).cloned().collect();
-        // If most are troubled, the trouble isn't theirs.
-        match good.len() * 2 > places.len() {
-            true => Room { places: good },
-            false => Room { places },
-        }
+        let usable = |(_, worker): &(&WorkerId, &Worker)| worker.usable(clock.now, self.durable);
+        Room::new(self.workers.iter().filter(usable), clock.now)
     }
 
     fn serve(&mut self, clock: Clock, unit: Unit, room: &mut Room) {
         let Some(entry) = self.jobs.get(&unit.job) else { return };
-        let Some(step) = entry.step(unit.step).cloned() else { return };
-        let Some(queue) = self.config.queue(&entry.queue).cloned() else { return };
+        let job = entry.job.clone();
+        let Some(step) = job.steps.get(usize::from(unit.step)) else { return };
+        let Some(queue) = self.queues.get(&entry.queue).cloned() else { return };
         let Some(state) = entry.units.get(&(unit.round, unit.step)) else { return };
         if !self.resolved(state) {
             return;
@@ -139,9 +81,9 @@
         }
         // A job that isn't kept yet is placed all the same: its starts are sent after its own record is written.
         let kept = entry.accepted.position <= self.durable;
-        let choices = choose(clock.now, state, &step, &queue, room);
-        if !(step.gang && choices.len() < state.tasks.len()) {
-            self.start(clock, unit, &step, choices, room);
+        let choices = room.choose(clock.now, state, step, &queue);
+        if !choices.is_empty() {
+            self.start(clock, unit, step, choices, room);
         }
         // Until then it asks once: the store may be away for long.
         if kept || self.unit(unit).is_some_and(|state| state.known.asked.is_empty()) {
@@ -151,12 +93,17 @@
 
     fn ask(&mut self, clock: Clock, unit: Unit, queue: &Queue, room: &Room) {
         let Some(advice) = queue.advice else { return };
-        let pending = self.unit(unit).map_or(0, |state| state.pending);
-        if pending == 0 {
+        let Some(state) = self.unit(unit) else { return };
+        if state.pending == 0 || state.known.asking || clock.now < state.known.ask_at {
             return;
         }
-        if let Some(question) = self.question(clock, unit, advice, pending, room) {
-            self.pose(question);
+        match self.question(clock, unit, advice, queue, room) {
+            Some(question) => self.pose(question),
+            None => {
+                if let Some(state) = self.unit_mut(unit) {
+                    state.known.ask_at = clock.now + ASK_AGAIN;
+                }
+            }
         }
     }
 
@@ -175,8 +122,8 @@
         {
             state.starts += 1;
         }
+        room.take(&choices, &need);
         for (index, place) in choices {
-            room.places[place].free = room.places[place].free.saturating_sub(&need);
             let worker = room.places[place].id.clone();
             let task = Task { unit, index: index as u32 };
             let Some(order) = self.order(task, step, gang_attempt, &worker) else { continue };
@@ -248,77 +195,3 @@
         Some(Start { task, attempt, job, saved, ticket })
     }
 }
-
-/// Chooses places for the waiting tasks of a unit, as many as there are.
-fn choose(now: Duration, state: &UnitState, step: &Step, queue: &Queue, room: &Room) -> Vec<Choice> {
-    let need = taken_room(step);
-    let pending: Vec<usize> = waiting(state).collect();
-    let allowed: Vec<usize> = (0..room.places.len())
-        .filter(|index| {
-            let place = &room.places[*index];
-            let told = queue.advice.is_none() || state.known.allows(&place.id, now);
-            told && place.suits(queue, step) && place.slots(&need) > 0
-        })
-        .collect();
-    if step.same_rack {
-        let racks: std::collections::BTreeSet<&str> = allowed.iter().map(|index| room.places[*index].rack()).collect();
-        for rack in racks {
-            let inside: Vec<usize> =
-                allowed.iter().copied().filter(|index| room.places[*index].rack() == rack).collect();
-            let choices = fill(&pending, &inside, state, step, &need, room);
-            if choices.len() == pending.len() {
-                return choices;
-            }
-        }
-    }
-    fill(&pending, &allowed, state, step, &need, room)
-}
-
-fn waiting(state: &UnitState) -> impl Iterator<Item = usize> + '_ {
-    state.tasks.iter().enumerate().filter(|(_, task)| task.phase == Phase::Pending).map(|(index, _)| index)
-}
-
-fn fill(
-    pending: &[usize],
-    allowed: &[usize],
-    state: &UnitState,
-    step: &Step,
-    need: &Resources,
-    room: &Room,
-) -> Vec<Choice> {
-    let mut free: BTreeMap<usize, Resources> = allowed.iter().map(|index| (*index, room.places[*index].free)).collect();
-    let mut on_worker: BTreeMap<usize, u32> = BTreeMap::new();
-    if step.spread > 0 {
-        for index in allowed {
-            on_worker.insert(*index, held_on(state, &room.places[*index].id));
-        }
-    }
-    let mut choices = Vec::new();
-    for task in pending {
-        let crowded =
-            |index: usize| step.spread > 0 && on_worker.get(&index).is_some_and(|count| *count >= step.spread);
-        let fitting = free.iter().filter(|(index, left)| need.fits_in(left) && !crowded(**index));
-        let best = fitting.min_by_key(|(index, left)| (cost(&room.places[**index], left, step, need), **index));
-        let Some(place) = best.map(|(index, _)| *index) else { break };
-        if let Some(left) = free.get_mut(&place) {
-            *left = left.saturating_sub(need);
-        }
-        *on_worker.entry(place).or_default() += 1;
-        choices.push((*task, place));
-    }
-    choices
-}
-
-fn held_on(state: &UnitState, worker: &str) -> u32 {
-    let there = |task: &&crate::entry::TaskState| matches!(&task.phase, Phase::Held(id, _) if id == worker);
-    state.tasks.iter().filter(there).count() as u32
-}
-
-/// Near its data first; then the fullest worker that has room, so that large tasks find whole ones.
-fn cost(place: &Place, free: &Resources, step: &Step, need: &Resources) -> Cost {
-    Cost {
-        avoided: place.avoided,
-        far: !step.rack.is_empty() && !place.labels.contains(&step.rack),
-        left_cpu: free.saturating_sub(need).cpu_milli,
-    }
-}
--- a/components/sched/src/rank.rs
+++ b/components/sched/src/rank.rs
@@ -34,7 +34,7 @@
         let mut found = Vec::new();
         for id in &self.live {
             let Some(entry) = self.jobs.get(id) else { continue };
-            let Some(queue) = self.config.queue(&entry.queue) else { continue };
+            let Some(queue) = self.queues.get(&entry.queue) else { continue };
             for ((round, step), unit) in &entry.units {
                 if unit.pending == 0 || !entry.unblocked(*round, *step) {
                     continue;
--- a/components/sched/src/restore.rs
+++ b/components/sched/src/restore.rs
@@ -47,7 +47,7 @@
     /// Whether a task, or a gang, of a job has used up its attempts.
     fn spent(&self, id: JobId) -> bool {
         let Some(entry) = self.jobs.get(&id) else { return false };
-        let Some(queue) = self.config.queue(&entry.queue) else { return false };
+        let Some(queue) = self.queues.get(&entry.queue) else { return false };
         let most = queue.max_attempts as usize;
         let spent = |((_, step), unit): (&(u32, u16), &UnitState)| {
             let lasting = entry.step(*step).is_some_and(|step| step.lasting);
--- /dev/null
+++ b/components/sched/src/room.rs
@@ -0,0 +1,194 @@
+//! Room on workers as one pass sees it, and the choice of places for the waiting tasks of a unit.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use model::Resources;
+use work::{Queue, Step, WorkerId};
+
+use crate::ends::taken_room;
+use crate::entry::{Phase, TaskState, UnitState};
+use crate::worker::{Info, Worker};
+
+/// A worker that may get new work, with the room that is left in this pass.
+#[derive(Clone, Debug)]
+pub(crate) struct Place {
+    pub id: WorkerId,
+    pub info: Arc<Info>,
+    pub free: Resources,
+    pub avoided: bool,
+}
+
+/// All workers that may get new work.
+#[derive(Debug, Default)]
+pub(crate) struct Room {
+    pub places: Vec<Place>,
+    /// Where each worker stands in `places`.
+    index: HashMap<WorkerId, usize>,
+    /// In each dimension, the most that a place has left.
+    largest: Resources,
+}
+
+/// One task's place: its index in the unit, and the place's index in the room.
+pub(crate) type Choice = (usize, usize);
+
+/// What places are compared by; the least is taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Cost {
+    avoided: bool,
+    far: bool,
+    left_cpu: u32,
+}
+
+impl Place {
+    /// Tasks of this need that fit at the moment.
+    pub(crate) fn slots(&self, need: &Resources) -> usize {
+        let ratio = |free: u32, need: u32| free.checked_div(need).unwrap_or(u32::MAX);
+        let cpu = ratio(self.free.cpu_milli, need.cpu_milli);
+        let memory = ratio(self.free.memory_mib, need.memory_mib);
+        let accelerators = ratio(self.free.accelerators, need.accelerators);
+        cpu.min(memory).min(accelerators).min(1000) as usize
+    }
+
+    /// Whether the worker is of the right pool and has the label.
+    pub(crate) fn suits(&self, queue: &Queue, step: &Step) -> bool {
+        self.info.pool == queue.pool && (step.label.is_empty() || self.info.labels.contains(&step.label))
+    }
+
+    fn rack(&self) -> &str {
+        self.info.labels.last().map_or("", String::as_str)
+    }
+}
+
+impl Room {
+    /// The room on the usable ones of `workers`.
+    pub(crate) fn new<'a>(workers: impl Iterator<Item = (&'a WorkerId, &'a Worker)>, now: Duration) -> Room {
+        let places: Vec<Place> = workers
+            .map(|(id, worker)| Place {
+                id: id.clone(),
+                info: worker.info.clone(),
+                free: worker.free,
+                avoided: worker.avoid_until > now,
+            })
+            .collect();
+        let good = places.iter().filter(|place| !place.avoided).count();
+        // If most are troubled, the trouble isn't theirs.
+        let all = good * 2 <= places.len();
+        let places: Vec<Place> = places.into_iter().filter(|place| all || !place.avoided).collect();
+        let index = places.iter().enumerate().map(|(index, place)| (place.id.clone(), index)).collect();
+        let mut room = Room { places, index, largest: Resources::ZERO };
+        room.measure();
+        room
+    }
+
+    fn measure(&mut self) {
+        let most = |of: fn(&Resources) -> u32| self.places.iter().map(|place| of(&place.free)).max().unwrap_or(0);
+        self.largest = Resources {
+            cpu_milli: most(|free| free.cpu_milli),
+            memory_mib: most(|free| free.memory_mib),
+            accelerators: most(|free| free.accelerators),
+        };
+    }
+
+    /// Whether one task of this need could fit anywhere. Cheap, and sometimes yes where the answer is no.
+    pub(crate) fn may_fit(&self, need: &Resources) -> bool {
+        need.fits_in(&self.largest)
+    }
+
+    /// The place of a worker, if it may get new work.
+    pub(crate) fn place(&self, worker: &str) -> Option<&Place> {
+        self.index.get(worker).map(|index| &self.places[*index])
+    }
+
+    /// Takes the room of a task at each chosen place.
+    pub(crate) fn take(&mut self, choices: &[Choice], need: &Resources) {
+        for (_, place) in choices {
+            let free = &mut self.places[*place].free;
+            *free = free.saturating_sub(need);
+        }
+        self.measure();
+    }
+
+    /// Chooses places for the waiting tasks of a unit: for as many as there are, or for a whole gang or none of it.
+    pub(crate) fn choose(&self, now: Duration, state: &UnitState, step: &Step, queue: &Queue) -> Vec<Choice> {
+        let need = taken_room(step);
+        if !self.may_fit(&need) {
+            return Vec::new();
+        }
+        let allowed = self.allowed(now, state, step, queue, &need);
+        let slots = |places: &[usize]| places.iter().map(|index| self.places[*index].slots(&need)).sum::<usize>();
+        if step.gang && slots(&allowed) < state.pending {
+            return Vec::new();
+        }
+        let pending: Vec<usize> = waiting(state).collect();
+        if step.same_rack {
+            let racks: BTreeSet<&str> = allowed.iter().map(|index| self.places[*index].rack()).collect();
+            for rack in racks {
+                let inside = allowed.iter().copied().filter(|index| self.places[*index].rack() == rack).collect();
+                let choices = self.fill(&pending, inside, state, step, &need);
+                if choices.len() == pending.len() {
+                    return choices;
+                }
+            }
+        }
+        let choices = self.fill(&pending, allowed, state, step, &need);
+        if step.gang && choices.len() < pending.len() {
+            return Vec::new();
+        }
+        choices
+    }
+
+    /// Places where a task of the unit may start now.
+    fn allowed(&self, now: Duration, state: &UnitState, step: &Step, queue: &Queue, need: &Resources) -> Vec<usize> {
+        let fits = |index: &usize| need.fits_in(&self.places[*index].free) && self.places[*index].suits(queue, step);
+        match queue.advice {
+            None => (0..self.places.len()).filter(fits).collect(),
+            Some(_) => state.known.tickets(now).filter_map(|id| self.index.get(id).copied()).filter(fits).collect(),
+        }
+    }
+
+    /// Fills the cheapest place first, then the next: all tasks of a unit are alike.
+    fn fill(
+        &self,
+        pending: &[usize],
+        mut allowed: Vec<usize>,
+        state: &UnitState,
+        step: &Step,
+        need: &Resources,
+    ) -> Vec<Choice> {
+        allowed.sort_by_key(|index| (cost(&self.places[*index], step, need), *index));
+        let mut tasks = pending.iter().copied();
+        let mut choices = Vec::new();
+        for index in allowed {
+            let place = &self.places[index];
+            let mut slots = place.slots(need);
+            if step.spread > 0 {
+                slots = slots.min(step.spread.saturating_sub(held_on(state, &place.id)) as usize);
+            }
+            choices.extend(tasks.by_ref().take(slots).map(|task| (task, index)));
+            if choices.len() == pending.len() {
+                break;
+            }
+        }
+        choices
+    }
+}
+
+fn waiting(state: &UnitState) -> impl Iterator<Item = usize> + '_ {
+    state.tasks.iter().enumerate().filter(|(_, task)| task.phase == Phase::Pending).map(|(index, _)| index)
+}
+
+fn held_on(state: &UnitState, worker: &str) -> u32 {
+    let there = |task: &&TaskState| matches!(&task.phase, Phase::Held(id, _) if id == worker);
+    state.tasks.iter().filter(there).count() as u32
+}
+
+/// Near its data first; then the fullest worker that has room, so that large tasks find whole ones.
+fn cost(place: &Place, step: &Step, need: &Resources) -> Cost {
+    Cost {
+        avoided: place.avoided,
+        far: !step.rack.is_empty() && !place.info.labels.contains(&step.rack),
+        left_cpu: place.free.saturating_sub(need).cpu_milli,
+    }
+}
--- a/components/sched/src/worker.rs
+++ b/components/sched/src/worker.rs
@@ -1,6 +1,7 @@
 //! Workers as the leader knows them: what they offer, and every run that may be there.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 use std::time::Duration;
 
 use model::Resources;
@@ -139,7 +140,7 @@
 /// One life of a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Worker {
-    pub info: Info,
+    pub info: Arc<Info>,
     pub contact: Contact,
     /// Since when the platform's list lacks it; `None` while it is listed.
     pub missing: Option<Duration>,
@@ -167,7 +168,7 @@
     pub(crate) fn new(info: Info, missing: Option<Duration>, position: u64, now: Duration) -> Worker {
         Worker {
             free: info.capacity,
-            info,
+            info: Arc::new(info),
             contact: Contact::Unknown,
             missing,
             position,
