Let strong hosts lead

Ruled out: the time to notice (0.86 s, the same with a strong follower).

Change: followers say how long they wait before they claim; of those whom the store answers, one of the strongest is asked. A weak leader writes what it owes and gives way as soon as a stronger host follows. Tests, both failing before: a_leader_without_the_store_yields_to_the_strongest_host, a_weak_leader_gives_way_to_a_strong_host.

--- a/components/entry/src/election.rs
+++ b/components/entry/src/election.rs
@@ -140,7 +140,11 @@
         }
         return;
     };
-    let hello = Call::Hello { host: host.settings.host.clone(), leader: leader.clone() };
+    let hello = Call::Hello {
+        host: host.settings.host.clone(),
+        leader: leader.clone(),
+        claim_delay: host.settings.claim_delay,
+    };
     match link.call(hello, CONNECT).await {
         Ok(Answer::Done) => {
             tell_old_leader(host, &leader);
--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -86,6 +86,8 @@
 pub(crate) struct Follower {
     pub host: String,
     pub link: Arc<Link>,
+    /// How long it waits before it claims; see [`Settings::claim_delay`].
+    pub claim_delay: Duration,
 }
 
 /// A follower that hasn't been heard for so long isn't asked anything: it sends a sign of life every 300 ms.
--- a/components/entry/src/message.rs
+++ b/components/entry/src/message.rs
@@ -28,6 +28,8 @@
         host: String,
         /// Whom it takes for the leader.
         leader: Leader,
+        /// How long it waits before it claims: the weaker a host, the longer.
+        claim_delay: Duration,
     },
     /// A follower asks whether the leader still is there, and leads.
     Ping,
--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -55,7 +55,9 @@
 /// Answers one call.
 pub(crate) async fn handle(host: Arc<Host>, link: Arc<Link>, call: Call) -> Answer {
     match call {
-        Call::Hello { host: name, leader } => hello(&host, name, &leader, link),
+        Call::Hello { host: name, leader, claim_delay } => {
+            hello(&host, &leader, Follower { host: name, link, claim_delay })
+        }
         Call::Ping => Answer::Leader(host.leader()),
         Call::Probe => probe(&host).await,
         Call::TakeOver(record) => {
@@ -111,14 +113,15 @@
 }
 
 /// Takes a follower in. One that means an earlier life of this process, or an earlier claim, is told so.
-fn hello(host: &Arc<Host>, name: String, leader: &Leader, link: Arc<Link>) -> Answer {
+fn hello(host: &Arc<Host>, leader: &Leader, follower: Follower) -> Answer {
     let meant = leader.life == host.settings.life && leader.term <= host.seated.load(Ordering::Acquire);
     if !meant || host.stopping() {
         return Answer::NotLeader;
     }
     let mut followers = host.followers.lock();
-    followers.retain(|follower| !follower.link.is_down() && follower.host != name);
-    followers.push(Follower { host: name, link: link.clone() });
+    let link = follower.link.clone();
+    followers.retain(|other| !other.link.is_down() && other.host != follower.host);
+    followers.push(follower);
     drop(followers);
     let config = host.config();
     if config.version > 0 {
--- a/components/entry/src/reign.rs
+++ b/components/entry/src/reign.rs
@@ -194,8 +194,8 @@
         self.agents.lock().drain().for_each(|(_, agent)| agent.abort());
     }
 
-    /// Ends the reign in order: writes what is owed, then frees the leader's record.
-    pub(crate) async fn hand_over(&self) {
+    /// Writes what is owed, so that the next leader finds it.
+    pub(crate) async fn flush(&self) {
         let flushed = async {
             while self.engine.lock().owes() {
                 self.write.notify_one();
@@ -205,6 +205,11 @@
         if tokio::time::timeout(FLUSH, flushed).await.is_err() {
             emit!(self.host.log, events::FLUSH_FAILED, "term" => self.term);
         }
+    }
+
+    /// Ends the reign in order: writes what is owed, then frees the leader's record.
+    pub(crate) async fn hand_over(&self) {
+        self.flush().await;
         self.depose("planned stop");
         let lease = self.seat.lock().lease;
         if let Err(fault) = self.host.edges.store.end(lease).await {
--- a/components/entry/tests/hosts.rs
+++ b/components/entry/tests/hosts.rs
@@ -252,3 +252,35 @@
     let Role::Following(leader, _) = late.role() else { panic!("it follows") };
     assert_eq!(leader.term, 2, "nobody claims over it");
 }
+
+/// How long a weak host waits before it claims.
+const WEAK: Duration = Duration::from_millis(300);
+
+#[tokio::test]
+async fn a_leader_without_the_store_yields_to_the_strongest_host() {
+    let cell = cell();
+    let mut hosts = hosts(&cell, 1).await;
+    for number in 0..4 {
+        let weak = cell.host_that_waits(&format!("weak-{number}"), WEAK).await.expect("a free port");
+        until("ready", || weak.ready()).await;
+        hosts.push(weak);
+    }
+    let strong = cell.host("strong").await.expect("a free port");
+    until("ready", || strong.ready()).await;
+    cell.turn_away("host-0", true);
+    until("another leads", || leads(&strong) || hosts[1..].iter().any(leads)).await;
+    assert!(leads(&strong), "the weak ones follow");
+    assert_eq!(submit(&hosts[1], 7, 1).await, Answer::Accepted);
+}
+
+#[tokio::test]
+async fn a_weak_leader_gives_way_to_a_strong_host() {
+    let cell = cell();
+    let weak = cell.host_that_waits("weak", WEAK).await.expect("a free port");
+    until("it leads", || leads(&weak)).await;
+    assert_eq!(submit(&weak, 7, 1).await, Answer::Accepted);
+    let strong = cell.host("strong").await.expect("a free port");
+    until("the strong one leads", || leads(&strong)).await;
+    assert_eq!(ends(&weak, 7).await, Outcome::Completed);
+    assert_eq!(submit(&weak, 8, 1).await, Answer::Accepted);
+}
--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -67,7 +67,7 @@
     /// What became of a transaction is not known yet.
     WRITE_UNSETTLED = 319, Warning, "part of the log not written yet; the transaction is repeated";
     /// The leader gives up in a follower's favour.
-    YIELDED = 320, Warning, "the store answers a follower and not this host; it is asked to lead";
+    YIELDED = 320, Warning, "another host is asked to lead";
     /// The leader asks this host to replace it.
     TAKE_OVER_ASKED = 321, Info, "the leader asks this host to replace it";
     /// A worker is held.
--- a/components/fakes/src/cell.rs
+++ b/components/fakes/src/cell.rs
@@ -145,6 +145,15 @@
 
     /// Starts an entry host of this cell, with a lease of 1.5 s, as on the platform.
     pub async fn host(self: &Arc<Cell>, name: &str) -> std::io::Result<Arc<entry::Host>> {
+        self.host_that_waits(name, Duration::ZERO).await
+    }
+
+    /// Starts an entry host that waits so long before it claims leadership, as weak ones do.
+    pub async fn host_that_waits(
+        self: &Arc<Cell>,
+        name: &str,
+        claim_delay: Duration,
+    ) -> std::io::Result<Arc<entry::Host>> {
         let listener = TcpListener::bind(crate::any_port()).await?;
         let settings = Settings {
             host: name.to_owned(),
@@ -152,7 +161,7 @@
             address: listener.local_addr()?.to_string(),
             limits: Limits::example(),
             lease_ttl: Duration::from_millis(1500),
-            claim_delay: Duration::ZERO,
+            claim_delay,
         };
         let view = Arc::new(View { cell: self.clone(), host: name.to_owned() });
         let edges =
