--- a/components/fakes/src/lib.rs
+++ b/components/fakes/src/lib.rs
@@ -29,12 +29,17 @@
 }
 
 /// A loopback address that no other test uses, so that all ports there are free, but for those that the system
-/// gives to outgoing connections.
+/// gives to outgoing connections. The same for all calls of a thread.
 pub fn own_ip() -> Ipv4Addr {
-    static CELLS: AtomicU32 = AtomicU32::new(0);
     thread_local! {
-        static OWN: u32 = CELLS.fetch_add(1, Ordering::Relaxed);
+        static OWN: Ipv4Addr = new_ip();
     }
-    let (process, cell) = (std::process::id(), OWN.with(|own| *own));
-    Ipv4Addr::new(127, 1 + (process % 250) as u8, (process / 250 % 250) as u8, 1 + (cell % 250) as u8)
+    OWN.with(|own| *own)
+}
+
+/// Another such address with each call.
+pub fn new_ip() -> Ipv4Addr {
+    static IPS: AtomicU32 = AtomicU32::new(0);
+    let (process, number) = (std::process::id(), IPS.fetch_add(1, Ordering::Relaxed));
+    Ipv4Addr::new(127, 1 + (process % 250) as u8, (process / 250 % 250) as u8, 1 + (number % 250) as u8)
 }
