--- a/components/entry/src/reign/agent.rs
+++ b/components/entry/src/reign/agent.rs
@@ -164,8 +164,9 @@
     let report = Report { mark, running: held.running, ended: held.ended };
     let fresh = {
         let mut engine = reign.engine.lock();
-        let acked = engine.acked(&target.id);
-        let fresh: Vec<_> = report.ended.iter().filter(|end| end.number > acked).cloned().collect();
+        // Until its record is written an end comes again with every renewal.
+        let taken = engine.taken(&target.id);
+        let fresh: Vec<_> = report.ended.iter().filter(|end| end.number > taken).cloned().collect();
         engine.report(reign.host.clock(), &target.id, report);
         fresh
     };
--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -18,6 +18,8 @@
     STOPPING = 102, Info, "planned stop begins";
     /// The process ends.
     STOPPED = 103, Info, "stopped";
+    /// More lines of a kind came up than are written in a second.
+    LINES_LEFT_OUT = 104, Warning, "lines of an event were left out in an earlier second";
     /// The process did not run for longer than its bound.
     PAUSED = 105, Warning, "the process was paused; authority is confirmed anew";
     /// The settings were read again.
--- a/components/events/src/lib.rs
+++ b/components/events/src/lib.rs
@@ -3,12 +3,16 @@
 //! The catalogue here is the one in `docs/EVENTS.md`; a test holds both together.
 
 mod catalogue;
+mod gate;
 
 use std::io::Write;
 
 use slog::{Drain, Logger, o};
 
 pub use catalogue::*;
+#[doc(hidden)]
+pub use gate::admit as __admit;
+pub use gate::{Admission, Gate, LINES_A_SECOND};
 
 /// Severity of an event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -62,10 +66,26 @@
 #[doc(hidden)]
 pub use slog as __slog;
 
-/// Writes an event with its fields: `emit!(log, events::STARTED, "port" => port)`.
+/// Writes an event with its fields: `emit!(log, events::STARTED, "port" => port)`. Beyond a bound a second and kind, lines
+/// are left out and counted.
 #[macro_export]
 macro_rules! emit {
     ($log:expr, $event:expr $(, $key:literal => $value:expr)* $(,)?) => {{
+        let event: $crate::Event = $event;
+        let admission = $crate::__admit(event.number);
+        if let $crate::Admission::WrittenAfter(left_out) = admission {
+            $crate::__write!($log, $crate::LINES_LEFT_OUT, "of" => event.number, "lines" => left_out);
+        }
+        if admission != $crate::Admission::LeftOut {
+            $crate::__write!($log, event $(, $key => $value)*);
+        }
+    }};
+}
+
+#[doc(hidden)]
+#[macro_export]
+macro_rules! __write {
+    ($log:expr, $event:expr $(, $key:literal => $value:expr)*) => {{
         let event: $crate::Event = $event;
         match event.level {
             $crate::Level::Debug => $crate::__slog::debug!($log, "{}", event.text; "event" => event.number $(, $key => $value)*),
--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -165,6 +165,11 @@
         self.workers.get(worker).map_or(0, |worker| worker.acked)
     }
 
+    /// The highest end of a worker that was taken in, acknowledged or not.
+    pub fn taken(&self, worker: &str) -> u64 {
+        self.workers.get(worker).map_or(0, |worker| worker.taken)
+    }
+
     /// Counts settled orders: a report whose renewal was sent at this mark shows what was settled before.
     pub fn mark(&self) -> u64 {
         self.mark
--- a/components/sched/tests/decisions.rs
+++ b/components/sched/tests/decisions.rs
@@ -116,6 +116,7 @@
     let end = sched::End { number: 1, task: start.task, attempt: start.attempt, how: How::Done, saved: String::new() };
     cell.report(&worker, &[], &[end]);
     assert_eq!(cell.engine.acked(&worker), 0);
+    assert_eq!(cell.engine.taken(&worker), 1, "when it is listed again it is no news");
     assert_eq!(cell.engine.state(1), Some(State::Running), "not shown before it is kept");
     cell.write();
     assert_eq!(cell.engine.acked(&worker), 1);
