Take doubtful workers last, and try failing ones with one task

A worker whose only run had just failed was taken like any other.

Change: places are ordered by doubt first: a worker whose last run failed, or on which no run has moved for 1.2 s, is taken last; one that failed three times in a row gets one task at a time until one is done, and none of a gang.

--- a/components/sched/src/ends.rs
+++ b/components/sched/src/ends.rs
@@ -7,10 +7,7 @@
 
 use crate::engine::{Clock, Engine};
 use crate::entry::{self, Placement};
-use crate::worker::{Contact, End, How, Phase, Report, Run, Running};
-
-/// Failures in a row, of any tasks, after which a worker is avoided.
-const FAILURES_IN_A_ROW: u32 = 3;
+use crate::worker::{Contact, End, FAILURES_IN_A_ROW, How, Phase, Report, Run, Running};
 
 impl Engine {
     /// Takes in a worker's answer to a renewal under this reign's term.
--- a/components/sched/src/room.rs
+++ b/components/sched/src/room.rs
@@ -9,7 +9,10 @@
 
 use crate::ends::taken_room;
 use crate::entry::{Phase, TaskState, UnitState};
-use crate::worker::{Info, Worker};
+use crate::worker::{Doubt, Info, Worker};
+
+/// Most tasks of one need that are counted at one place: beyond any worker's size.
+const MOST_SLOTS: u32 = 1000;
 
 /// A worker that may get new work, with the room that is left in this pass.
 #[derive(Clone, Debug)]
@@ -17,7 +20,7 @@
     pub id: WorkerId,
     pub info: Arc<Info>,
     pub free: Resources,
-    pub avoided: bool,
+    pub doubt: Doubt,
 }
 
 /// All workers that may get new work.
@@ -36,7 +39,7 @@
 /// What places are compared by; the least is taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Cost {
-    avoided: bool,
+    doubt: Doubt,
     far: bool,
     left_cpu: u32,
 }
@@ -48,7 +51,8 @@
         let cpu = ratio(self.free.cpu_milli, need.cpu_milli);
         let memory = ratio(self.free.memory_mib, need.memory_mib);
         let accelerators = ratio(self.free.accelerators, need.accelerators);
-        cpu.min(memory).min(accelerators).min(1000) as usize
+        let most = if self.doubt == Doubt::Trial { 1 } else { MOST_SLOTS };
+        cpu.min(memory).min(accelerators).min(most) as usize
     }
 
     /// Whether the worker is of the right pool and has the label.
@@ -64,18 +68,19 @@
 impl Room {
     /// The room on the usable ones of `workers`.
     pub(crate) fn new<'a>(workers: impl Iterator<Item = (&'a WorkerId, &'a Worker)>, now: Duration) -> Room {
+        let workers = workers.filter(|(_, worker)| worker.doubt(now) != Doubt::Trial || worker.runs.is_empty());
         let places: Vec<Place> = workers
             .map(|(id, worker)| Place {
                 id: id.clone(),
                 info: worker.info.clone(),
                 free: worker.free,
-                avoided: worker.avoid_until > now,
+                doubt: worker.doubt(now),
             })
             .collect();
-        let good = places.iter().filter(|place| !place.avoided).count();
+        let good = places.iter().filter(|place| place.doubt != Doubt::Avoided).count();
         // If most are troubled, the trouble isn't theirs.
         let all = good * 2 <= places.len();
-        let places: Vec<Place> = places.into_iter().filter(|place| all || !place.avoided).collect();
+        let places: Vec<Place> = places.into_iter().filter(|place| all || place.doubt != Doubt::Avoided).collect();
         let index = places.iter().enumerate().map(|(index, place)| (place.id.clone(), index)).collect();
         let mut room = Room { places, index, largest: Resources::ZERO };
         room.measure();
@@ -104,8 +109,11 @@
     /// Takes the room of a task at each chosen place.
     pub(crate) fn take(&mut self, choices: &[Choice], need: &Resources) {
         for (_, place) in choices {
-            let free = &mut self.places[*place].free;
-            *free = free.saturating_sub(need);
+            let place = &mut self.places[*place];
+            place.free = match place.doubt {
+                Doubt::Trial => Resources::ZERO,
+                Doubt::None | Doubt::Some | Doubt::Avoided => place.free.saturating_sub(need),
+            };
         }
         self.measure();
     }
@@ -141,7 +149,12 @@
 
     /// Places where a task of the unit may start now.
     fn allowed(&self, now: Duration, state: &UnitState, step: &Step, queue: &Queue, need: &Resources) -> Vec<usize> {
-        let fits = |index: &usize| need.fits_in(&self.places[*index].free) && self.places[*index].suits(queue, step);
+        let fits = |index: &usize| {
+            let place = &self.places[*index];
+            // One member that fails breaks a whole gang.
+            let risky = step.gang && place.doubt == Doubt::Trial;
+            need.fits_in(&place.free) && place.suits(queue, step) && !risky
+        };
         match queue.advice {
             None => (0..self.places.len()).filter(fits).collect(),
             Some(_) => state.known.tickets(now).filter_map(|id| self.index.get(id).copied()).filter(fits).collect(),
@@ -187,7 +200,7 @@
 /// Near its data first; then the fullest worker that has room, so that large tasks find whole ones.
 fn cost(place: &Place, step: &Step, need: &Resources) -> Cost {
     Cost {
-        avoided: place.avoided,
+        doubt: place.doubt,
         far: !step.rack.is_empty() && !place.info.labels.contains(&step.rack),
         left_cpu: place.free.saturating_sub(need).cpu_milli,
     }
--- a/components/sched/src/worker.rs
+++ b/components/sched/src/worker.rs
@@ -13,6 +13,11 @@
 const FIRST_PAUSE: Duration = Duration::from_secs(1);
 /// The pause grows up to 8 s; then the worker is tried again.
 const MOST_DOUBLINGS: u32 = 3;
+/// Failures in a row, of any tasks, after which a worker is avoided.
+pub(crate) const FAILURES_IN_A_ROW: u32 = 3;
+/// The progress of a run rises at least this often: a hundredth of the longest ones, of 16 s, takes 0.16 s, and reports come
+/// every 0.4 s.
+const STANDSTILL: Duration = Duration::from_millis(1200);
 /// A worker that hasn't answered for so long gets no new work: three renewals have failed.
 const SILENCE: Duration = Duration::from_millis(1200);
 
@@ -137,6 +142,19 @@
     Lapsed,
 }
 
+/// How little is to be expected of a worker; the less the better.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Doubt {
+    /// Nothing speaks against it.
+    None,
+    /// Its last run failed, or nothing moves there.
+    Some,
+    /// It has failed again and again: it gets one task at a time until one is done.
+    Trial,
+    /// It is left alone for a while.
+    Avoided,
+}
+
 /// One life of a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Worker {
@@ -189,6 +207,25 @@
         self.avoid_until = self.avoid_until.max(now + pause);
     }
 
+    /// How little is to be expected of it.
+    pub(crate) fn doubt(&self, now: Duration) -> Doubt {
+        if self.avoid_until > now {
+            Doubt::Avoided
+        } else if self.failures >= FAILURES_IN_A_ROW {
+            Doubt::Trial
+        } else if self.failures > 0 || self.stands_still(now) {
+            Doubt::Some
+        } else {
+            Doubt::None
+        }
+    }
+
+    /// Whether it runs something, and none of it has moved lately.
+    fn stands_still(&self, now: Duration) -> bool {
+        let moves = |run: &Run| !matches!(run.phase, Phase::Running(_)) || now.saturating_sub(run.moved) < STANDSTILL;
+        !self.runs.is_empty() && !self.runs.values().any(moves)
+    }
+
     /// Takes the room of a run.
     pub(crate) fn take(&mut self, task: Task, attempt: Attempt, run: Run) {
         self.free = self.free.saturating_sub(&run.need);
