--- a/deploy/days/play.py
+++ b/deploy/days/play.py
@@ -17,7 +17,9 @@
 HERE = pathlib.Path(__file__).parent
 ZONE_CUT = '{ at = 12.0, kind = "zone_cut", for_s = 5.5, how = "drop" }'
 OUTAGE = '{ at = 11.0, kind = "platform_down", for_s = 4.0, how = "silent" }'
-PLANNED = {"release", "scale_in", "roll_term", "hup", "config_change", "big_config"}
+PLANNED = {
+    "release", "scale_in", "scale_out", "add_nodes", "roll_term", "hup", "config_change", "config_storm", "big_config",
+}
 
 
 def traffic(site):
