--- a/components/web/src/client.rs
+++ b/components/web/src/client.rs
@@ -13,7 +13,11 @@
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
+/// A connection without a call for so long is closed.
 const IDLE: Duration = Duration::from_secs(30);
+/// Most connections to one address that stay open without a call. Fewer cost a new connection for each burst of starts, more
+/// cost memory and descriptors: with none closed, a leader of 3,000 workers had 7,200 of its 8,192 in use.
+const IDLE_CONNECTIONS: usize = 4;
 
 /// Why a call brought no answer that can be used.
 #[derive(Debug, Error)]
@@ -52,8 +56,11 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(timeout));
         connector.set_nodelay(true);
-        let pool =
-            Pool::builder(TokioExecutor::new()).pool_timer(TokioTimer::new()).pool_idle_timeout(IDLE).build(connector);
+        let pool = Pool::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE)
+            .pool_max_idle_per_host(IDLE_CONNECTIONS)
+            .build(connector);
         Client { pool, timeout, limit, bearer: None }
     }
 
