Acknowledge an idle worker's last end at once

Found by reading: an idle worker rests between renewals, so the end that made it idle was acknowledged only with the next one, up to 6 s later with 3,000 workers. It rests only once all its ends are acknowledged.

--- a/components/entry/src/reign/agent.rs
+++ b/components/entry/src/reign/agent.rs
@@ -58,6 +58,8 @@
     target: Target,
     lease: Arc<Mutex<Lease>>,
     busy: Arc<Notify>,
+    /// Highest end that the last renewal acknowledged.
+    acknowledged: u64,
     /// Whether the last renewals had no answer.
     silent: bool,
     /// Whether its leases have surely run out since its last answer.
@@ -80,15 +82,16 @@
 
 impl Hold {
     fn new(reign: Arc<Reign>, target: Target, lease: Arc<Mutex<Lease>>, busy: Arc<Notify>) -> Hold {
-        Hold { reign, target, lease, busy, silent: false, lapsed: false }
+        Hold { reign, target, lease, busy, acknowledged: 0, silent: false, lapsed: false }
     }
 
-    /// How long the next renewal may wait, when nothing runs there and there are too many such workers to ask all the
-    /// time.
+    /// How long the next renewal may wait, when nothing runs there, no end is to be acknowledged, and there are too many
+    /// such workers to ask all the time.
     fn idle_pause(&self) -> Option<Duration> {
         let engine = self.reign.engine.lock();
         let pause = engine.idle_pause();
-        (pause > WAIT && !self.silent && engine.idle(&self.target.id)).then_some(pause)
+        let owed = engine.taken(&self.target.id) > self.acknowledged;
+        (pause > WAIT && !self.silent && !owed && engine.idle(&self.target.id)).then_some(pause)
     }
 
     /// Rests while the worker is idle.
@@ -107,6 +110,7 @@
         };
         match self.send(acked).await {
             Ok(Reply::Done(held)) => {
+                self.acknowledged = acked;
                 self.answered(held.clock);
                 report(&self.reign, &self.target, mark, held).await;
             }
