--- a/components/sched/tests/decisions.rs
+++ b/components/sched/tests/decisions.rs
@@ -487,3 +487,19 @@
     let starts = cell.starts();
     assert!(starts.iter().all(|(worker, _)| *worker == sound.0), "{starts:?}");
 }
+
+#[test]
+fn a_job_that_was_taken_back_and_comes_again_starts_once() {
+    let mut cell = Cell::new(1).ready();
+    let job = || work::Job { specification: "text".to_owned(), steps: vec![step(1, 1)], schedule: None };
+    cell.engine.accept(cell.clock(), 1, "urgent".to_owned(), job());
+    // Placed, but neither the job nor its start is written when its caller gives up.
+    cell.engine.plan(cell.clock());
+    assert!(cell.engine.withdraw(1));
+    cell.engine.accept(cell.clock(), 1, "urgent".to_owned(), job());
+    let starts = cell.starts();
+    assert_eq!(starts.len(), 1, "the first placement went with the job: {starts:?}");
+    cell.started(&starts[0].0, &starts[0].1);
+    cell.report("w0", &[running(&starts[0].1)], &[]);
+    assert!(cell.starts().is_empty(), "it runs");
+}
