--- a/deploy/days/play.py
+++ b/deploy/days/play.py
@@ -71,6 +71,8 @@
     row = re.search(r"^\S+\s+\d+/\d+\s+\S+\s+(\S+).*$", done.stdout, re.M)
     broken = re.findall(r"BROKEN: (.*?) \(else|BROKEN: (.*)$", done.stdout, re.M)
     first = re.search(r"^(?:LOST|TWICE|LIMIT|CONFIG|[A-Z]{4,}) at .*$", done.stdout, re.M)
+    if "is not open" in done.stderr + done.stdout:
+        return f"{name:90} not open on this site"
     if not row:
         return f"{name:90} not played: {(done.stdout + done.stderr).strip()[-160:]}"
     says = "; ".join(filter(None, sum(broken, ()))) + (f"  {first.group(0)[:150]}" if first and broken else "")
