--- a/components/entry/src/reign/duties.rs
+++ b/components/entry/src/reign/duties.rs
@@ -71,22 +71,24 @@
     let mut outage = Outage::new("list of workers");
     loop {
         let began = reign.host.started.elapsed();
-        match reign.host.edges.directory.workers().await {
+        let pause = match reign.host.edges.directory.workers().await {
             Ok(workers) => {
+                let took = reign.host.started.elapsed() - began;
                 outage.succeeded(&reign.host.log);
                 reign.hear();
                 reign.engine.lock().list(reign.host.clock(), workers);
                 agent::follow(&reign);
                 reign.write.notify_one();
                 reign.plan.notify_one();
+                (took * LIST_SHARE).clamp(LIST, LONGEST_LIST)
             }
             Err(fault) => {
                 outage.failed(&reign.host.log, &fault);
                 agent::follow(&reign);
+                LIST
             }
-        }
-        let took = reign.host.started.elapsed() - began;
-        tokio::time::sleep((took * LIST_SHARE).clamp(LIST, LONGEST_LIST)).await;
+        };
+        tokio::time::sleep(pause).await;
     }
 }
 
