Read the list of workers by their number, not by how long a read takes

Found by reading: in a slow store a read takes 0.3 s, and ten times that between two reads would have told of a leaving worker only after 2 s, which is the platform's bound. Up to 1,000 workers the list is read every 450 ms again.

--- a/components/entry/src/reign/duties.rs
+++ b/components/entry/src/reign/duties.rs
@@ -19,10 +19,10 @@
 const PASS_SHARE: u32 = 2;
 /// The list of workers is read this often: a leaving one must get nothing new after two seconds.
 const LIST: Duration = Duration::from_millis(450);
-/// The pause between two reads of the list is at least this many times as long as a read, which for thousands of workers
-/// costs the leader some 40 ms.
-const LIST_SHARE: u32 = 10;
-/// Longest pause: with it a leaving worker is known in time, too.
+/// For each worker in the list the pause between two reads is at least this long: a read of thousands costs the leader some
+/// 40 ms.
+const LIST_PAUSE_A_WORKER: Duration = Duration::from_micros(450);
+/// Longest pause: with it a leaving worker is known in time, too, also from a slow store.
 const LONGEST_LIST: Duration = Duration::from_millis(1400);
 /// Ended jobs are looked through this often.
 const FORGET: Duration = Duration::from_secs(5);
@@ -70,17 +70,16 @@
 pub(crate) async fn list(reign: Arc<Reign>) {
     let mut outage = Outage::new("list of workers");
     loop {
-        let began = reign.host.started.elapsed();
         let pause = match reign.host.edges.directory.workers().await {
             Ok(workers) => {
-                let took = reign.host.started.elapsed() - began;
+                let pause = LIST_PAUSE_A_WORKER * workers.len() as u32;
                 outage.succeeded(&reign.host.log);
                 reign.hear();
                 reign.engine.lock().list(reign.host.clock(), workers);
                 agent::follow(&reign);
                 reign.write.notify_one();
                 reign.plan.notify_one();
-                (took * LIST_SHARE).clamp(LIST, LONGEST_LIST)
+                pause.clamp(LIST, LONGEST_LIST)
             }
             Err(fault) => {
                 outage.failed(&reign.host.log, &fault);
