--- a/components/sched/examples/backlog.rs
+++ b/components/sched/examples/backlog.rs
@@ -3,24 +3,31 @@
 //! All workers are full, so that nothing starts; a share of the workers may run each job, by the adviser's word. What is
 //! printed is the processor's time for one pass, which every event of the leader may cause.
 
-use std::collections::BTreeMap;
-use std::sync::Arc;
+mod cell;
+
 use std::time::{Duration, Instant};
 
-use model::Resources;
-use sched::{Action, Clock, Engine, Info, Limits, OrderOutcome, Report, Ticket};
-use work::{Advice, Config, Job, Queue, Step, WorkerId};
+use sched::{Action, Clock, Engine, OrderOutcome, Report};
+use work::{Advice, Job, Queue};
 
 /// Workers of the cells that are measured.
 const CELLS: [usize; 2] = [350, 3000];
 /// Jobs that wait in each measurement.
 const BACKLOGS: [usize; 5] = [1, 100, 500, 1000, 2000];
-/// Passes that are measured in each.
+/// Passes that are measured in each, after as many that aren't.
 const PASSES: u32 = 20;
+/// Time between two passes: the leader's shortest.
+const TICK: Duration = Duration::from_millis(2);
 /// One worker in so many may run a job.
 const ALLOWED: usize = 2;
 /// Tasks of a waiting job.
 const WIDTH: u32 = 20;
+/// CPU of a waiting task, in thousandths of a core.
+const WAITING_CPU_MILLI: u32 = 1700;
+/// CPU of a task that fills a worker, in thousandths of a core.
+const WHOLE_CPU_MILLI: u32 = 16_000;
+/// The first waiting job: the numbers below are those of jobs that run.
+const FIRST_WAITING: u64 = 1_000_000;
 
 fn main() {
     for workers in CELLS {
@@ -34,38 +41,38 @@
 
 /// Mean time of a pass with so many workers and waiting jobs.
 fn measure(workers: usize, jobs: usize) -> Duration {
-    let mut clock = Clock { now: Duration::from_secs(1), wall: Duration::from_secs(1_000_000) };
-    let mut engine = Engine::new(Limits::example(), 1, Arc::new(config()), Duration::ZERO);
-    engine.list(clock, (0..workers).map(|number| (worker(number), info(number))).collect::<BTreeMap<_, _>>());
-    write(&mut engine, clock);
-    let held = Report { mark: engine.mark(), running: Vec::new(), ended: Vec::new() };
-    (0..workers).for_each(|number| engine.report(clock, &worker(number), held.clone()));
-    fill(&mut engine, clock, workers);
+    let mut clock = cell::start();
+    let mut engine = full(clock, workers);
     for id in 0..jobs {
-        engine.accept(clock, 1_000_000 + id as u64, "patient".to_owned(), job(WIDTH, 1700));
+        engine.accept(clock, FIRST_WAITING + id as u64, "patient".to_owned(), job(WIDTH, WAITING_CPU_MILLI));
     }
-    write(&mut engine, clock);
+    cell::write(&mut engine, clock);
     for _ in 0..PASSES {
-        advance(&mut engine, &mut clock);
+        pass(&mut engine, &mut clock);
     }
     let began = Instant::now();
-    let mut spent = Duration::ZERO;
-    for _ in 0..PASSES {
-        let pass = Instant::now();
-        engine.plan(clock);
-        spent += pass.elapsed();
-        answer(&mut engine, clock);
-        clock.now += Duration::from_millis(2);
-    }
+    let spent: Duration = (0..PASSES).map(|_| pass(&mut engine, &mut clock)).sum();
     assert!(began.elapsed() >= spent);
     spent / PASSES
 }
 
+/// A leader whose workers are all full.
+fn full(clock: Clock, workers: usize) -> Engine {
+    let mut engine = cell::engine(queues());
+    let infos = cell::workers(workers);
+    engine.list(clock, infos.clone());
+    cell::write(&mut engine, clock);
+    let empty = Report { mark: engine.mark(), running: Vec::new(), ended: Vec::new() };
+    infos.keys().for_each(|id| engine.report(clock, id, empty.clone()));
+    fill(&mut engine, clock, workers);
+    engine
+}
+
 /// Fills every worker with one large task.
 fn fill(engine: &mut Engine, clock: Clock, workers: usize) {
-    engine.accept(clock, 1, "plain".to_owned(), job(workers as u32, 16_000));
+    engine.accept(clock, 1, "plain".to_owned(), job(workers as u32, WHOLE_CPU_MILLI));
     engine.plan(clock);
-    write(engine, clock);
+    cell::write(engine, clock);
     for action in engine.take_actions() {
         if let Action::Start(worker, start) = action {
             engine.ordered(clock, &worker, start.task, start.attempt, OrderOutcome::Started);
@@ -73,19 +80,22 @@
     }
 }
 
-fn advance(engine: &mut Engine, clock: &mut Clock) {
+/// Plans once, and answers the questions. The time of the planning alone.
+fn pass(engine: &mut Engine, clock: &mut Clock) -> Duration {
+    let began = Instant::now();
     engine.plan(*clock);
+    let spent = began.elapsed();
     answer(engine, *clock);
-    clock.now += Duration::from_millis(2);
+    clock.now += TICK;
+    spent
 }
 
 /// Answers every question at once: every second worker may run anything.
 fn answer(engine: &mut Engine, clock: Clock) {
     for action in engine.take_actions() {
         if let Action::Ask(question) = action {
-            let until = clock.now + question.validity;
             let healthy = question.workers.iter().filter(|worker| allowed(worker));
-            let tickets = healthy.map(|worker| (worker.clone(), Ticket { text: "ticket".to_owned(), until })).collect();
+            let tickets = cell::tickets(healthy, clock.now + question.validity);
             engine.advised(question.unit, &question.workers, tickets);
         }
     }
@@ -95,49 +105,23 @@
     worker.bytes().map(usize::from).sum::<usize>().is_multiple_of(ALLOWED)
 }
 
-fn write(engine: &mut Engine, clock: Clock) {
-    let (_, upto) = engine.take_records(usize::MAX);
-    engine.written(clock, upto);
-}
-
-fn worker(number: usize) -> WorkerId {
-    format!("worker-{number:05}")
-}
-
-fn info(number: usize) -> Info {
-    Info {
-        address: format!("10.0.0.{number}:1"),
-        pool: "pool".to_owned(),
-        zone: "zone".to_owned(),
-        labels: vec!["a".to_owned(), format!("rack-{}", number / 8)],
-        capacity: Resources { cpu_milli: 16_000, memory_mib: 65_536, accelerators: 0 },
-        draining: false,
-    }
-}
-
 fn job(count: u32, cpu_milli: u32) -> Job {
-    let need = Resources { cpu_milli, memory_mib: 3600, accelerators: 0 };
-    let step = Step { count, need, estimate: Duration::from_secs(2), ..Step::default() };
-    Job { specification: String::new(), steps: vec![step], schedule: None }
+    cell::job(count, cpu_milli, 3600, Duration::from_secs(2))
 }
 
-fn config() -> Config {
+/// A queue without an adviser, and one with.
+fn queues() -> Vec<Queue> {
     let advice = Advice {
         base: Duration::from_millis(80),
         per_worker: Duration::from_millis(1),
         validity: Duration::from_secs(2),
     };
-    let plain = Queue {
-        name: "plain".to_owned(),
-        host: "host".to_owned(),
-        prefix: "/plain/".to_owned(),
-        pool: "pool".to_owned(),
+    let queue = |name, advice| Queue {
         priority: 2,
         max_attempts: 4,
         stretch: 4.0,
         objective: Duration::from_secs(3),
-        advice: None,
+        ..cell::queue(name, advice)
     };
-    let patient = Queue { name: "patient".to_owned(), advice: Some(advice), ..plain.clone() };
-    Config { version: 1, queues: vec![plain, patient], max_body: 262_144 }
+    vec![queue("plain", None), queue("patient", Some(advice))]
 }
--- /dev/null
+++ b/components/sched/examples/cell/mod.rs
@@ -0,0 +1,76 @@
+//! What the measurements share: a cell of workers that are alike, jobs of one step, and a queue with an adviser.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use model::Resources;
+use sched::{Clock, Engine, Info, Limits, Ticket};
+use work::{Advice, Config, Job, Queue, Step, WorkerId};
+
+/// CPU of a worker, in thousandths of a core.
+const WORKER_CPU_MILLI: u32 = 16_000;
+/// Workers of one rack.
+const RACK: usize = 8;
+/// Longest body of a request, in bytes: that of the users' configurations.
+const MOST_BYTES: usize = 262_144;
+
+/// The time at which a measurement begins.
+pub fn start() -> Clock {
+    Clock { now: Duration::from_secs(1), wall: Duration::from_secs(1_000_000) }
+}
+
+/// The engine of a leader in its first term.
+pub fn engine(queues: Vec<Queue>) -> Engine {
+    let config = Config { version: 1, queues, max_body: MOST_BYTES };
+    Engine::new(Limits::example(), 1, Arc::new(config), Duration::ZERO)
+}
+
+/// The list of so many workers.
+pub fn workers(count: usize) -> BTreeMap<WorkerId, Info> {
+    (0..count).map(|number| (format!("worker-{number:05}"), info(number))).collect()
+}
+
+fn info(number: usize) -> Info {
+    Info {
+        address: format!("10.0.0.{number}:1"),
+        pool: "pool".to_owned(),
+        zone: "zone".to_owned(),
+        labels: vec!["a".to_owned(), format!("rack-{}", number / RACK)],
+        capacity: Resources { cpu_milli: WORKER_CPU_MILLI, memory_mib: 65_536, accelerators: 0 },
+        draining: false,
+    }
+}
+
+/// A job of one step with so many tasks of this need and estimated time.
+pub fn job(count: u32, cpu_milli: u32, memory_mib: u32, estimate: Duration) -> Job {
+    let need = Resources { cpu_milli, memory_mib, accelerators: 0 };
+    let step = Step { count, need, estimate, ..Step::default() };
+    Job { specification: String::new(), steps: vec![step], schedule: None }
+}
+
+/// A queue on the workers' pool.
+pub fn queue(name: &str, advice: Option<Advice>) -> Queue {
+    Queue {
+        name: name.to_owned(),
+        host: "host".to_owned(),
+        prefix: format!("/{name}/"),
+        pool: "pool".to_owned(),
+        priority: 0,
+        max_attempts: 3,
+        stretch: 1.5,
+        objective: Duration::from_millis(250),
+        advice,
+    }
+}
+
+/// A ticket for each of these workers.
+pub fn tickets<'a>(workers: impl Iterator<Item = &'a WorkerId>, until: Duration) -> Vec<(WorkerId, Ticket)> {
+    workers.map(|worker| (worker.clone(), Ticket { text: "ticket".to_owned(), until })).collect()
+}
+
+/// Writes every record that is owed.
+pub fn write(engine: &mut Engine, clock: Clock) {
+    let (_, upto) = engine.take_records(usize::MAX);
+    engine.written(clock, upto);
+}
--- a/components/sched/examples/flow.rs
+++ b/components/sched/examples/flow.rs
@@ -1,27 +1,33 @@
 //! Measures what a steady flow of jobs costs the leader's decisions, by the number of workers:
 //! `cargo run --release -p sched --example flow`. Time is virtual; what is printed is the processor's time for a second of it.
 
+mod cell;
+
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use model::Resources;
-use sched::{Action, Clock, End, Engine, How, Info, Limits, OrderOutcome, Report, Running, Start, Ticket};
-use work::{Advice, Config, Job, JobId, Queue, Step, WorkerId};
+use sched::{Action, Clock, End, Engine, How, Info, OrderOutcome, Question, Report, Running, Start};
+use work::{Advice, Job, JobId, Queue, WorkerId};
 
 /// Workers of the cells that are measured.
 const CELLS: [usize; 3] = [300, 1000, 3000];
-/// Virtual time.
+/// Virtual time of a measurement.
 const SECONDS: u64 = 10;
-/// Time between two passes.
+/// Time between two passes: the leader's shortest.
 const TICK: Duration = Duration::from_millis(2);
 /// Jobs a second, and their tasks.
 const JOBS_A_SECOND: u64 = 140;
 const WIDTH: u32 = 4;
 /// How long a run takes.
 const TAKES: Duration = Duration::from_millis(1200);
-/// How often the list of workers is read.
+/// How often the list of workers is read: about as often as the leader does.
 const LIST: Duration = Duration::from_millis(500);
+/// A worker on which nothing ends is renewed once in so many passes: once a second.
+const RENEWAL_PASSES: usize = 500;
+/// A run's progress rises by a hundredth in this many milliseconds.
+const PERCENT_MS: u128 = 20;
+/// One in so many of the workers that the adviser is asked about may run a job.
+const ALLOWED: usize = 2;
 
 /// Processor time of each kind of call.
 #[derive(Default)]
@@ -73,10 +79,9 @@
 
 impl Cell {
     fn new(count: usize) -> Cell {
-        let clock = Clock { now: Duration::from_secs(1), wall: Duration::from_secs(1_000_000) };
-        let mut engine = Engine::new(Limits::example(), 1, Arc::new(config()), Duration::ZERO);
-        let infos: BTreeMap<WorkerId, Info> =
-            (0..count).map(|number| (format!("worker-{number:05}"), info(number))).collect();
+        let clock = cell::start();
+        let mut engine = cell::engine(vec![queue()]);
+        let infos = cell::workers(count);
         engine.list(clock, infos.clone());
         let workers = infos.keys().map(|id| (id.clone(), Worker::default())).collect();
         let mut cell = Cell { engine, clock, infos, workers, spent: Spent::default() };
@@ -86,6 +91,7 @@
         cell
     }
 
+    /// Plays the flow. What it cost.
     fn flow(mut self) -> Spent {
         self.spent = Spent::default();
         let begun = self.clock.now;
@@ -93,17 +99,13 @@
         let mut listed = begun;
         while self.clock.now < begun + Duration::from_secs(SECONDS) {
             let due = (self.clock.now - begun).as_millis() as u64 * JOBS_A_SECOND / 1000;
-            while jobs < due {
-                jobs += 1;
-                let clock = self.clock;
-                timed(&mut self.spent.rest, || self.engine.accept(clock, jobs, "checks".to_owned(), job()));
-            }
+            (jobs + 1..=due).for_each(|id| self.accept(id));
+            jobs = due;
             if self.clock.now - listed > LIST {
                 listed = self.clock.now;
-                let (clock, infos) = (self.clock, self.infos.clone());
-                timed(&mut self.spent.list, || self.engine.list(clock, infos));
+                self.list();
             }
-            self.ends();
+            self.renew_due();
             let clock = self.clock;
             timed(&mut self.spent.plan, || self.engine.plan(clock));
             self.write();
@@ -113,17 +115,28 @@
         self.spent
     }
 
+    fn accept(&mut self, id: JobId) {
+        let clock = self.clock;
+        timed(&mut self.spent.rest, || self.engine.accept(clock, id, "checks".to_owned(), job()));
+    }
+
+    fn list(&mut self) {
+        let (clock, infos) = (self.clock, self.infos.clone());
+        timed(&mut self.spent.list, || self.engine.list(clock, infos));
+    }
+
     /// Renews workers on which a run has ended, and all others now and then.
-    fn ends(&mut self) {
+    fn renew_due(&mut self) {
         let now = self.clock.now;
-        let turn = (now.as_millis() as usize / 2) % 500;
+        let turn = (now.as_millis() / TICK.as_millis()) as usize % RENEWAL_PASSES;
         let due = |(number, (_, worker)): &(usize, (&WorkerId, &Worker))| {
-            number % 500 == turn || worker.runs.iter().any(|(_, ends)| *ends <= now)
+            number % RENEWAL_PASSES == turn || worker.runs.iter().any(|(_, ends)| *ends <= now)
         };
         let ids: Vec<WorkerId> = self.workers.iter().enumerate().filter(due).map(|(_, (id, _))| id.clone()).collect();
         ids.iter().for_each(|id| self.renew(id));
     }
 
+    /// Reports the runs of a worker and those that have ended since.
     fn renew(&mut self, id: &WorkerId) {
         let (mark, now) = (self.engine.mark(), self.clock.now);
         let Some(worker) = self.workers.get_mut(id) else { return };
@@ -138,7 +151,7 @@
             task: start.task,
             attempt: start.attempt,
             saved: String::new(),
-            percent: (now.as_millis() / 20 % 100) as u8,
+            percent: (now.as_millis() / PERCENT_MS % 100) as u8,
         });
         let report = Report { mark, running: running.collect(), ended };
         let clock = self.clock;
@@ -147,70 +160,47 @@
 
     fn write(&mut self) {
         let clock = self.clock;
-        timed(&mut self.spent.rest, || {
-            let (_, upto) = self.engine.take_records(usize::MAX);
-            self.engine.written(clock, upto);
-        });
+        timed(&mut self.spent.rest, || cell::write(&mut self.engine, clock));
     }
 
     fn act(&mut self) {
         for action in self.engine.take_actions() {
             match action {
-                Action::Start(worker, start) => {
-                    let clock = self.clock;
-                    let (task, attempt) = (start.task, start.attempt);
-                    if let Some(there) = self.workers.get_mut(&worker) {
-                        there.runs.push((start, clock.now + TAKES));
-                    }
-                    let ordered = || self.engine.ordered(clock, &worker, task, attempt, OrderOutcome::Started);
-                    timed(&mut self.spent.rest, ordered);
-                }
-                Action::Ask(question) => {
-                    let until = self.clock.now + question.validity;
-                    let healthy = question.workers.iter().step_by(2);
-                    let tickets =
-                        healthy.map(|worker| (worker.clone(), Ticket { text: "ticket".to_owned(), until })).collect();
-                    timed(&mut self.spent.advice, || self.engine.advised(question.unit, &question.workers, tickets));
-                }
+                Action::Start(worker, start) => self.start(&worker, start),
+                Action::Ask(question) => self.advise(&question),
                 Action::Stop(..) | Action::Forget(_) => {}
             }
         }
     }
-}
 
-fn info(number: usize) -> Info {
-    Info {
-        address: format!("10.0.0.{number}:1"),
-        pool: "pool".to_owned(),
-        zone: "zone".to_owned(),
-        labels: vec!["a".to_owned(), format!("rack-{}", number / 8)],
-        capacity: Resources { cpu_milli: 16_000, memory_mib: 65_536, accelerators: 0 },
-        draining: false,
+    /// Starts a run on a worker.
+    fn start(&mut self, worker: &str, start: Start) {
+        let clock = self.clock;
+        let (task, attempt) = (start.task, start.attempt);
+        if let Some(there) = self.workers.get_mut(worker) {
+            there.runs.push((start, clock.now + TAKES));
+        }
+        let ordered = || self.engine.ordered(clock, worker, task, attempt, OrderOutcome::Started);
+        timed(&mut self.spent.rest, ordered);
+    }
+
+    /// Answers a question at once.
+    fn advise(&mut self, question: &Question) {
+        let healthy = question.workers.iter().step_by(ALLOWED);
+        let tickets = cell::tickets(healthy, self.clock.now + question.validity);
+        timed(&mut self.spent.advice, || self.engine.advised(question.unit, &question.workers, tickets));
     }
 }
 
 fn job() -> Job {
-    let need = Resources { cpu_milli: 2500, memory_mib: 5000, accelerators: 0 };
-    let step = Step { count: WIDTH, need, estimate: TAKES, ..Step::default() };
-    Job { specification: String::new(), steps: vec![step], schedule: None }
+    cell::job(WIDTH, 2500, 5000, TAKES)
 }
 
-fn config() -> Config {
+fn queue() -> Queue {
     let advice = Advice {
         base: Duration::from_millis(7),
         per_worker: Duration::from_micros(100),
         validity: Duration::from_secs(2),
     };
-    let queue = Queue {
-        name: "checks".to_owned(),
-        host: "host".to_owned(),
-        prefix: "/checks/".to_owned(),
-        pool: "pool".to_owned(),
-        priority: 0,
-        max_attempts: 3,
-        stretch: 1.5,
-        objective: Duration::from_millis(250),
-        advice: Some(advice),
-    };
-    Config { version: 1, queues: vec![queue], max_body: 262_144 }
+    cell::queue("checks", Some(advice))
 }
