--- a/components/sched/src/advice.rs
+++ b/components/sched/src/advice.rs
@@ -3,11 +3,13 @@
 //! Who may run a unit never changes; only tickets run out. So the first question names enough workers to find room
 //! on, and later ones only those that are known to do.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use work::{Advice, Queue, QueueName, Unit, WorkerId};
 
+use crate::ends::taken_room;
 use crate::engine::{Clock, Engine};
 use crate::limits::TICKET_MARGIN;
 use crate::room::{Place, Room};
@@ -37,7 +39,7 @@
     pub healthy: BTreeMap<WorkerId, Ticket>,
     /// Whether a question is under way.
     pub asking: bool,
-    /// Before this time no question would help.
+    /// A question isn't looked for before this time: the last look found none that would help.
     pub ask_at: Duration,
 }
 
@@ -141,7 +143,7 @@
         let entry = self.jobs.get(&unit.job)?;
         let state = self.unit(unit)?;
         let step = entry.step(unit.step)?;
-        let need = crate::ends::taken_room(step);
+        let need = taken_room(step);
         let tasks = state.pending;
         let fitting = |place: &&Place| place.suits(queue, step);
         let known: Vec<&Place> =
@@ -165,6 +167,7 @@
         Some(Question { unit, workers, cost, priority: queue.priority, validity: advice.validity })
     }
 
+    /// Workers that weren't asked about yet, as many as are expected to give room for `tasks`.
     fn unasked(
         &self,
         asked: &BTreeSet<WorkerId>,
@@ -174,26 +177,11 @@
         slots: impl Fn(&Place) -> Option<usize>,
     ) -> Vec<WorkerId> {
         let share = self.shares.get(queue);
-        // Of those with room for all tasks the fullest: empty workers stay whole for larger tasks.
-        let key = |index: &usize, slots: usize| {
-            (std::cmp::Reverse(slots.min(tasks)), room.places[*index].free.cpu_milli, *index)
-        };
-        let mut open: Vec<(usize, usize)> = room
-            .places
-            .iter()
-            .enumerate()
-            .filter(|(_, place)| !asked.contains(&place.id))
-            .filter_map(|(index, place)| slots(place).map(|slots| (index, slots)))
-            .collect();
-        // Of thousands of workers only those that may be named are put in order.
-        if open.len() > MOST_NAMED {
-            open.select_nth_unstable_by_key(MOST_NAMED, |(index, slots)| key(index, *slots));
-            open.truncate(MOST_NAMED);
-        }
-        open.sort_by_key(|(index, slots)| key(index, *slots));
+        let open = room.places.iter().enumerate().filter(|(_, place)| !asked.contains(&place.id));
+        let open = open.filter_map(|(index, place)| slots(place).map(|slots| (index, slots))).collect();
         let mut expected = 0.0;
         let mut workers = Vec::new();
-        for (index, slots) in open {
+        for (index, slots) in best(open, tasks, room) {
             let enough = expected >= SPARE_ROOM * tasks as f64 && workers.len() >= FEWEST_NAMED;
             if enough || workers.len() == MOST_NAMED {
                 break;
@@ -219,3 +207,17 @@
     }
     workers
 }
+
+/// Of places, each with the tasks that fit there, those that a question may name, the best first: with room for all
+/// tasks, and of these the fullest, so that empty workers stay whole for larger tasks.
+fn best(mut open: Vec<(usize, usize)>, tasks: usize, room: &Room) -> Vec<(usize, usize)> {
+    let key =
+        |(index, slots): &(usize, usize)| (Reverse((*slots).min(tasks)), room.places[*index].free.cpu_milli, *index);
+    // Of thousands of workers only those that may be named are put in order.
+    if open.len() > MOST_NAMED {
+        open.select_nth_unstable_by_key(MOST_NAMED, key);
+        open.truncate(MOST_NAMED);
+    }
+    open.sort_by_key(key);
+    open
+}
--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -49,11 +49,12 @@
     Forget(WorkerId),
 }
 
-/// Renewals of idle workers in a second, all together: a fifth of half a core, at 0.15 to 0.25 ms each.
+/// Renewals of idle workers in a second, all together: at 0.15 to 0.25 ms each, a fifth of half a core.
 const IDLE_RENEWALS_A_SECOND: f64 = 500.0;
-/// Renewals of busy workers in a second, all together, besides those that an end brings about: two fifths of half a core.
+/// Renewals of busy workers in a second, all together, besides those that an end brings about: at the same cost, two fifths
+/// of half a core.
 const BUSY_RENEWALS_A_SECOND: f64 = 1000.0;
-/// Longest time between two renewals of a busy worker.
+/// Longest time between two renewals of a busy worker: a lease of 6 s then outlasts a cut of some seconds.
 const LONGEST_BUSY_PAUSE: Duration = Duration::from_secs(1);
 /// Attempts of one task in one reign; a term's attempts are all above those of the terms before.
 const ATTEMPTS_A_TERM: u64 = 1000;
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -81,11 +81,13 @@
         }
     }
 
+    /// Workers that may get new work, in the order of their names.
     fn usable(&self, clock: Clock) -> impl Iterator<Item = (&WorkerId, &Worker)> {
         let (durable, idle_pause) = (self.durable, self.idle_pause());
         self.workers.iter().filter(move |(_, worker)| worker.usable(clock.now, durable, idle_pause))
     }
 
+    /// Starts what can be started of a unit, and asks about the rest.
     fn serve(&mut self, clock: Clock, unit: Unit, room: &mut Room) {
         let Some(entry) = self.jobs.get(&unit.job) else { return };
         let job = entry.job.clone();
@@ -110,6 +112,7 @@
         }
     }
 
+    /// Puts the next question for a unit whose tasks wait, where its queue has an adviser.
     fn ask(&mut self, clock: Clock, unit: Unit, queue: &Queue, room: &Room) {
         let Some(advice) = queue.advice else { return };
         let Some(state) = self.unit(unit) else { return };
@@ -126,6 +129,7 @@
         }
     }
 
+    /// Has a question asked.
     fn pose(&mut self, question: Question) {
         if let Some(state) = self.unit_mut(question.unit) {
             state.known.asking = true;
--- a/components/sched/src/room.rs
+++ b/components/sched/src/room.rs
@@ -72,6 +72,7 @@
         self.info.pool == queue.pool && (step.label.is_empty() || self.info.labels.contains(&step.label))
     }
 
+    /// The worker's rack: its last label.
     fn rack(&self) -> &str {
         self.info.labels.last().map_or("", String::as_str)
     }
@@ -119,6 +120,7 @@
         self.measure();
     }
 
+    /// Finds the most that any place has left.
     fn measure(&mut self) {
         let most = |of: fn(&Resources) -> u32| self.places.iter().map(|place| of(&place.free)).max().unwrap_or(0);
         self.largest = Resources {
@@ -162,15 +164,10 @@
             return Vec::new();
         }
         let pending: Vec<usize> = waiting(state).collect();
-        if step.same_rack {
-            let racks: BTreeSet<&str> = allowed.iter().map(|index| self.places[*index].rack()).collect();
-            for rack in racks {
-                let inside = allowed.iter().copied().filter(|index| self.places[*index].rack() == rack).collect();
-                let choices = self.fill(&pending, inside, state, step, &need);
-                if choices.len() == pending.len() {
-                    return choices;
-                }
-            }
+        if step.same_rack
+            && let Some(choices) = self.fill_rack(&pending, &allowed, state, step, &need)
+        {
+            return choices;
         }
         let choices = self.fill(&pending, allowed, state, step, &need);
         if step.gang && choices.len() < pending.len() {
@@ -193,6 +190,23 @@
         }
     }
 
+    /// Places for all tasks in one rack, if any has room for them.
+    fn fill_rack(
+        &self,
+        pending: &[usize],
+        allowed: &[usize],
+        state: &UnitState,
+        step: &Step,
+        need: &Resources,
+    ) -> Option<Vec<Choice>> {
+        let racks: BTreeSet<&str> = allowed.iter().map(|index| self.places[*index].rack()).collect();
+        racks.into_iter().find_map(|rack| {
+            let inside = allowed.iter().copied().filter(|index| self.places[*index].rack() == rack).collect();
+            let choices = self.fill(pending, inside, state, step, need);
+            (choices.len() == pending.len()).then_some(choices)
+        })
+    }
+
     /// Fills the cheapest place first, then the next: all tasks of a unit are alike.
     fn fill(
         &self,
