--- a/components/entry/src/election.rs
+++ b/components/entry/src/election.rs
@@ -66,11 +66,10 @@
 /// Follows the leader's record, and claims leadership when there is none.
 pub(crate) async fn run(host: Arc<Host>) {
     loop {
-        let Ok(found) = host.edges.store.get(LEADER_KEY).await else {
+        let Ok(found) = leader_item(&host).await else {
             tokio::time::sleep(PAUSE).await;
             continue;
         };
-        host.hear_store();
         let record = found.item.as_ref().map_or(0, |item| item.revision);
         match found.item.and_then(|item| read_leader(&host, &item)) {
             Some(leader) => follow(&host, leader, record).await,
@@ -80,14 +79,19 @@
     }
 }
 
+/// Reads the leader's record from the store.
+async fn leader_item(host: &Host) -> Result<Read, Fault> {
+    let found = host.edges.store.get(LEADER_KEY).await;
+    host.hear_store(&found);
+    found
+}
+
 /// Waits until the leader's record is to be read again.
 async fn wait_for_change(host: &Host, mut revision: u64, record: u64) {
     let wait = if record == 0 { VACANT } else { WATCH };
     loop {
         let change = host.edges.store.changed(LEADER_KEY, revision, wait).await;
-        if change.is_ok() {
-            host.hear_store();
-        }
+        host.hear_store(&change);
         match change {
             Ok(Change::Some) => return,
             Ok(Change::Nothing(_)) if record == 0 => return,
@@ -239,11 +243,7 @@
 async fn reconnect(host: &Arc<Host>, leader: Leader) {
     // The leader may only have been restarted, or its host cut off for a moment.
     while matches!(host.role(), Role::Nobody) && !host.stopping() {
-        let found = host.edges.store.get(LEADER_KEY).await;
-        if found.is_ok() {
-            host.hear_store();
-        }
-        let record = match found {
+        let record = match leader_item(host).await {
             Ok(Read { item: Some(item), .. }) if read_leader(host, &item).as_ref() == Some(&leader) => {
                 Some(item.revision)
             }
--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -10,7 +10,7 @@
 use tokio::sync::watch;
 use work::{Config, Unit, WorkerId};
 
-use crate::edge::{Adviser, Directory, Store, Workers};
+use crate::edge::{Adviser, Directory, Fault, Store, Workers};
 use crate::message::{Answer, Call, Leader};
 use crate::reign::Reign;
 
@@ -198,9 +198,11 @@
         self.role.subscribe()
     }
 
-    /// Takes note that the store has answered this host.
-    pub(crate) fn hear_store(&self) {
-        self.store_heard.fetch_max(self.started.elapsed().as_millis() as u64, Ordering::Relaxed);
+    /// Takes note of the store's answer, if there is one.
+    pub(crate) fn hear_store<T>(&self, outcome: &Result<T, Fault>) {
+        if outcome.is_ok() {
+            self.store_heard.fetch_max(self.started.elapsed().as_millis() as u64, Ordering::Relaxed);
+        }
     }
 
     /// Whether the store has left this host without an answer for a while.
--- a/components/entry/src/reign/agent.rs
+++ b/components/entry/src/reign/agent.rs
@@ -26,7 +26,7 @@
     pub target: Target,
     pub lease: Arc<Mutex<Lease>>,
     /// Wakes the hold of an idle worker: something has started there.
-    pub busy: Arc<Notify>,
+    pub wake: Arc<Notify>,
 }
 
 impl Agent {
@@ -45,10 +45,10 @@
         }
         let target = Target { id: id.clone(), address };
         let lease = Arc::new(Mutex::new(Lease::default()));
-        let busy = Arc::new(Notify::new());
-        let hold = Hold::new(reign.clone(), target.clone(), lease.clone(), busy.clone());
+        let wake = Arc::new(Notify::new());
+        let hold = Hold::new(reign.clone(), target.clone(), lease.clone(), wake.clone());
         let handle = tokio::spawn(run(hold)).abort_handle();
-        agents.insert(id, Agent { handle, target, lease, busy });
+        agents.insert(id, Agent { handle, target, lease, wake });
     }
 }
 
@@ -57,7 +57,8 @@
     reign: Arc<Reign>,
     target: Target,
     lease: Arc<Mutex<Lease>>,
-    busy: Arc<Notify>,
+    /// Ends the rest while the worker is idle.
+    wake: Arc<Notify>,
     /// Whether the last renewals had no answer.
     silent: bool,
     /// Whether its leases have surely run out since its last answer.
@@ -79,8 +80,8 @@
 }
 
 impl Hold {
-    fn new(reign: Arc<Reign>, target: Target, lease: Arc<Mutex<Lease>>, busy: Arc<Notify>) -> Hold {
-        Hold { reign, target, lease, busy, silent: false, lapsed: false }
+    fn new(reign: Arc<Reign>, target: Target, lease: Arc<Mutex<Lease>>, wake: Arc<Notify>) -> Hold {
+        Hold { reign, target, lease, wake, silent: false, lapsed: false }
     }
 
     /// How long the next renewal may wait, when nothing runs there and there are too many such workers to ask all the
@@ -95,7 +96,7 @@
     async fn rest(&self) {
         if let Some(pause) = self.idle_pause() {
             // Either ends the rest.
-            let _ = tokio::time::timeout(pause, self.busy.notified()).await;
+            let _ = tokio::time::timeout(pause, self.wake.notified()).await;
         }
     }
 
@@ -206,11 +207,16 @@
     // Ends free room, and what was adopted may have to be stopped.
     reign.plan.notify_one();
     if let Some(newest) = newest {
-        reign.write.notify_one();
-        let mut durable = reign.durable.subscribe();
-        let acknowledged =
-            async { while reign.engine.lock().acked(&target.id) < newest && durable.changed().await.is_ok() {} };
-        // While the store is away, renewals go on without acknowledging.
-        let _ = tokio::time::timeout(ACKNOWLEDGE, acknowledged).await;
+        acknowledge(reign, target, newest).await;
     }
 }
+
+/// Has the records of a worker's ends written, and waits a little until they are.
+async fn acknowledge(reign: &Reign, target: &Target, newest: u64) {
+    reign.write.notify_one();
+    let mut durable = reign.durable.subscribe();
+    let acknowledged =
+        async { while reign.engine.lock().acked(&target.id) < newest && durable.changed().await.is_ok() {} };
+    // While the store is away, renewals go on without acknowledging.
+    let _ = tokio::time::timeout(ACKNOWLEDGE, acknowledged).await;
+}
--- a/components/entry/src/reign/duties.rs
+++ b/components/entry/src/reign/duties.rs
@@ -16,14 +16,14 @@
 const PASS: Duration = Duration::from_millis(2);
 /// The pause after a pass is at least this many times as long as the pass was: renewals, records and callers need the
 /// processor, too.
-const PASS_SHARE: u32 = 2;
+const PAUSE_PER_PASS: u32 = 2;
 /// The list of workers is read this often: a leaving one must get nothing new after two seconds.
 const LIST: Duration = Duration::from_millis(450);
 /// The pause between two reads of the list is at least this many times as long as a read, which for thousands of workers
 /// costs the leader some 40 ms.
-const LIST_SHARE: u32 = 10;
-/// Longest pause: with it a leaving worker is known in time, too.
-const LONGEST_LIST: Duration = Duration::from_millis(1400);
+const PAUSE_PER_LIST: u32 = 10;
+/// Longest pause between two reads of the list: with it a leaving worker is known in time, too.
+const LONGEST_LIST_PAUSE: Duration = Duration::from_millis(1400);
 /// Ended jobs are looked through this often.
 const FORGET: Duration = Duration::from_secs(5);
 
@@ -53,10 +53,11 @@
             reign.write.notify_one();
         }
         let took = reign.host.started.elapsed() - clock.now;
-        tokio::time::sleep(PASS.max(took * PASS_SHARE)).await;
+        tokio::time::sleep(PASS.max(took * PAUSE_PER_PASS)).await;
     }
 }
 
+/// Brings the metrics of the reign up to date.
 fn measure(reign: &Reign, engine: &Engine) {
     let (jobs, workers) = engine.sizes();
     let metrics = &reign.host.metrics;
@@ -86,7 +87,7 @@
             }
         }
         let took = reign.host.started.elapsed() - began;
-        tokio::time::sleep((took * LIST_SHARE).clamp(LIST, LONGEST_LIST)).await;
+        tokio::time::sleep((took * PAUSE_PER_LIST).clamp(LIST, LONGEST_LIST_PAUSE)).await;
     }
 }
 
--- a/components/entry/src/reign/orders.rs
+++ b/components/entry/src/reign/orders.rs
@@ -43,7 +43,7 @@
     let clock = reign.host.clock();
     reign.engine.lock().ordered(clock, &worker, start.task, start.attempt, outcome);
     if let Some(agent) = reign.agents.lock().get(&worker) {
-        agent.busy.notify_one();
+        agent.wake.notify_one();
     }
     reign.plan.notify_one();
 }
--- a/components/entry/src/reign/yielding.rs
+++ b/components/entry/src/reign/yielding.rs
@@ -22,7 +22,6 @@
 const PROBE: Duration = Duration::from_millis(400);
 /// Pause after followers were asked in vain.
 const PAUSE: Duration = Duration::from_millis(300);
-
 /// A weak leader looks for a stronger follower this often.
 const GIVE_WAY: Duration = Duration::from_millis(500);
 
@@ -36,6 +35,7 @@
 }
 
 impl Cause {
+    /// What the log says of it.
     fn text(self) -> &'static str {
         match self {
             Cause::Outage => "the store answers a follower and not this host",
