--- a/deploy/days/play.py
+++ b/deploy/days/play.py
@@ -17,6 +17,7 @@
 HERE = pathlib.Path(__file__).parent
 ZONE_CUT = '{ at = 12.0, kind = "zone_cut", for_s = 5.5, how = "drop" }'
 OUTAGE = '{ at = 11.0, kind = "platform_down", for_s = 4.0, how = "silent" }'
+# Kinds that belong to a day's plan; all others are faults.
 PLANNED = {
     "release", "scale_in", "scale_out", "add_nodes", "roll_term", "hup", "config_change", "config_storm", "big_config",
 }
