--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -1,7 +1,7 @@
 //! One entry host: what it knows of the configuration and of the leader, and how calls reach the leader.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::AtomicU64;
 use std::time::{Duration, Instant};
 
 use events::emit;
@@ -11,6 +11,7 @@
 use work::{Config, Unit, WorkerId};
 
 use crate::edge::{Adviser, Directory, Fault, Store, Workers};
+use crate::latest::Latest;
 use crate::message::{Answer, Call, Leader};
 use crate::reign::Reign;
 
@@ -76,8 +77,8 @@
     pub(crate) followers: Mutex<Vec<Follower>>,
     /// Term of this host's latest claim that was done; its reign begins once the log is read.
     pub(crate) seated: AtomicU64,
-    /// Milliseconds of the steady clock when the store last answered the loops that follow it.
-    store_heard: AtomicU64,
+    /// When the store last answered the loops that follow it.
+    store_heard: Latest,
     /// Held while a claim is under way.
     pub(crate) claiming: tokio::sync::Mutex<()>,
     stopping: watch::Sender<bool>,
@@ -117,7 +118,7 @@
             role: watch::Sender::new(Role::Nobody),
             followers: Mutex::new(Vec::new()),
             seated: AtomicU64::new(0),
-            store_heard: AtomicU64::new(0),
+            store_heard: Latest::new(Duration::ZERO),
             claiming: tokio::sync::Mutex::new(()),
             stopping: watch::Sender::new(false),
         })
@@ -201,14 +202,13 @@
     /// Takes note of the store's answer, if there is one.
     pub(crate) fn hear_store<T>(&self, outcome: &Result<T, Fault>) {
         if outcome.is_ok() {
-            self.store_heard.fetch_max(self.started.elapsed().as_millis() as u64, Ordering::Relaxed);
+            self.store_heard.note(self.started.elapsed());
         }
     }
 
     /// Whether the store has left this host without an answer for a while.
     fn store_silent(&self) -> bool {
-        let heard = Duration::from_millis(self.store_heard.load(Ordering::Relaxed));
-        self.started.elapsed().saturating_sub(heard) > STORE_SILENCE
+        self.store_heard.ago(self.started.elapsed()) > STORE_SILENCE
     }
 
     /// Whether a planned stop has begun.
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -7,6 +7,7 @@
 mod election;
 mod follow;
 mod host;
+mod latest;
 mod message;
 mod outage;
 mod peers;
--- a/components/entry/src/reign.rs
+++ b/components/entry/src/reign.rs
@@ -22,6 +22,7 @@
 use crate::edge::{Item, LeaseId};
 use crate::election::{Before, Chain};
 use crate::host::Host;
+use crate::latest::Latest;
 use crate::message::{Answer, Call, Leader};
 use ask::Desk;
 
@@ -72,10 +73,10 @@
     pub(crate) engine: Mutex<Engine>,
     pub(crate) seat: Mutex<Seat>,
     pub(crate) parts: Mutex<Vec<Part>>,
-    /// Milliseconds of the steady clock at the last confirmation.
-    confirmed: AtomicU64,
-    /// Milliseconds of the steady clock at the last answer of the store, whatever it said.
-    heard: AtomicU64,
+    /// When it was last certain that nobody else led.
+    confirmed: Latest,
+    /// When the store last answered, whatever it said.
+    heard: Latest,
     /// Whether the leader's record is to be written anew.
     pub(crate) restore: AtomicBool,
     /// Since when a transaction has been without an outcome.
@@ -111,8 +112,8 @@
         let reign = Arc::new(Reign {
             term: seat.chain.term,
             engine: Mutex::new(engine),
-            confirmed: AtomicU64::new(seat.confirmed.as_millis() as u64),
-            heard: AtomicU64::new(clock.now.as_millis() as u64),
+            confirmed: Latest::new(seat.confirmed),
+            heard: Latest::new(clock.now),
             seat: Mutex::new(seat),
             parts: Mutex::new(parts),
             restore: AtomicBool::new(false),
@@ -146,13 +147,13 @@
 
     /// Takes note that nobody else led at this time.
     pub(crate) fn confirm(&self, at: Duration) {
-        self.confirmed.fetch_max(at.as_millis() as u64, Ordering::Relaxed);
+        self.confirmed.note(at);
         self.hear();
     }
 
     /// Takes note that the store answers this host.
     pub(crate) fn hear(&self) {
-        self.heard.fetch_max(self.host.started.elapsed().as_millis() as u64, Ordering::Relaxed);
+        self.heard.note(self.host.started.elapsed());
     }
 
     /// Takes note of how far apart the renewals of busy workers may be.
@@ -160,20 +161,19 @@
         self.busy_pause.store(pause.as_millis() as u64, Ordering::Relaxed);
     }
 
+    /// How far apart the renewals of busy workers may be, as last reckoned.
     pub(crate) fn busy_pause(&self) -> Duration {
         Duration::from_millis(self.busy_pause.load(Ordering::Relaxed))
     }
 
     /// How long the store hasn't answered this host.
     pub(crate) fn unheard_for(&self) -> Duration {
-        let heard = Duration::from_millis(self.heard.load(Ordering::Relaxed));
-        self.host.started.elapsed().saturating_sub(heard)
+        self.heard.ago(self.host.started.elapsed())
     }
 
     /// Time since it was last certain that nobody else led.
     pub(crate) fn unconfirmed_for(&self) -> Duration {
-        let confirmed = Duration::from_millis(self.confirmed.load(Ordering::Relaxed));
-        self.host.started.elapsed().saturating_sub(confirmed)
+        self.confirmed.ago(self.host.started.elapsed())
     }
 
     /// Whether this host surely leads, for answers to callers.
