--- a/components/sched/src/advice.rs
+++ b/components/sched/src/advice.rs
@@ -140,6 +140,16 @@
         queue: &Queue,
         room: &Room,
     ) -> Option<Question> {
+        let workers = self.named(clock, unit, queue, room)?;
+        if workers.is_empty() {
+            return None;
+        }
+        let cost = advice.base + advice.per_worker * workers.len() as u32;
+        Some(Question { unit, workers, cost, priority: queue.priority, validity: advice.validity })
+    }
+
+    /// Workers that the next question for a unit names: known ones whose tickets have run out, or others.
+    fn named(&self, clock: Clock, unit: Unit, queue: &Queue, room: &Room) -> Option<Vec<WorkerId>> {
         let entry = self.jobs.get(&unit.job)?;
         let state = self.unit(unit)?;
         let step = entry.step(unit.step)?;
@@ -154,17 +164,12 @@
             .filter(|place| !state.known.allows(&place.id, clock.now) && place.slots(&need) > 0)
             .collect();
         let enough = if step.gang { known_room >= tasks } else { !expired.is_empty() };
-        let workers = match enough {
+        Some(match enough {
             true => renewed(expired, tasks, |place| place.slots(&need)),
             false => self.unasked(&state.known.asked, &queue.name, tasks, room, |place| {
                 fitting(&place).then(|| place.slots(&need))
             }),
-        };
-        if workers.is_empty() {
-            return None;
-        }
-        let cost = advice.base + advice.per_worker * workers.len() as u32;
-        Some(Question { unit, workers, cost, priority: queue.priority, validity: advice.validity })
+        })
     }
 
     /// Workers that weren't asked about yet, as many as are expected to give room for `tasks`.
@@ -195,7 +200,7 @@
 
 /// Known workers whose tickets are to be renewed: those with most room, until it is enough.
 fn renewed(mut places: Vec<&Place>, tasks: usize, slots: impl Fn(&Place) -> usize) -> Vec<WorkerId> {
-    places.sort_by_key(|place| std::cmp::Reverse(slots(place)));
+    places.sort_by_key(|place| Reverse(slots(place)));
     let mut found = 0.0;
     let mut workers = Vec::new();
     for place in places {
