--- a/components/entry/src/reign/duties.rs
+++ b/components/entry/src/reign/duties.rs
@@ -16,7 +16,7 @@
 const PASS: Duration = Duration::from_millis(2);
 /// The pause after a pass is at least this many times as long as the pass was: renewals, records and callers need the
 /// processor, too.
-const PASS_SHARE: u32 = 2;
+const PAUSE_PER_PASS: u32 = 2;
 /// The list of workers is read this often: a leaving one must get nothing new after two seconds.
 const LIST: Duration = Duration::from_millis(450);
 /// For each worker in the list the pause between two reads is at least this long: a read of thousands costs the leader some
@@ -53,10 +53,11 @@
             reign.write.notify_one();
         }
         let took = reign.host.started.elapsed() - clock.now;
-        tokio::time::sleep(PASS.max(took * PASS_SHARE)).await;
+        tokio::time::sleep(PASS.max(took * PAUSE_PER_PASS)).await;
     }
 }
 
+/// Brings the metrics of the reign up to date.
 fn measure(reign: &Reign, engine: &Engine) {
     let (jobs, workers) = engine.sizes();
     let metrics = &reign.host.metrics;
