Count attempts that were used up before the configuration is known

Ruled out: a failure lost from the log (the first was there), a late end.

Change: the pass after a new configuration ends jobs whose attempts are used up, as reading the log does; attempts of a task that is done don't count there. Test: attempts_used_up_before_the_configuration_is_known_count, failing before.

--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -68,6 +68,8 @@
     /// How long after the reign began the leader before may still have given leases.
     pub(crate) predecessor: Duration,
     pub(crate) config: Arc<Config>,
+    /// Whether it came since the last pass: attempts may have been used up before it was known.
+    pub(crate) reconfigured: bool,
     /// Its queues by name.
     pub(crate) queues: HashMap<QueueName, Arc<Queue>>,
     pub(crate) workers: BTreeMap<WorkerId, Worker>,
@@ -102,6 +104,7 @@
             term,
             reign: now,
             predecessor: AUTHORITY,
+            reconfigured: false,
             queues: by_name(&config),
             config,
             workers: BTreeMap::new(),
@@ -130,6 +133,7 @@
         if config.version > self.config.version {
             self.queues = by_name(&config);
             self.config = config;
+            self.reconfigured = true;
         }
     }
 
@@ -174,7 +178,7 @@
         Duration::from_secs_f64(self.workers.len() as f64 / IDLE_RENEWALS_A_SECOND)
     }
 
-    /// How long the renewals of a worker on which something runs may be apart: at most a second, so that a cut of some
+    /// How long the renewals of a worker on which something runs may be apart: at most 0.8 s, so that a cut of some
     /// seconds leaves the longest lease alive.
     pub fn busy_pause(&self) -> Duration {
         let busy = self.workers.values().filter(|worker| !worker.runs.is_empty()).count();
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -21,6 +21,9 @@
 impl Engine {
     /// Starts what can be started, asks what must be known, stops what is left of broken gangs.
     pub fn plan(&mut self, clock: Clock) {
+        if std::mem::take(&mut self.reconfigured) {
+            self.fail_spent(clock);
+        }
         self.settle(clock);
         self.open_units(clock);
         self.stop_broken_gangs();
--- a/components/sched/src/restore.rs
+++ b/components/sched/src/restore.rs
@@ -6,7 +6,7 @@
 use work::{JobId, Outcome, Record, Task, Unit, WorkerId};
 
 use crate::engine::{Clock, Engine};
-use crate::entry::{Accepted, Ended, Phase, UnitState};
+use crate::entry::{Accepted, Ended, Phase, TaskState, UnitState};
 use crate::worker::{Info, Worker};
 
 impl Engine {
@@ -33,14 +33,17 @@
 
     /// Ends jobs that the log shows as done without a record of their end.
     pub fn replayed(&mut self, clock: Clock) {
+        self.fail_spent(clock);
         let ids: Vec<JobId> = self.live.iter().copied().collect();
+        ids.into_iter().for_each(|id| self.finish(clock, id));
+    }
+
+    /// Ends jobs that have used up their attempts.
+    pub(crate) fn fail_spent(&mut self, clock: Clock) {
+        let ids: Vec<JobId> = self.live.iter().copied().filter(|id| self.spent(*id)).collect();
         for id in ids {
-            match self.spent(id) {
-                true => {
-                    self.end(clock, id, Outcome::Failed);
-                }
-                false => self.finish(clock, id),
-            }
+            self.end(clock, id, Outcome::Failed);
+            self.stop_all(id);
         }
     }
 
@@ -51,7 +54,9 @@
         let most = queue.max_attempts as usize;
         let spent = |((_, step), unit): (&(u32, u16), &UnitState)| {
             let lasting = entry.step(*step).is_some_and(|step| step.lasting);
-            !lasting && (unit.failed.len() >= most || unit.tasks.iter().any(|task| task.failed.len() >= most))
+            let task_spent = |task: &TaskState| task.phase != Phase::Done && task.failed.len() >= most;
+            let gang_spent = !unit.complete() && unit.failed.len() >= most;
+            !lasting && (gang_spent || unit.tasks.iter().any(task_spent))
         };
         entry.units.iter().any(spent)
     }
--- a/components/sched/tests/cell/mod.rs
+++ b/components/sched/tests/cell/mod.rs
@@ -24,8 +24,17 @@
 
     /// The cell of a leader that finds this log.
     pub fn after(workers: usize, term: Term, log: &[Record]) -> Cell {
+        Cell::with(config(), workers, term, log)
+    }
+
+    /// The same for a leader that doesn't know the configuration yet.
+    pub fn unconfigured(workers: usize, term: Term, log: &[Record]) -> Cell {
+        Cell::with(Arc::new(Config::default()), workers, term, log)
+    }
+
+    fn with(config: Arc<Config>, workers: usize, term: Term, log: &[Record]) -> Cell {
         let clock = Clock::default();
-        let mut engine = Engine::new(Limits::example(), term, Arc::new(config()), clock.now);
+        let mut engine = Engine::new(Limits::example(), term, config, clock.now);
         log.iter().cloned().for_each(|record| engine.replay(clock, record));
         engine.replayed(clock);
         let infos = (0..workers).map(|number| (format!("w{number}"), info(number))).collect();
@@ -122,7 +131,8 @@
     }
 }
 
-fn config() -> Config {
+/// The configuration of all cells.
+pub fn config() -> Arc<Config> {
     let advice = Advice {
         base: Duration::from_millis(500),
         per_worker: Duration::from_millis(7),
@@ -140,5 +150,5 @@
         advice,
     };
     let queues = vec![queue("urgent", 0, None), queue("patient", 2, None), queue("advised", 1, Some(advice))];
-    Config { version: 1, queues, max_body: 100_000 }
+    Arc::new(Config { version: 1, queues, max_body: 100_000 })
 }
--- a/components/sched/tests/decisions.rs
+++ b/components/sched/tests/decisions.rs
@@ -503,3 +503,22 @@
     cell.report("w0", &[running(&starts[0].1)], &[]);
     assert!(cell.starts().is_empty(), "it runs");
 }
+
+#[test]
+fn attempts_used_up_before_the_configuration_is_known_count() {
+    let first = Cell::new(2).ready();
+    let mut cell = first;
+    cell.submit(1, "urgent", vec![step(1, 1)]);
+    let (worker, start) = cell.starts().remove(0);
+    cell.started(&worker, &start);
+    cell.end(&worker, &start, How::Failed);
+    let (worker, start) = cell.starts().remove(0);
+    cell.started(&worker, &start);
+    // The next leader reads the log while it has no configuration yet, and hears of the last failure first.
+    let mut next = Cell::unconfigured(2, 2, &cell.log).ready();
+    next.end(&worker, &start, How::Failed);
+    next.engine.configure(cell::config());
+    assert!(next.starts().is_empty(), "two of two attempts have failed");
+    next.write();
+    assert_eq!(next.engine.state(1), Some(State::Ended(Outcome::Failed)));
+}
--- a/components/sched/tests/world/mod.rs
+++ b/components/sched/tests/world/mod.rs
@@ -183,7 +183,7 @@
             return;
         }
         let id = open[self.rng.random_range(0..open.len())];
-        if self.leader.engine.withdraw(id) && id % 2 == 0 {
+        if self.leader.engine.withdraw(id) && id.is_multiple_of(2) {
             let job = self.jobs[&id].clone();
             self.leader.engine.accept(self.clock(), id, "open".to_owned(), job);
         }
