--- a/components/sched/tests/decisions.rs
+++ b/components/sched/tests/decisions/main.rs
@@ -1,6 +1,7 @@
 //! Single decisions: where tasks go, what ends mean, what a new leader may do.
 
 mod cell;
+mod doubt;
 
 use std::time::Duration;
 
@@ -20,23 +21,6 @@
     assert!(cell.log.iter().any(|record| matches!(record, Record::Placed { worker, .. } if worker == "w0")));
 }
 
-#[test]
-fn a_worker_that_leaves_starts_unanswered_is_avoided() {
-    let mut cell = Cell::new(4).ready();
-    cell.submit(1, "urgent", vec![step(1, 1)]);
-    let first = cell.starts();
-    let (worker, start) = &first[0];
-    cell.engine.ordered(cell.clock(), worker, start.task, start.attempt, OrderOutcome::Unknown);
-    let stops = cell.plan();
-    assert!(matches!(stops.as_slice(), [Action::Stop(..)]), "it is settled by a stop: {stops:?}");
-    cell.engine.stopped(worker, start.task, start.attempt);
-    cell.report(worker, &[], &[]);
-    let second = cell.starts();
-    assert_eq!(second.len(), 1);
-    assert_ne!(second[0].0, *worker, "another worker has room");
-    assert!(second[0].1.attempt > start.attempt);
-}
-
 #[test]
 fn an_unanswered_start_takes_room_until_it_is_settled() {
     let mut cell = Cell::new(1).ready();
@@ -426,68 +410,6 @@
     assert_eq!(new.engine.state(1), Some(State::Ended(Outcome::Failed)));
 }
 
-/// A run of a task on each of the workers, which has begun.
-fn one_run_each(cell: &mut Cell, workers: usize) -> Vec<(String, sched::Start)> {
-    cell.submit(1, "urgent", vec![Step { spread: 1, ..step(workers as u32, 1) }]);
-    let starts = cell.starts();
-    starts.iter().for_each(|(worker, start)| cell.started(worker, start));
-    starts
-}
-
-#[test]
-fn a_worker_whose_last_run_failed_is_taken_last() {
-    let mut cell = Cell::new(3).ready();
-    cell.submit(1, "urgent", vec![step(1, 1)]);
-    let (bad, start) = cell.starts().remove(0);
-    cell.started(&bad, &start);
-    cell.end(&bad, &start, How::Failed);
-    cell.submit(2, "urgent", vec![step(1, 15)]);
-    let starts = cell.starts();
-    assert_eq!(starts.len(), 2, "the failed task again, and the large one");
-    assert!(starts.iter().all(|(worker, _)| *worker != bad), "others have room: {starts:?}");
-    cell.submit(3, "urgent", vec![step(2, 15)]);
-    let last = cell.starts();
-    assert!(last.iter().any(|(worker, _)| *worker == bad), "it is better than nothing");
-}
-
-#[test]
-fn a_worker_that_fails_again_and_again_gets_one_task_at_a_time() {
-    let mut cell = Cell::new(1).ready();
-    for job in 1..=3 {
-        cell.submit(job, "urgent", vec![step(1, 1)]);
-        let (worker, start) = cell.starts().remove(0);
-        cell.started(&worker, &start);
-        cell.end(&worker, &start, How::Failed);
-        cell.engine.cancel(cell.clock(), job);
-        cell.write();
-    }
-    cell.now += Duration::from_secs(10);
-    cell.report("w0", &[], &[]);
-    cell.submit(4, "urgent", vec![step(4, 1)]);
-    let trial = cell.starts();
-    assert_eq!(trial.len(), 1, "nothing is known of it yet");
-    cell.started("w0", &trial[0].1);
-    assert!(cell.starts().is_empty(), "the trial goes on");
-    cell.submit(5, "urgent", vec![Step { gang: true, ..step(1, 1) }]);
-    cell.end("w0", &trial[0].1, How::Done);
-    assert_eq!(cell.starts().len(), 4, "it is sound again: the other three and the gang");
-}
-
-#[test]
-fn a_worker_on_which_nothing_moves_is_taken_last() {
-    let mut cell = Cell::new(2).ready();
-    let runs = one_run_each(&mut cell, 2);
-    let (stuck, sound) = (&runs[0], &runs[1]);
-    for percent in 1..=6 {
-        cell.now += Duration::from_millis(400);
-        cell.report(&stuck.0, &[running(&stuck.1)], &[]);
-        cell.report(&sound.0, &[sched::Running { percent, ..running(&sound.1) }], &[]);
-    }
-    cell.submit(2, "urgent", vec![step(2, 1)]);
-    let starts = cell.starts();
-    assert!(starts.iter().all(|(worker, _)| *worker == sound.0), "{starts:?}");
-}
-
 #[test]
 fn a_job_that_was_taken_back_and_comes_again_starts_once() {
     let mut cell = Cell::new(1).ready();
