--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -81,7 +81,7 @@
     /// Whether everything that earlier leaders started is known or has surely ended.
     pub(crate) settled: bool,
     pub(crate) shares: Shares,
-    /// The room of the last pass; see [`Engine::room`].
+    /// The room of the last pass, which the next one brings up to date.
     pub(crate) room: Room,
     pub(crate) actions: Vec<Action>,
     /// Starts whose records aren't durable yet, by position.
@@ -178,7 +178,7 @@
         Duration::from_secs_f64(self.workers.len() as f64 / IDLE_RENEWALS_A_SECOND)
     }
 
-    /// How long the renewals of a worker on which something runs may be apart: at most 0.8 s, so that a cut of some
+    /// How long the renewals of a worker on which something runs may be apart: at most a second, so that a cut of some
     /// seconds leaves the longest lease alive.
     pub fn busy_pause(&self) -> Duration {
         let busy = self.workers.values().filter(|worker| !worker.runs.is_empty()).count();
