Ask the adviser only about workers that the step's limit still lets take a task

Ruled out: want of room (most of the fleet was free), the adviser's no. Change: one count of the waiting tasks that a place can take, by room, trial and the step's limit; questions, choice and explanation use it. Test a_worker_that_holds_as_many_of_the_step_as_it_may_is_not_asked_about_again, which failed before.

--- a/components/sched/src/advice.rs
+++ b/components/sched/src/advice.rs
@@ -9,7 +9,6 @@
 
 use work::{Advice, Queue, QueueName, Unit, WorkerId};
 
-use crate::ends::taken_room;
 use crate::engine::{Clock, Engine};
 use crate::limits::TICKET_MARGIN;
 use crate::room::{Place, Room};
@@ -153,22 +152,19 @@
         let entry = self.jobs.get(&unit.job)?;
         let state = self.unit(unit)?;
         let step = entry.step(unit.step)?;
-        let need = taken_room(step);
         let tasks = state.pending;
         let fitting = |place: &&Place| place.suits(queue, step);
+        let slots = |place: &Place| place.tasks(state, step);
         let known: Vec<&Place> =
             state.known.healthy.keys().filter_map(|worker| room.place(worker)).filter(fitting).collect();
-        let known_room: usize = known.iter().map(|place| place.slots(&need)).sum();
-        let expired: Vec<&Place> = known
-            .into_iter()
-            .filter(|place| !state.known.allows(&place.id, clock.now) && place.slots(&need) > 0)
-            .collect();
+        let known_room: usize = known.iter().map(|place| slots(place)).sum();
+        let expired: Vec<&Place> =
+            known.into_iter().filter(|place| !state.known.allows(&place.id, clock.now) && slots(place) > 0).collect();
         let enough = if step.gang { known_room >= tasks } else { !expired.is_empty() };
         Some(match enough {
-            true => renewed(expired, tasks, |place| place.slots(&need)),
-            false => self.unasked(&state.known.asked, &queue.name, tasks, room, |place| {
-                fitting(&place).then(|| place.slots(&need))
-            }),
+            true => renewed(expired, tasks, slots),
+            false => self
+                .unasked(&state.known.asked, &queue.name, tasks, room, |place| fitting(&place).then(|| slots(place))),
         })
     }
 
--- a/components/sched/src/explain.rs
+++ b/components/sched/src/explain.rs
@@ -4,7 +4,6 @@
 use serde::{Deserialize, Serialize};
 use work::{JobId, State, Unit};
 
-use crate::ends::taken_room;
 use crate::engine::{Clock, Engine};
 use crate::entry::{Entry, Phase, UnitState};
 
@@ -97,11 +96,10 @@
         let Some(step) = entry.step(name.step) else { return String::new() };
         let room = self.room(clock);
         let suits = room.places.iter().filter(|place| place.suits(queue, step));
-        let need = taken_room(step);
         let (mut workers, mut fitting, mut told) = (0, 0, 0);
         for place in suits {
             workers += 1;
-            let slots = place.slots(&need);
+            let slots = place.tasks(unit, step);
             fitting += slots;
             if queue.advice.is_none() || unit.known.allows(&place.id, clock.now) {
                 told += slots;
--- a/components/sched/src/room.rs
+++ b/components/sched/src/room.rs
@@ -67,6 +67,21 @@
         cpu.min(memory).min(accelerators).min(most) as usize
     }
 
+    /// Waiting tasks of a unit that could start here at the moment, by room and by what its step allows. Without the
+    /// step's limit a worker, the adviser was asked for ever about workers that hold as many as they may, and nobody else:
+    /// of 26 lasting tasks on 252 workers one never ran again.
+    pub(crate) fn tasks(&self, state: &UnitState, step: &Step) -> usize {
+        // One member that fails breaks a whole gang.
+        if step.gang && self.doubt == Doubt::Trial {
+            return 0;
+        }
+        let slots = self.slots(&taken_room(step));
+        match step.spread {
+            0 => slots,
+            most => slots.min(most.saturating_sub(held_on(state, &self.id)) as usize),
+        }
+    }
+
     /// Whether the worker is of the right pool and has the label.
     pub(crate) fn suits(&self, queue: &Queue, step: &Step) -> bool {
         self.info.pool == queue.pool && (step.label.is_empty() || self.info.labels.contains(&step.label))
@@ -158,9 +173,9 @@
         if !self.may_fit(&need) {
             return Vec::new();
         }
-        let allowed = self.allowed(now, state, step, queue, &need);
-        let slots = |places: &[usize]| places.iter().map(|index| self.places[*index].slots(&need)).sum::<usize>();
-        if step.gang && slots(&allowed) < state.pending {
+        let allowed = self.allowed(now, state, step, queue);
+        let tasks = |places: &[usize]| places.iter().map(|index| self.places[*index].tasks(state, step)).sum::<usize>();
+        if step.gang && tasks(&allowed) < state.pending {
             return Vec::new();
         }
         let pending: Vec<usize> = waiting(state).collect();
@@ -177,12 +192,10 @@
     }
 
     /// Places where a task of the unit may start now.
-    fn allowed(&self, now: Duration, state: &UnitState, step: &Step, queue: &Queue, need: &Resources) -> Vec<usize> {
+    fn allowed(&self, now: Duration, state: &UnitState, step: &Step, queue: &Queue) -> Vec<usize> {
         let fits = |index: &usize| {
             let place = &self.places[*index];
-            // One member that fails breaks a whole gang.
-            let risky = step.gang && place.doubt == Doubt::Trial;
-            need.fits_in(&place.free) && place.suits(queue, step) && !risky
+            place.suits(queue, step) && place.tasks(state, step) > 0
         };
         match queue.advice {
             None => (0..self.places.len()).filter(fits).collect(),
@@ -220,12 +233,8 @@
         let mut tasks = pending.iter().copied();
         let mut choices = Vec::new();
         for index in allowed {
-            let place = &self.places[index];
-            let mut slots = place.slots(need);
-            if step.spread > 0 {
-                slots = slots.min(step.spread.saturating_sub(held_on(state, &place.id)) as usize);
-            }
-            choices.extend(tasks.by_ref().take(slots).map(|task| (task, index)));
+            let most = self.places[index].tasks(state, step);
+            choices.extend(tasks.by_ref().take(most).map(|task| (task, index)));
             if choices.len() == pending.len() {
                 break;
             }
--- /dev/null
+++ b/components/sched/tests/decisions/advice.rs
@@ -0,0 +1,86 @@
+//! Questions to the adviser: whom they name, and when there is none to ask.
+
+use std::time::Duration;
+
+use sched::{Action, How, Question, Ticket};
+use work::{Step, WorkerId};
+
+use crate::cell::{Cell, step};
+
+/// The only question that a pass puts.
+fn question(cell: &mut Cell) -> Question {
+    let actions = cell.plan();
+    match actions.as_slice() {
+        [Action::Ask(question)] => question.clone(),
+        _ => panic!("one question was expected: {actions:?}"),
+    }
+}
+
+/// The adviser answers that `healthy` may run the unit.
+fn advise(cell: &mut Cell, question: &Question, healthy: &[&str]) {
+    let until = cell.now + question.validity;
+    let ticket = |worker: &&str| ((*worker).to_owned(), Ticket { text: "t".to_owned(), until });
+    let tickets = healthy.iter().map(ticket).collect();
+    cell.engine.advised(question.unit, &question.workers, tickets);
+}
+
+/// All workers answer after some time in which every ticket has run out.
+fn let_tickets_expire(cell: &mut Cell, running: &[(WorkerId, sched::Start)]) {
+    cell.now += Duration::from_secs(3);
+    let ids: Vec<WorkerId> = cell.infos.keys().cloned().collect();
+    for id in ids {
+        let there: Vec<_> =
+            running.iter().filter(|(worker, _)| *worker == id).map(|(_, start)| crate::cell::running(start)).collect();
+        cell.report(&id, &there, &[]);
+    }
+}
+
+/// Asks the adviser about a step on twelve workers, of which it lets the first two of the named ones run it.
+fn two_of_twelve(step: Step) -> (Cell, Vec<(WorkerId, sched::Start)>) {
+    let mut cell = Cell::new(12).ready();
+    cell.submit(1, "advised", vec![step]);
+    let first = question(&mut cell);
+    let good: Vec<&str> = first.workers.iter().take(2).map(String::as_str).collect();
+    advise(&mut cell, &first, &good);
+    let starts = cell.starts();
+    starts.iter().for_each(|(worker, start)| cell.started(worker, start));
+    (cell, starts)
+}
+
+#[test]
+fn tasks_start_only_with_a_ticket_that_holds() {
+    let mut cell = Cell::new(4).ready();
+    cell.submit(1, "advised", vec![step(1, 1)]);
+    let actions = cell.plan();
+    let [Action::Ask(question)] = actions.as_slice() else { panic!("{actions:?}") };
+    let until = cell.now + question.validity;
+    let ticket = ("w2".to_owned(), Ticket { text: "t".to_owned(), until });
+    cell.engine.advised(question.unit, &question.workers, vec![ticket.clone()]);
+    cell.now = until;
+    (0..4).for_each(|number| cell.report(&format!("w{number}"), &[], &[]));
+    let actions = cell.plan();
+    let [Action::Ask(again)] = actions.as_slice() else { panic!("the ticket has run out: {actions:?}") };
+    assert_eq!(again.workers, ["w2"], "who may run it is known");
+    let until = cell.now + again.validity;
+    cell.engine.advised(again.unit, &again.workers, vec![("w2".to_owned(), Ticket { until, ..ticket.1 })]);
+    let starts = cell.starts();
+    assert_eq!(starts.len(), 1);
+    assert_eq!((starts[0].0.as_str(), starts[0].1.ticket.as_deref()), ("w2", Some("t")));
+}
+
+#[test]
+fn a_worker_that_holds_as_many_of_the_step_as_it_may_is_not_asked_about_again() {
+    let (mut cell, starts) = two_of_twelve(Step { spread: 1, lasting: true, ..step(2, 1) });
+    assert_eq!(starts.len(), 2);
+    let ((lost, failed), kept) = (&starts[0], &starts[1]);
+    cell.end(lost, failed, How::Failed);
+    cell.infos.get_mut(lost).expect("listed").draining = true;
+    cell.engine.list(cell.clock(), cell.infos.clone());
+    let_tickets_expire(&mut cell, std::slice::from_ref(kept));
+    let next = question(&mut cell);
+    assert!(!next.workers.contains(&kept.0), "its ticket would bring nothing: {:?}", next.workers);
+    assert!(!next.workers.is_empty());
+    let other = next.workers[0].clone();
+    advise(&mut cell, &next, &[&other]);
+    assert_eq!(cell.starts().len(), 1, "the lost task runs again");
+}
--- a/components/sched/tests/decisions/main.rs
+++ b/components/sched/tests/decisions/main.rs
@@ -1,12 +1,13 @@
 //! Single decisions: where tasks go, what ends mean, what a new leader may do.
 
+mod advice;
 mod cell;
 mod doubt;
 
 use std::time::Duration;
 
 use cell::{Cell, running, step};
-use sched::{Action, How, OrderOutcome, Ticket};
+use sched::{Action, How, OrderOutcome};
 use work::{Outcome, Record, State, Step};
 
 #[test]
@@ -233,27 +234,6 @@
     assert!(!cell.engine.withdraw(2), "its record is written");
 }
 
-#[test]
-fn tasks_start_only_with_a_ticket_that_holds() {
-    let mut cell = Cell::new(4).ready();
-    cell.submit(1, "advised", vec![step(1, 1)]);
-    let actions = cell.plan();
-    let [Action::Ask(question)] = actions.as_slice() else { panic!("{actions:?}") };
-    let until = cell.now + question.validity;
-    let ticket = ("w2".to_owned(), Ticket { text: "t".to_owned(), until });
-    cell.engine.advised(question.unit, &question.workers, vec![ticket.clone()]);
-    cell.now = until;
-    (0..4).for_each(|number| cell.report(&format!("w{number}"), &[], &[]));
-    let actions = cell.plan();
-    let [Action::Ask(again)] = actions.as_slice() else { panic!("the ticket has run out: {actions:?}") };
-    assert_eq!(again.workers, ["w2"], "who may run it is known");
-    let until = cell.now + again.validity;
-    cell.engine.advised(again.unit, &again.workers, vec![("w2".to_owned(), Ticket { until, ..ticket.1 })]);
-    let starts = cell.starts();
-    assert_eq!(starts.len(), 1);
-    assert_eq!((starts[0].0.as_str(), starts[0].1.ticket.as_deref()), ("w2", Some("t")));
-}
-
 #[test]
 fn of_an_ended_job_only_its_outcome_is_written_anew() {
     let mut cell = Cell::new(1).ready();
