Tell a new leader that the one before has ended

It waited 7 s of authority and 10.3 s of leases, until 51.8 s, before the lost tasks ran again. Ruled out: taking a worker for gone that refuses connections or is missing in the list: cuts may refuse, and a worker that is cut off runs on. Change: a claim writes who led last beside the record; a follower says where it takes links and whether it neither leads nor claims. A follower at the predecessor's address shows that its reign is over, be it the same life or a later one; then only leases are waited for. An own earlier life counts likewise. Tests a_new_leader_learns_that_the_one_before_has_ended, a_leader_that_is_only_silent_is_not_taken_for_ended; without the change the first can't be written.

--- a/components/entry/src/election.rs
+++ b/components/entry/src/election.rs
@@ -25,6 +25,8 @@
 pub(crate) const LEADER_KEY: &str = "walkhook/leader";
 /// Key of the counter of terms.
 pub(crate) const CHAIN_KEY: &str = "walkhook/chain";
+/// Key of the last leader that claimed: it outlasts the lease of the leader's record.
+const LAST_KEY: &str = "walkhook/last";
 /// A watch that brought nothing is renewed after this time.
 const WATCH: Duration = Duration::from_secs(20);
 /// While there is no leader's record it is looked for again after this time, whatever the watch says.
@@ -154,6 +156,8 @@
     };
     let hello = Call::Hello {
         host: host.settings.host.clone(),
+        address: host.settings.address.clone(),
+        idle: host.idle(),
         leader: leader.clone(),
         claim_delay: host.settings.claim_delay,
     };
@@ -302,13 +306,15 @@
     let store = &host.edges.store;
     let lease = async { store.lease(host.settings.lease_ttl).await.context("creating a lease") };
     let chain = async { store.get(CHAIN_KEY).await.context("reading the counter of terms") };
+    let last = async { store.get(LAST_KEY).await.context("reading who led last") };
     // At once: a slow store takes 0.2 s for each.
-    let (lease, chain) = tokio::try_join!(lease, chain)?;
+    let (lease, chain, last) = tokio::try_join!(lease, chain, last)?;
     let chain = chain.item;
     let (revision, old) = match &chain {
         None => (0, Chain::default()),
         Some(item) => (item.revision, postcard::from_bytes(&item.value).context("the counter of terms")?),
     };
+    let last = last.item.and_then(|item| read_leader(host, &item)).filter(|last| last.term == old.term);
     let chain = Chain { term: old.term + 1, next: old.next };
     let leader = Leader {
         host: host.settings.host.clone(),
@@ -319,7 +325,7 @@
     let confirmed = host.started.elapsed();
     let transaction = Transaction {
         expected: vec![(CHAIN_KEY.to_owned(), revision), (LEADER_KEY.to_owned(), record)],
-        puts: vec![chain_put(&chain)?, leader_put(&leader, lease)?],
+        puts: vec![chain_put(&chain)?, leader_put(&leader, lease)?, last_put(&leader)?],
         removes: Vec::new(),
     };
     let revision = match store.commit(&transaction, CLAIM).await {
@@ -330,7 +336,7 @@
         Err(fault) => return Err(fault.into()),
     };
     emit!(host.log, events::CLAIMED, "term" => chain.term, "revision" => revision);
-    lead(host, Seat { chain, revision, lease, leader, record: revision, confirmed }, before).await
+    lead(host, Seat { chain, revision, lease, leader, last, record: revision, confirmed }, before).await
 }
 
 /// Renews the lease of a claim until its reign begins and does so itself.
@@ -376,6 +382,10 @@
     Ok(Put { key: CHAIN_KEY.to_owned(), value: postcard::to_stdvec(chain)?, lease: 0 })
 }
 
+fn last_put(leader: &Leader) -> anyhow::Result<Put> {
+    Ok(Put { key: LAST_KEY.to_owned(), value: postcard::to_stdvec(leader)?, lease: 0 })
+}
+
 pub(crate) fn leader_put(leader: &Leader, lease: LeaseId) -> anyhow::Result<Put> {
     Ok(Put { key: LEADER_KEY.to_owned(), value: postcard::to_stdvec(leader)?, lease })
 }
--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -1,7 +1,7 @@
 //! One entry host: what it knows of the configuration and of the leader, and how calls reach the leader.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use events::emit;
@@ -88,6 +88,12 @@
 #[derive(Clone)]
 pub(crate) struct Follower {
     pub host: String,
+    /// Where it takes links itself.
+    pub address: String,
+    /// Term of the leader that it meant when it made itself known.
+    pub term: work::Term,
+    /// Whether it neither led nor claimed then.
+    pub idle: bool,
     pub link: Arc<Link>,
     /// How long it waits before it claims; see [`Settings::claim_delay`].
     pub claim_delay: Duration,
@@ -172,6 +178,12 @@
         }
     }
 
+    /// Whether this host neither leads nor claims leadership.
+    pub(crate) fn idle(&self) -> bool {
+        let leads = matches!(self.role(), Role::Leading(_)) || self.seated.load(Ordering::Acquire) != 0;
+        !leads && self.claiming.try_lock().is_ok()
+    }
+
     /// A reign of this host is over: nobody is known to lead, unless that has changed already.
     pub(crate) fn left(&self, term: work::Term) {
         if matches!(self.role(), Role::Leading(reign) if reign.term == term) {
--- a/components/entry/src/message.rs
+++ b/components/entry/src/message.rs
@@ -26,6 +26,10 @@
     Hello {
         /// Its host.
         host: String,
+        /// Where it takes links itself.
+        address: String,
+        /// Whether it neither leads nor claims: an earlier reign of it is over.
+        idle: bool,
         /// Whom it takes for the leader.
         leader: Leader,
         /// How long it waits before it claims: the weaker a host, the longer.
--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -55,8 +55,9 @@
 /// Answers one call.
 pub(crate) async fn handle(host: Arc<Host>, link: Arc<Link>, call: Call) -> Answer {
     match call {
-        Call::Hello { host: name, leader, claim_delay } => {
-            hello(&host, &leader, Follower { host: name, link, claim_delay })
+        Call::Hello { host: name, address, idle, leader, claim_delay } => {
+            let term = leader.term;
+            hello(&host, &leader, Follower { host: name, address, term, idle, link, claim_delay })
         }
         Call::Ping => Answer::Leader(host.leader()),
         Call::Probe => probe(&host).await,
--- a/components/entry/src/reign.rs
+++ b/components/entry/src/reign.rs
@@ -21,7 +21,7 @@
 
 use crate::edge::{Item, LeaseId};
 use crate::election::{Before, Chain};
-use crate::host::Host;
+use crate::host::{Follower, Host};
 use crate::latest::Latest;
 use crate::message::{Answer, Call, Leader};
 use ask::Desk;
@@ -48,6 +48,8 @@
     pub revision: u64,
     pub lease: LeaseId,
     pub leader: Leader,
+    /// The leader before, where it is known.
+    pub last: Option<Leader>,
     /// Revision of the leader's record.
     pub record: u64,
     /// Steady time at which the claim was sent.
@@ -83,6 +85,8 @@
     pub(crate) unsettled: Mutex<Option<Duration>>,
     /// Milliseconds between the renewals of busy workers, at least; see [`Engine::busy_pause`].
     busy_pause: AtomicU64,
+    /// Whether the leader before is known to give no leases any more.
+    predecessor_ended: AtomicBool,
     pub(crate) plan: Notify,
     pub(crate) write: Notify,
     pub(crate) durable: watch::Sender<u64>,
@@ -104,8 +108,11 @@
             records.into_iter().for_each(|record| engine.replay(clock, record));
         }
         engine.replayed(clock);
-        if before == Before::Ended {
-            engine.predecessor_ended();
+        // An earlier life of this process is surely over.
+        let own = seat.last.as_ref().is_some_and(|last| last.address == host.settings.address);
+        let ended = before == Before::Ended || own;
+        if ended {
+            engine.predecessor_ended(clock.now);
         }
         emit!(host.log, events::RECOVERED, "term" => seat.chain.term, "parts" => parts.len(),
             "took_ms" => (host.started.elapsed() - seat.confirmed).as_millis() as u64);
@@ -119,6 +126,7 @@
             restore: AtomicBool::new(false),
             unsettled: Mutex::new(None),
             busy_pause: AtomicU64::new(0),
+            predecessor_ended: AtomicBool::new(ended),
             plan: Notify::new(),
             write: Notify::new(),
             durable: watch::Sender::new(0),
@@ -145,6 +153,30 @@
         *self.loops.lock() = handles;
     }
 
+    /// Whether the leader before is known to give no leases any more.
+    pub fn predecessor_ended(&self) -> bool {
+        self.predecessor_ended.load(Ordering::Relaxed)
+    }
+
+    /// Looks for the leader before among the followers. A process at its address that follows this reign is either its own,
+    /// which leads no more, or a later life. What ran on workers that are gone then starts anew up to 7 s earlier: 10.3 s
+    /// after a takeover instead of 17.3 s, with leases of 10 s.
+    pub(crate) fn look_for_predecessor(&self) {
+        if self.predecessor_ended() {
+            return;
+        }
+        let Some(last) = self.seat.lock().last.clone() else { return };
+        let shows_it =
+            |follower: &Follower| follower.idle && follower.term == self.term && follower.address == last.address;
+        if !self.host.followers.lock().iter().any(shows_it) {
+            return;
+        }
+        self.predecessor_ended.store(true, Ordering::Relaxed);
+        self.engine.lock().predecessor_ended(self.host.started.elapsed());
+        emit!(self.host.log, events::PREDECESSOR_ENDED, "leader" => &last.host, "before" => last.term, "term" => self.term,
+            "after_ms" => (self.host.started.elapsed() - self.seat.lock().confirmed).as_millis() as u64);
+    }
+
     /// Takes note that nobody else led at this time.
     pub(crate) fn confirm(&self, at: Duration) {
         self.confirmed.note(at);
--- a/components/entry/src/reign/duties.rs
+++ b/components/entry/src/reign/duties.rs
@@ -36,6 +36,7 @@
         if !reign.authorized() {
             continue;
         }
+        reign.look_for_predecessor();
         let clock = reign.host.clock();
         let actions = {
             let mut engine = reign.engine.lock();
--- a/components/entry/tests/hosts.rs
+++ b/components/entry/tests/hosts.rs
@@ -254,6 +254,29 @@
     assert_eq!(leader.term, 2, "nobody claims over it");
 }
 
+#[tokio::test]
+async fn a_new_leader_learns_that_the_one_before_has_ended() {
+    let cell = cell();
+    let hosts = hosts(&cell, 3).await;
+    // Without its record, a leader that the store turns away is claimed over before it can ask anyone to replace it.
+    cell.turn_away("host-0", true);
+    cell.revoke("walkhook/leader");
+    until("another leads", || leads(&hosts[1]) || leads(&hosts[2])).await;
+    let knows = |host: &Arc<Host>| matches!(host.role(), Role::Leading(reign) if reign.predecessor_ended());
+    until("it knows", || knows(&hosts[1]) || knows(&hosts[2])).await;
+}
+
+#[tokio::test]
+async fn a_leader_that_is_only_silent_is_not_taken_for_ended() {
+    let cell = cell();
+    let first = hosts(&cell, 1).await;
+    cell.turn_away("host-0", true);
+    let second = cell.host("host-1").await.expect("a free port");
+    until("it leads", || leads(&second)).await;
+    let Role::Leading(reign) = second.role() else { panic!("it leads") };
+    assert!(!leads(&first[0]) || !reign.predecessor_ended(), "it may still give leases");
+}
+
 /// How long a weak host waits before it claims.
 const WEAK: Duration = Duration::from_millis(300);
 
--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -72,6 +72,8 @@
     YIELDED = 320, Warning, "another host is asked to lead";
     /// The leader asks this host to replace it.
     TAKE_OVER_ASKED = 321, Info, "the leader asks this host to replace it";
+    /// The leader before gives no leases any more.
+    PREDECESSOR_ENDED = 322, Info, "the leader before is known to have ended";
     /// A worker is held.
     WORKER_HELD = 401, Info, "worker held";
     /// Another host holds the worker.
--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -123,9 +123,9 @@
         }
     }
 
-    /// The leader before has ended its reign itself, before this one began.
-    pub fn predecessor_ended(&mut self) {
-        self.predecessor = Duration::ZERO;
+    /// The leader before gives no leases any more, as is known since `now`.
+    pub fn predecessor_ended(&mut self, now: Duration) {
+        self.predecessor = self.predecessor.min(now.saturating_sub(self.reign));
     }
 
     /// Takes a newer configuration.
--- a/components/sched/tests/decisions/main.rs
+++ b/components/sched/tests/decisions/main.rs
@@ -289,7 +289,7 @@
     assert_eq!(old.starts().len(), 1);
 
     let mut new = Cell::after(2, 2, &old.log);
-    new.engine.predecessor_ended();
+    new.engine.predecessor_ended(Duration::ZERO);
     new.engine.list(new.clock(), new.infos.clone());
     new.write();
     new.now = Duration::from_millis(6_200);
