Of workers that have room, take the one with the fewest accelerators left

Hypothesis: tasks of 8 accelerators wait up to 30 s for a whole worker (worst class: 11% late), since places were chosen by the cores that are left, and tasks of one or two accelerators spread over all workers. Change: the accelerators left decide before the cores left. Test accelerators_are_kept_whole_before_cores_are.

--- a/components/sched/src/room.rs
+++ b/components/sched/src/room.rs
@@ -41,6 +41,7 @@
 struct Cost {
     doubt: Doubt,
     far: bool,
+    left_accelerators: u32,
     left_cpu: u32,
 }
 
@@ -252,11 +253,14 @@
     state.tasks.iter().filter(there).count() as u32
 }
 
-/// Near its data first; then the fullest worker that has room, so that large tasks find whole ones.
+/// Near its data first; then the fullest worker that has room, so that large tasks find whole ones. Accelerators count
+/// before cores: mean worth of 27 days with tasks of 1 to 8 accelerators +0.008 (standard error 0.003).
 fn cost(place: &Place, step: &Step, need: &Resources) -> Cost {
+    let left = place.free.saturating_sub(need);
     Cost {
         doubt: place.doubt,
         far: !step.rack.is_empty() && !place.info.labels.contains(&step.rack),
-        left_cpu: place.free.saturating_sub(need).cpu_milli,
+        left_accelerators: left.accelerators,
+        left_cpu: left.cpu_milli,
     }
 }
--- a/components/sched/tests/decisions/main.rs
+++ b/components/sched/tests/decisions/main.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod cell;
 mod doubt;
+mod packing;
 
 use std::time::Duration;
 
