--- a/components/entry/src/reign/commit.rs
+++ b/components/entry/src/reign/commit.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use events::emit;
+use model::Resources;
 use work::{Record, job_name};
 
 use crate::edge::{Commit, Fault, Item, Put, Transaction};
@@ -222,7 +223,10 @@
     let log = &reign.host.log;
     match record {
         Record::Accepted { id, queue, job, .. } => emit!(log, events::JOB_ACCEPTED, "job" => job_name(*id),
-            "queue" => queue, "steps" => job.steps.len(), "revision" => revision, "term" => reign.term),
+            "queue" => queue, "steps" => job.steps.len(),
+            "tasks" => job.steps.iter().map(|step| step.count).sum::<u32>(),
+            "largest" => job.steps.iter().map(|step| step.need).fold(Resources::ZERO, |most, need| most.max(&need)).to_string(),
+            "revision" => revision, "term" => reign.term),
         Record::Ended { id, outcome } => {
             let took = reign.engine.lock().took(*id).unwrap_or_default();
             reign.host.metrics.job_seconds.observe(took.as_secs_f64());
--- a/components/model/src/resources.rs
+++ b/components/model/src/resources.rs
@@ -58,6 +58,15 @@
         }
     }
 
+    /// The larger in each dimension.
+    pub fn max(&self, other: &Resources) -> Resources {
+        Resources {
+            cpu_milli: self.cpu_milli.max(other.cpu_milli),
+            memory_mib: self.memory_mib.max(other.memory_mib),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// The largest share, from 0 to 1, that `self` takes of any dimension of `capacity`.
     ///
     /// A dimension that the capacity lacks counts only when it is asked for, and then as 1.
