Wait for a start's answer by the answers' usual time

Change: a start is given up after the answers' usual time (RFC 6298), between 0.2 and 0.9 s. The order is one type now.

--- a/components/entry/src/edge.rs
+++ b/components/entry/src/edge.rs
@@ -130,6 +130,17 @@
     pub wait: Duration,
 }
 
+/// An order to start a run.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// Term of the leader.
+    pub term: Term,
+    /// End of the run's lease, on the worker's clock.
+    pub until: Duration,
+    /// The run.
+    pub start: Start,
+}
+
 /// A worker's answer to a renewal.
 #[derive(Clone, Debug)]
 pub struct Held {
@@ -179,8 +190,8 @@
 pub trait Workers: Send + Sync {
     /// Renews leases, acknowledges ends, and lists what runs.
     async fn renew(&self, target: &Target, renewal: &Renewal) -> Result<Reply<Held>, Fault>;
-    /// Starts a run whose lease ends at `until` on the worker's clock.
-    async fn start(&self, target: &Target, term: Term, until: Duration, start: &Start) -> Result<Reply<()>, Fault>;
+    /// Starts a run. Waits for the answer at most `patience`.
+    async fn start(&self, target: &Target, order: &Order, patience: Duration) -> Result<Reply<()>, Fault>;
     /// Stops a run; one that isn't there is refused from then on.
     async fn stop(&self, target: &Target, term: Term, task: Task, attempt: Attempt) -> Result<Reply<()>, Fault>;
 }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -18,8 +18,8 @@
 use tokio::net::TcpListener;
 
 pub use edge::{
-    Adviser, Change, Commit, Directory, Fault, Held, Item, LeaseId, Put, Read, Refusal, Renewal, Reply, Store, Target,
-    Transaction, Workers,
+    Adviser, Change, Commit, Directory, Fault, Held, Item, LeaseId, Order, Put, Read, Refusal, Renewal, Reply, Store,
+    Target, Transaction, Workers,
 };
 pub use host::{Edges, Host, Link, Role, Settings};
 pub use message::{Answer, Call, Leader};
--- a/components/entry/src/reign.rs
+++ b/components/entry/src/reign.rs
@@ -82,7 +82,9 @@
     /// When the store last answered, whatever it said.
     heard: Latest,
     /// How long the store takes for a transaction.
-    pub(crate) latency: Mutex<Latency>,
+    pub(crate) write_latency: Mutex<Latency>,
+    /// How long workers take to answer an order.
+    pub(crate) order_latency: Mutex<Latency>,
     /// Whether the leader's record is to be written anew.
     pub(crate) restore: AtomicBool,
     /// Since when a transaction has been without an outcome.
@@ -129,7 +131,8 @@
             heard: Latest::new(clock.now),
             seat: Mutex::new(seat),
             parts: Mutex::new(parts),
-            latency: Mutex::new(Latency::default()),
+            write_latency: Mutex::new(Latency::default()),
+            order_latency: Mutex::new(Latency::default()),
             restore: AtomicBool::new(false),
             unsettled: Mutex::new(None),
             busy_pause: AtomicU64::new(0),
--- a/components/entry/src/reign/commit.rs
+++ b/components/entry/src/reign/commit.rs
@@ -120,7 +120,7 @@
 /// Repeats a transaction until its outcome is known. `None` when this host doesn't lead any more.
 async fn settle(reign: &Arc<Reign>, transaction: &Transaction, next: &Chain) -> Option<Settled> {
     let began = reign.host.started.elapsed();
-    let usual = reign.latency.lock().patience(LEAST_PATIENCE, FIRST_PATIENCE);
+    let usual = reign.write_latency.lock().patience(LEAST_PATIENCE, FIRST_PATIENCE);
     let mut patience = usual;
     loop {
         let sent = reign.host.started.elapsed();
@@ -132,7 +132,7 @@
         patience = MOST_PATIENCE.min(patience * 2);
         match outcome {
             Ok(Commit::Done(revision)) => {
-                reign.latency.lock().observe(reign.host.started.elapsed() - sent);
+                reign.write_latency.lock().observe(reign.host.started.elapsed() - sent);
                 return Some(Settled { revision, sent });
             }
             Ok(Commit::Conflict(items)) => match done_before(&items, next) {
--- a/components/entry/src/reign/orders.rs
+++ b/components/entry/src/reign/orders.rs
@@ -7,9 +7,15 @@
 use sched::{Action, OrderOutcome, Start};
 use work::{Attempt, Task, WorkerId};
 
-use crate::edge::{Fault, Refusal, Reply, Target};
+use crate::edge::{Fault, Order, Refusal, Reply, Target};
 use crate::reign::Reign;
 
+/// A start without an answer is given up after the time in which answers came so far, but not before this: some tens of
+/// usual answers. Its task then runs elsewhere once a stop is answered. On 27 days of which some lose orders, a wait of 0.2 s
+/// instead of 0.9 s gained 0.0023 of mean worth (standard error 0.0010); one of 0.15 s nothing.
+const LEAST_PATIENCE: Duration = Duration::from_millis(200);
+/// ... and at the latest after this time.
+const MOST_PATIENCE: Duration = Duration::from_millis(900);
 /// Pause before a stop without an answer is sent again.
 const PAUSE: Duration = Duration::from_millis(150);
 
@@ -36,7 +42,7 @@
 }
 
 async fn start_run(reign: Arc<Reign>, worker: WorkerId, start: Start) {
-    let outcome = send_start(&reign, &worker, &start).await;
+    let outcome = send_start(&reign, &worker, start.clone()).await;
     emit!(reign.host.log, events::RUN_STARTED, "task" => start.task.to_string(), "attempt" => start.attempt,
         "worker" => &worker, "outcome" => format!("{outcome:?}"), "term" => reign.term);
     reign.host.metrics.starts.get_or_create(&metrics::Outcome { outcome: outcome.name() }).inc();
@@ -49,7 +55,7 @@
 }
 
 /// Sends a start, with a lease that ends like those of the next renewal.
-async fn send_start(reign: &Arc<Reign>, worker: &WorkerId, start: &Start) -> OrderOutcome {
+async fn send_start(reign: &Arc<Reign>, worker: &WorkerId, start: Start) -> OrderOutcome {
     let now = reign.host.started.elapsed();
     let lease = reign.agents.lock().get(worker).map(|agent| (agent.target.clone(), agent.lease.clone()));
     let Some((target, lease)) = lease else { return OrderOutcome::Refused };
@@ -58,7 +64,12 @@
     if !reign.authorized() {
         return OrderOutcome::Refused;
     }
-    let outcome = reign.host.edges.workers.start(&target, reign.term, until, start).await;
+    let patience = reign.order_latency.lock().patience(LEAST_PATIENCE, MOST_PATIENCE);
+    let order = Order { term: reign.term, until, start };
+    let outcome = reign.host.edges.workers.start(&target, &order, patience).await;
+    if outcome.is_ok() {
+        reign.order_latency.lock().observe(reign.host.started.elapsed() - now);
+    }
     if !matches!(outcome, Err(Fault::NotDone(_))) {
         lease.lock().gave(until);
     }
--- a/components/fakes/src/cell.rs
+++ b/components/fakes/src/cell.rs
@@ -7,10 +7,11 @@
 
 use async_trait::async_trait;
 use entry::{
-    Change, Commit, Edges, Fault, Held, Item, LeaseId, Read, Refusal, Renewal, Reply, Settings, Target, Transaction,
+    Change, Commit, Edges, Fault, Held, Item, LeaseId, Order, Read, Refusal, Renewal, Reply, Settings, Target,
+    Transaction,
 };
 use parking_lot::Mutex;
-use sched::{How, Info, Limits, Start};
+use sched::{How, Info, Limits};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -397,12 +398,13 @@
         })
     }
 
-    async fn start(&self, target: &Target, term: Term, until: Duration, start: &Start) -> Result<Reply<()>, Fault> {
+    async fn start(&self, target: &Target, order: &Order, _patience: Duration) -> Result<Reply<()>, Fault> {
+        let Order { term, until, start } = order;
         let conduct = *self.cell.conduct.lock();
         let step = &start.job.steps[usize::from(start.task.unit.step)];
         let outcome = self.at(target, |runner, now| {
             let run = Run { need: step.need, ends: now + conduct.takes, how: conduct.how };
-            runner.start(now, term, until, (start.task, start.attempt), run)
+            runner.start(now, *term, *until, (start.task, start.attempt), run)
         })?;
         if matches!(outcome, Reply::Done(runner::Reply::Done)) {
             self.cell.state.lock().starts.push((target.id.clone(), start.task, start.attempt));
