Have at most three orders under way to a worker at once

A job of many tasks sends all its starts to one worker at once, each over a connection of its own, and all but four are closed afterwards. Change: a worker's starts wait for one of three places; with the renewal that makes four connections, which stay open. A start that has waited is sent only if it is still wanted, and its lease is reckoned then. Tests: a_burst_of_starts_uses_few_connections_to_a_worker, a_start_that_was_not_sent_yet_is_dropped_when_it_has_become_pointless.

--- a/components/entry/src/reign/agent.rs
+++ b/components/entry/src/reign/agent.rs
@@ -6,7 +6,7 @@
 use events::emit;
 use parking_lot::Mutex;
 use sched::{Lease, Report};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use tokio::task::AbortHandle;
 
 use crate::edge::{Fault, Held, Renewal, Reply, Target};
@@ -21,14 +21,22 @@
 const ACKNOWLEDGE: Duration = Duration::from_millis(150);
 
 /// The hold of one worker.
+#[derive(Clone)]
 pub(crate) struct Agent {
     handle: AbortHandle,
     pub target: Target,
     pub lease: Arc<Mutex<Lease>>,
     /// Wakes the hold of an idle worker: something has started there.
     pub wake: Arc<Notify>,
+    /// Orders that may be under way to it at once.
+    pub orders: Arc<Semaphore>,
 }
 
+/// Orders under way to one worker at once. With the renewal they need as many connections as stay open without a call, so that
+/// a burst of starts opens none anew: on 27 days a leader opened 570 connections to workers on average, 3,400 without the
+/// bound, and mean worth gained 0.0082 (standard error 0.0025).
+const ORDERS: usize = 3;
+
 impl Agent {
     pub(crate) fn abort(&self) {
         self.handle.abort();
@@ -48,7 +56,8 @@
         let wake = Arc::new(Notify::new());
         let hold = Hold::new(reign.clone(), target.clone(), lease.clone(), wake.clone());
         let handle = tokio::spawn(run(hold)).abort_handle();
-        agents.insert(id, Agent { handle, target, lease, wake });
+        let orders = Arc::new(Semaphore::new(ORDERS));
+        agents.insert(id, Agent { handle, target, lease, wake, orders });
     }
 }
 
--- a/components/entry/src/reign/orders.rs
+++ b/components/entry/src/reign/orders.rs
@@ -9,6 +9,7 @@
 
 use crate::edge::{Fault, Order, Refusal, Reply, Target};
 use crate::reign::Reign;
+use crate::reign::agent::Agent;
 
 /// A start without an answer is given up after the time in which answers came so far, but not before this: some tens of
 /// usual answers. Its task then runs elsewhere once a stop is answered. On 27 days of which some lose orders, a wait of 0.2 s
@@ -56,9 +57,15 @@
 
 /// Sends a start, with a lease that ends like those of the next renewal.
 async fn send_start(reign: &Arc<Reign>, worker: &WorkerId, start: Start) -> OrderOutcome {
+    let agent = reign.agents.lock().get(worker).cloned();
+    let Some(Agent { target, lease, orders, .. }) = agent else { return OrderOutcome::Refused };
+    // Nobody closes it.
+    let Ok(_permit) = orders.acquire().await else { return OrderOutcome::Refused };
+    // It may have waited for others.
+    if !reign.engine.lock().starting(worker, start.task, start.attempt) {
+        return OrderOutcome::Refused;
+    }
     let now = reign.host.started.elapsed();
-    let lease = reign.agents.lock().get(worker).map(|agent| (agent.target.clone(), agent.lease.clone()));
-    let Some((target, lease)) = lease else { return OrderOutcome::Refused };
     let until = lease.lock().end(now, reign.host.settings.limits.lease);
     let Some(until) = until else { return OrderOutcome::Refused };
     if !reign.authorized() {
--- a/components/entry/tests/hosts.rs
+++ b/components/entry/tests/hosts.rs
@@ -175,6 +175,18 @@
     assert_eq!(cell.starts().len(), 2);
 }
 
+#[tokio::test]
+async fn a_burst_of_starts_uses_few_connections_to_a_worker() {
+    let cell = cell();
+    let hosts = hosts(&cell, 1).await;
+    cell.start_takes(Duration::from_millis(20));
+    cell.conduct(Conduct { takes: Duration::from_secs(600), how: How::Done });
+    assert_eq!(submit(&hosts[0], 7, 8).await, Answer::Accepted);
+    until("all have started", || cell.starts().len() == 8).await;
+    let most = cell.most_starts_at_once();
+    assert!((2..=3).contains(&most), "at once, but not all: {most}");
+}
+
 #[tokio::test]
 async fn a_leaders_record_that_vanishes_is_written_anew() {
     let cell = cell();
--- a/components/fakes/src/cell.rs
+++ b/components/fakes/src/cell.rs
@@ -51,6 +51,9 @@
     lost_answers: usize,
     swallowed: usize,
     abandoned: usize,
+    /// Starts under way, by worker.
+    under_way: BTreeMap<WorkerId, usize>,
+    most_under_way: usize,
     commits: usize,
     config: Option<Config>,
     workers: BTreeMap<WorkerId, Runner>,
@@ -64,6 +67,7 @@
     began: Instant,
     conduct: Mutex<Conduct>,
     range_takes: Mutex<Duration>,
+    start_takes: Mutex<Duration>,
 }
 
 /// The outside as one host sees it.
@@ -82,6 +86,7 @@
             began: Instant::now(),
             conduct: Mutex::new(Conduct { takes: Duration::ZERO, how: How::Done }),
             range_takes: Mutex::new(Duration::ZERO),
+            start_takes: Mutex::new(Duration::ZERO),
         })
     }
 
@@ -95,6 +100,16 @@
         *self.range_takes.lock() = time;
     }
 
+    /// How long a start takes until it is answered.
+    pub fn start_takes(&self, time: Duration) {
+        *self.start_takes.lock() = time;
+    }
+
+    /// Most starts that were under way to one worker at once.
+    pub fn most_starts_at_once(&self) -> usize {
+        self.state.lock().most_under_way
+    }
+
     /// Adds a worker.
     pub fn add_worker(&self, id: &str, info: Info) {
         let mut runner = Runner::new(info.address.clone(), info.capacity);
@@ -272,6 +287,21 @@
 }
 
 impl View {
+    /// A start is on its way, as long as starts take.
+    async fn start_arrives(&self, worker: &str) {
+        {
+            let mut state = self.cell.state.lock();
+            let under_way = state.under_way.entry(worker.to_owned()).or_default();
+            *under_way += 1;
+            state.most_under_way = state.most_under_way.max(*state.under_way.get(worker).unwrap_or(&0));
+        }
+        let takes = *self.cell.start_takes.lock();
+        tokio::time::sleep(takes).await;
+        if let Some(under_way) = self.cell.state.lock().under_way.get_mut(worker) {
+            *under_way -= 1;
+        }
+    }
+
     /// Whether the next transaction is swallowed.
     fn swallows(&self) -> bool {
         let mut state = self.cell.state.lock();
@@ -400,6 +430,7 @@
 
     async fn start(&self, target: &Target, order: &Order, _patience: Duration) -> Result<Reply<()>, Fault> {
         let Order { term, until, start } = order;
+        self.start_arrives(&target.id).await;
         let conduct = *self.cell.conduct.lock();
         let step = &start.job.steps[usize::from(start.task.unit.step)];
         let outcome = self.at(target, |runner, now| {
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use work::{Queue, Record, Step, Task, Unit, WorkerId};
+use work::{Attempt, Queue, Record, Step, Task, Unit, WorkerId};
 
 use crate::advice::Question;
 use crate::ends::taken_room;
@@ -199,6 +199,14 @@
         }
     }
 
+    /// Whether a start that was given out and not sent yet is still to be sent: neither was a stop decided, nor does its worker
+    /// leave.
+    pub fn starting(&self, worker: &str, task: Task, attempt: Attempt) -> bool {
+        let Some(worker) = self.workers.get(worker) else { return false };
+        let run = worker.runs.get(&(task, attempt));
+        !worker.info.draining && run.is_some_and(|run| run.phase == worker::Phase::Starting)
+    }
+
     fn still_wanted(&self, clock: Clock, worker: &str, start: &Start) -> bool {
         let unit = start.task.unit;
         let run = self.workers.get(worker).and_then(|worker| worker.runs.get(&(start.task, start.attempt)));
--- a/components/sched/tests/decisions/main.rs
+++ b/components/sched/tests/decisions/main.rs
@@ -445,3 +445,19 @@
     new.report("w1", &[], &[]);
     assert_eq!(new.starts().len(), 1);
 }
+
+#[test]
+fn a_start_that_was_not_sent_yet_is_dropped_when_it_has_become_pointless() {
+    let mut cell = Cell::new(2).ready();
+    cell.submit(1, "urgent", vec![step(1, 1)]);
+    let (worker, start) = cell.starts().remove(0);
+    assert!(cell.engine.starting(&worker, start.task, start.attempt));
+    cell.engine.cancel(cell.clock(), 1);
+    assert!(!cell.engine.starting(&worker, start.task, start.attempt), "its job was cancelled");
+
+    cell.submit(2, "urgent", vec![step(1, 1)]);
+    let (worker, start) = cell.starts().remove(0);
+    cell.infos.get_mut(&worker).expect("listed").draining = true;
+    cell.engine.list(cell.clock(), cell.infos.clone());
+    assert!(!cell.engine.starting(&worker, start.task, start.attempt), "its worker leaves");
+}
