End a worker's trial that nobody takes

Cause: a worker that failed three times in a row gets one single task until one is done there, and none of a gang. Once only gangs wait, none is ever done, and a gang that needs that worker waits for ever. Found by the model with large tasks: two gangs of three on three workers that may run them, one of these on trial, 240 s long. Change: a trial ends after 10 s. The worker is still taken last, and its next failure counts as the fourth.

--- a/components/sched/src/worker.rs
+++ b/components/sched/src/worker.rs
@@ -15,6 +15,9 @@
 const MOST_DOUBLINGS: u32 = 3;
 /// Failures in a row, of any tasks, after which a worker is avoided.
 pub(crate) const FAILURES_IN_A_ROW: u32 = 3;
+/// After its pause a worker is on trial for so long, unless a task is done there. Without an end to it a gang that needs every
+/// worker waited for ever, once all single tasks were done.
+const TRIAL: Duration = Duration::from_secs(10);
 /// The progress of a run rises at least this often: a hundredth of the longest ones, of 16 s, takes 0.16 s, and reports come
 /// every 0.4 s.
 const STANDSTILL: Duration = Duration::from_millis(1200);
@@ -211,7 +214,7 @@
     pub(crate) fn doubt(&self, now: Duration) -> Doubt {
         if self.avoid_until > now {
             Doubt::Avoided
-        } else if self.failures >= FAILURES_IN_A_ROW {
+        } else if self.failures >= FAILURES_IN_A_ROW && now < self.avoid_until + TRIAL {
             Doubt::Trial
         } else if self.failures > 0 || self.stands_still(now) {
             Doubt::Some
--- a/components/sched/tests/decisions/doubt.rs
+++ b/components/sched/tests/decisions/doubt.rs
@@ -71,6 +71,26 @@
     assert_eq!(cell.starts().len(), 4, "it is sound again: the other three and the gang");
 }
 
+#[test]
+fn a_gang_waits_for_a_worker_on_trial_only_for_a_while() {
+    let mut cell = Cell::new(1).ready();
+    for job in 1..=3 {
+        cell.submit(job, "urgent", vec![step(1, 1)]);
+        let (worker, start) = cell.starts().remove(0);
+        cell.started(&worker, &start);
+        cell.end(&worker, &start, How::Failed);
+        cell.engine.cancel(cell.clock(), job);
+        cell.write();
+    }
+    cell.submit(4, "urgent", vec![Step { gang: true, ..step(2, 1) }]);
+    cell.now += Duration::from_secs(5);
+    cell.report("w0", &[], &[]);
+    assert!(cell.starts().is_empty(), "a single task might show first that the worker is sound");
+    cell.now += Duration::from_secs(10);
+    cell.report("w0", &[], &[]);
+    assert_eq!(cell.starts().len(), 2, "none has come, and there is no other worker");
+}
+
 #[test]
 fn a_worker_on_which_nothing_moves_is_taken_last() {
     let mut cell = Cell::new(2).ready();
