Make room for large urgent tasks by stopping less urgent ones that save

Hypothesis: the worst class (tasks of 2 to 8 accelerators) waits for whole workers: of tasks of 8 accelerators half took over 9 s, since on each of the three workers in ten that may run one there was always some task of one accelerator. Change: for a task that takes over half of a worker, fits nowhere and can still be in time, runs of less urgent queues that go on from a checkpoint are stopped on the worker where that costs least, and their room is kept for it.

--- a/components/sched/src/entry.rs
+++ b/components/sched/src/entry.rs
@@ -8,6 +8,7 @@
 use work::{Attempt, Job, Outcome, QueueName, Step, Task, Unit, WorkerId};
 
 use crate::advice::Known;
+use crate::preempt::Claim;
 
 /// Where a task stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -58,6 +59,8 @@
     pub saved: String,
     /// Who may run it.
     pub known: Known,
+    /// Room that is being made for it.
+    pub claims: Vec<Claim>,
 }
 
 impl UnitState {
@@ -73,6 +76,7 @@
             starts: 0,
             saved: String::new(),
             known: Known::default(),
+            claims: Vec::new(),
         }
     }
 
--- a/components/sched/src/lib.rs
+++ b/components/sched/src/lib.rs
@@ -15,6 +15,7 @@
 mod limits;
 mod order;
 mod place;
+mod preempt;
 mod rank;
 mod restore;
 mod room;
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -8,6 +8,7 @@
 use crate::ends::taken_room;
 use crate::engine::{Action, Clock, Engine, Start};
 use crate::entry::{Phase, UnitState};
+use crate::rank::Candidate;
 use crate::room::{Choice, Room};
 use crate::worker::{self, Contact, Run, Worker};
 
@@ -33,7 +34,7 @@
         }
         let mut room = self.fresh_room(clock);
         for candidate in candidates {
-            self.serve(clock, candidate.unit, &mut room);
+            self.serve(clock, &candidate, &mut room);
         }
         self.room = room;
     }
@@ -91,7 +92,8 @@
     }
 
     /// Starts what can be started of a unit, and asks about the rest.
-    fn serve(&mut self, clock: Clock, unit: Unit, room: &mut Room) {
+    fn serve(&mut self, clock: Clock, candidate: &Candidate, room: &mut Room) {
+        let unit = candidate.unit;
         let Some(entry) = self.jobs.get(&unit.job) else { return };
         let job = entry.job.clone();
         let Some(step) = job.steps.get(usize::from(unit.step)) else { return };
@@ -113,6 +115,18 @@
         if kept || self.unit(unit).is_some_and(|state| state.known.asked.is_empty()) {
             self.ask(clock, unit, &queue, room);
         }
+        if kept && candidate.on_time() {
+            self.make_room(clock, unit, step, &queue, room);
+        }
+        self.keep_claims(clock, unit, step, room);
+    }
+
+    /// Keeps the room that is being made for a unit from those that come later in this pass.
+    fn keep_claims(&mut self, clock: Clock, unit: Unit, step: &Step, room: &mut Room) {
+        let Some(state) = self.unit_mut(unit) else { return };
+        state.claims.retain(|claim| claim.until > clock.now);
+        let need = taken_room(step);
+        state.claims.iter().for_each(|claim| room.keep(&claim.worker, &need));
     }
 
     /// Puts the next question for a unit whose tasks wait, where its queue has an adviser.
@@ -159,6 +173,7 @@
             }
             if let Some(state) = self.unit_mut(unit) {
                 state.set(index, Phase::Held(worker.clone(), order.attempt));
+                state.claims.retain(|claim| claim.worker != worker);
             }
             let record = Record::Placed { task, attempt: order.attempt, worker: worker.clone() };
             let position = self.record(record);
--- /dev/null
+++ b/components/sched/src/preempt.rs
@@ -0,0 +1,108 @@
+//! Makes room for a large urgent task that fits nowhere, by stopping less urgent ones that go on from a checkpoint.
+//!
+//! A task that needs all accelerators of a worker, and may run on three workers of ten, waited up to 30 s: one of these always
+//! had a small task. On 27 days 177 of 2,281 jobs with such tasks were late instead of 261, mean worth gained 0.0043 (standard
+//! error 0.0032), and 50 core-seconds more a day were thrown away. Room made for small tasks, too, made 36 patient jobs late and
+//! gained 0.0020 (0.0029).
+
+use std::time::Duration;
+
+use model::Resources;
+use work::{Attempt, Queue, Step, Task, Unit, WorkerId};
+
+use crate::ends::taken_room;
+use crate::engine::{Clock, Engine};
+use crate::room::Room;
+use crate::worker::{Doubt, Phase, Run, Worker};
+
+/// Room that was made is kept this long: a stop takes up to 0.4 s, and its end is reported at once.
+const KEPT: Duration = Duration::from_millis(1500);
+/// An accelerator counts as so many cores in what a stop costs: the users' price.
+const CORES_AN_ACCELERATOR: u64 = 8;
+
+/// A task that takes more than this share of a worker in any dimension is large: room for smaller ones comes by itself.
+const LARGE: f64 = 0.5;
+
+/// Room on a worker that is being made for a task of a unit.
+#[derive(Clone, Debug)]
+pub(crate) struct Claim {
+    pub worker: WorkerId,
+    /// Until when it is kept.
+    pub until: Duration,
+}
+
+/// Runs on one worker whose stop makes room.
+struct Victims {
+    worker: WorkerId,
+    runs: Vec<(Task, Attempt)>,
+    /// What they take, in thousandths of a core.
+    weight: u64,
+}
+
+impl Engine {
+    /// Makes room for one waiting task of a unit, unless room is being made for all of them.
+    pub(crate) fn make_room(&mut self, clock: Clock, unit: Unit, step: &Step, queue: &Queue, room: &Room) {
+        if step.gang || step.lasting {
+            return;
+        }
+        let Some(state) = self.unit(unit) else { return };
+        if state.claims.len() >= state.pending {
+            return;
+        }
+        let need = taken_room(step);
+        let places = room.may_run(clock.now, state, step, queue);
+        let places = places.filter(|place| place.doubt == Doubt::None && place.tasks(state, step) == 0);
+        let places = places.filter(|place| need.dominant_share(&place.info.capacity) > LARGE);
+        let places = places.filter(|place| state.claims.iter().all(|claim| claim.worker != place.id));
+        let found = places.filter_map(|place| self.victims(&place.id, &need, queue.priority));
+        let Some(victims) = found.min_by_key(|victims| victims.weight) else { return };
+        for (task, attempt) in victims.runs {
+            self.stop_run(&victims.worker, task, attempt);
+        }
+        let claim = Claim { worker: victims.worker, until: clock.now + KEPT };
+        if let Some(state) = self.unit_mut(unit) {
+            state.claims.push(claim);
+        }
+    }
+
+    /// The runs on a worker that are to be stopped for a task of this need; `None` where that isn't enough.
+    fn victims(&self, worker: &str, need: &Resources, priority: u32) -> Option<Victims> {
+        let (id, worker) = self.workers.get_key_value(worker)?;
+        let mut runs = self.stoppable(worker, priority);
+        runs.sort_by_key(|(_, need)| std::cmp::Reverse(weight(need)));
+        let mut victims = Victims { worker: id.clone(), runs: Vec::new(), weight: 0 };
+        let mut free = worker.free;
+        for (run, freed) in runs {
+            if need.fits_in(&free) {
+                break;
+            }
+            free = free.checked_add(&freed)?;
+            victims.runs.push(run);
+            victims.weight += weight(&freed);
+        }
+        (need.fits_in(&free) && !victims.runs.is_empty()).then_some(victims)
+    }
+
+    /// Runs of less urgent queues that lose little when they are stopped.
+    fn stoppable(&self, worker: &Worker, priority: u32) -> Vec<((Task, Attempt), Resources)> {
+        let less_urgent = |task: &Task| {
+            let entry = self.jobs.get(&task.unit.job);
+            let queue = entry.and_then(|entry| self.queues.get(&entry.queue));
+            queue.is_some_and(|queue| queue.priority > priority)
+        };
+        let saves = |task: &Task| {
+            let step = self.step(*task);
+            step.is_some_and(|step| step.checkpoints && !step.lasting && !step.gang)
+        };
+        let runs = worker.runs.iter();
+        let stoppable = |(key, run): &(&(Task, Attempt), &Run)| {
+            matches!(run.phase, Phase::Running(_)) && less_urgent(&key.0) && saves(&key.0)
+        };
+        runs.filter(stoppable).map(|(key, run)| (*key, run.need)).collect()
+    }
+}
+
+/// What a run of this need costs, in thousandths of a core.
+fn weight(need: &Resources) -> u64 {
+    u64::from(need.cpu_milli) + u64::from(need.accelerators) * CORES_AN_ACCELERATOR * 1000
+}
--- a/components/sched/src/rank.rs
+++ b/components/sched/src/rank.rs
@@ -28,6 +28,13 @@
     key: (Tier, u32, Duration),
 }
 
+impl Candidate {
+    /// Whether its job can meet its objective.
+    pub(crate) fn on_time(&self) -> bool {
+        self.key.0 == Tier::OnTime
+    }
+}
+
 impl Engine {
     /// Units that could start tasks, the most urgent first.
     pub(crate) fn candidates(&self, clock: Clock) -> Vec<Candidate> {
--- a/components/sched/tests/decisions/main.rs
+++ b/components/sched/tests/decisions/main.rs
@@ -4,6 +4,7 @@
 mod cell;
 mod doubt;
 mod packing;
+mod preempt;
 
 use std::time::Duration;
 
