Probe connections each second, so that silent ones go away

Cause: connections may go silent for good without a reset, while new ones work. Calls have time-outs, and one that was lost isn't reused, but each idle connection of the pool cost a call of its own. Change: connections of the clients (store, workers, adviser) are probed each second and closed after two probes without an answer. Links between hosts are watched by signs of life (0.9 s) and callers' connections by the time for a request's head (10 s), as before.

--- a/components/web/src/client.rs
+++ b/components/web/src/client.rs
@@ -15,6 +15,11 @@
 
 /// A connection without a call for so long is closed.
 const IDLE: Duration = Duration::from_secs(30);
+/// A connection without traffic is probed this often. One that went silent without a reset shows in no other way until a call
+/// is lost on it, and a call is lost on each.
+const PROBE: Duration = Duration::from_secs(1);
+/// Probes without an answer after which a connection is closed: a silent one is gone after 3 s.
+const PROBES: u32 = 2;
 /// Most connections to one address that stay open without a call. Fewer cost a new connection for each burst of starts, more
 /// cost memory and descriptors: with none closed, a leader of 3,000 workers had 7,200 of its 8,192 in use.
 const IDLE_CONNECTIONS: usize = 4;
@@ -56,6 +61,9 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(timeout));
         connector.set_nodelay(true);
+        connector.set_keepalive(Some(PROBE));
+        connector.set_keepalive_interval(Some(PROBE));
+        connector.set_keepalive_retries(Some(PROBES));
         let pool = Pool::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE)
