walkhook account: late jobs of each queue by what their time went on

Where worth is lost was to be told by hand from logs. The end of a job now logs its queue and objective; the command joins the logs of all hosts and counts late jobs by cause: waiting for a first start, orders without an answer, failed runs, runs that were interrupted, long runs. Test late_jobs_are_counted_by_what_their_time_went_on.

--- a/bins/walkhook/src/main.rs
+++ b/bins/walkhook/src/main.rs
@@ -1,5 +1,6 @@
 //! The operators' command line client.
 
+mod account;
 mod cli;
 mod client;
 mod job;
@@ -49,6 +50,10 @@
         log::run(&id, &files, cli.output)?;
         return Ok(Status::Done);
     }
+    if let Some(files) = account::command(&cli.statement)? {
+        account::run(&files, cli.output)?;
+        return Ok(Status::Done);
+    }
     if let Some(command) = job::command(&cli.statement)? {
         return job::run(cli, command).await;
     }
--- /dev/null
+++ b/bins/walkhook/tests/account.rs
@@ -0,0 +1,70 @@
+//! What the time of late jobs went on, from logs.
+
+use std::process::Command;
+
+/// A line of a log at this second of a day.
+fn line(second: f64, event: u64, fields: &str) -> String {
+    format!(
+        r#"{{"ts":"2026-01-01T00:00:{second:06.3}Z","host":"h","msg":"m","level":"INFO","event":{event},{fields}}}"#
+    )
+}
+
+fn ended(second: f64, job: &str, took_ms: u64) -> String {
+    let fields = r#""outcome":"Completed","queue":"checks","objective_ms":1000"#;
+    line(second, 612, &format!(r#""job":"{job}","took_ms":{took_ms},{fields}"#))
+}
+
+fn ordered(second: f64, task: &str, outcome: &str) -> String {
+    line(second, 613, &format!(r#""task":"{task}","outcome":"{outcome}""#))
+}
+
+fn run_ended(second: f64, task: &str, how: &str) -> String {
+    line(second, 615, &format!(r#""task":"{task}","how":"{how}""#))
+}
+
+#[test]
+fn late_jobs_are_counted_by_what_their_time_went_on() {
+    let lines = [
+        "not a line of ours".to_owned(),
+        // In time.
+        ordered(1.0, "a1.0.0.0", "Started"),
+        run_ended(1.8, "a1.0.0.0", "Done"),
+        ended(1.8, "a1", 900),
+        // Waited for its first start.
+        ordered(4.0, "a2.0.0.0", "Started"),
+        run_ended(4.5, "a2.0.0.0", "Done"),
+        ended(4.5, "a2", 2500),
+        // An order without an answer.
+        ordered(5.0, "a3.0.0.0", "Unknown"),
+        ordered(6.5, "a3.0.0.0", "Started"),
+        run_ended(7.0, "a3.0.0.0", "Done"),
+        ended(7.0, "a3", 2050),
+        // A run that failed.
+        ordered(8.0, "a4.0.0.0", "Started"),
+        run_ended(8.9, "a4.0.0.0", "Failed"),
+        ordered(9.0, "a4.0.0.0", "Started"),
+        run_ended(9.5, "a4.0.0.0", "Done"),
+        ended(9.5, "a4", 1550),
+        // Its runs took long.
+        ordered(10.0, "a5.0.0.0", "Started"),
+        run_ended(12.0, "a5.0.0.0", "Done"),
+        ended(12.0, "a5", 2050),
+        line(13.0, 611, r#""job":"a6""#),
+    ];
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("host.log");
+    std::fs::write(&path, lines.join("\n")).expect("written");
+    let output = Command::new(env!("CARGO_BIN_EXE_walkhook"))
+        .args(["--output", "json", "account"])
+        .arg(&path)
+        .output()
+        .expect("it runs");
+    let rows: serde_json::Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    let checks = &rows[1];
+    assert_eq!(rows[0]["refusals"], 1, "{rows}");
+    for (column, count) in
+        [("completed", 5), ("late", 4), ("waiting", 1), ("lost_order", 1), ("failed_run", 1), ("running", 1)]
+    {
+        assert_eq!(checks[column], count, "{column}: {rows}");
+    }
+}
--- a/components/entry/src/reign/commit.rs
+++ b/components/entry/src/reign/commit.rs
@@ -258,10 +258,12 @@
             "largest" => job.steps.iter().map(|step| step.need).fold(Resources::ZERO, |most, need| most.max(&need)).to_string(),
             "revision" => revision, "term" => reign.term),
         Record::Ended { id, outcome } => {
-            let took = reign.engine.lock().took(*id).unwrap_or_default();
+            let summary = reign.engine.lock().summary(*id).unwrap_or_default();
+            let took = summary.took;
             reign.host.metrics.job_seconds.observe(took.as_secs_f64());
             emit!(log, events::JOB_ENDED, "job" => job_name(*id), "outcome" => format!("{outcome:?}"),
-                "took_ms" => took.as_millis() as u64, "revision" => revision, "term" => reign.term);
+                "queue" => summary.queue, "took_ms" => took.as_millis() as u64,
+                "objective_ms" => summary.objective.as_millis() as u64, "revision" => revision, "term" => reign.term);
         }
         Record::Worker { id, address } => emit!(log, events::WORKER_RECORDED, "worker" => id, "address" => address),
         Record::Gone { id } => emit!(log, events::WORKER_GONE, "worker" => id),
--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -9,6 +9,7 @@
 use crate::advice::{Question, Shares};
 use crate::entry::{Accepted, Ended, Entry, Phase, UnitState};
 use crate::limits::{AUTHORITY, Limits};
+use crate::rank::objective;
 use crate::room::Room;
 use crate::worker::{Contact, Info, Worker};
 
@@ -49,6 +50,17 @@
     Forget(WorkerId),
 }
 
+/// A job that has ended.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Summary {
+    /// Its queue.
+    pub queue: QueueName,
+    /// From its acceptance to its end.
+    pub took: Duration,
+    /// How long it should take at most, by its caller's estimates.
+    pub objective: Duration,
+}
+
 /// Renewals of idle workers in a second, all together: at 0.15 to 0.25 ms each, a fifth of half a core.
 const IDLE_RENEWALS_A_SECOND: f64 = 500.0;
 /// Renewals of busy workers in a second, all together, besides those that an end brings about: at the same cost, two fifths
@@ -399,10 +411,15 @@
         self.jobs.retain(|_, entry| entry.outcome.is_none_or(|ended| now.saturating_sub(ended.at) < keep));
     }
 
-    /// How long a job took from its acceptance to its end, once it has ended.
-    pub fn took(&self, id: JobId) -> Option<Duration> {
+    /// What is to be said of a job that has ended.
+    pub fn summary(&self, id: JobId) -> Option<Summary> {
         let entry = self.jobs.get(&id)?;
-        entry.outcome.map(|ended| ended.at.saturating_sub(entry.accepted.now))
+        let ended = entry.outcome?;
+        Some(Summary {
+            queue: entry.queue.clone(),
+            took: ended.at.saturating_sub(entry.accepted.now),
+            objective: self.queues.get(&entry.queue).map_or(Duration::ZERO, |queue| objective(&entry.job, queue)),
+        })
     }
 
     /// Numbers of jobs that haven't ended, and of workers that are held.
--- a/components/sched/src/lib.rs
+++ b/components/sched/src/lib.rs
@@ -22,7 +22,7 @@
 mod worker;
 
 pub use advice::{Question, Ticket};
-pub use engine::{Action, Clock, Engine, Start};
+pub use engine::{Action, Clock, Engine, Start, Summary};
 pub use explain::{Explanation, StepExplanation};
 pub use latency::Latency;
 pub use lease::Lease;
--- a/components/sched/src/rank.rs
+++ b/components/sched/src/rank.rs
@@ -59,8 +59,7 @@
             Some(_) => clock.now.saturating_sub(clock.wall.saturating_sub(entry.job.due(round))),
             None => entry.accepted.now,
         };
-        let chain = chain(&entry.job);
-        let objective = stretched(chain, queue.stretch) + queue.objective;
+        let objective = objective(&entry.job, queue);
         let waited = clock.now.saturating_sub(begun);
         let tier = if waited + remaining(entry, round) <= objective {
             Tier::OnTime
@@ -73,6 +72,11 @@
     }
 }
 
+/// How long a job of a queue should take at most.
+pub(crate) fn objective(job: &Job, queue: &Queue) -> Duration {
+    stretched(chain(job), queue.stretch) + queue.objective
+}
+
 /// A time by a factor of the configuration; a factor that makes no sense counts as 1.
 fn stretched(time: Duration, factor: f64) -> Duration {
     Duration::try_from_secs_f64(time.as_secs_f64() * factor).unwrap_or(time)
