Learn of answers that have become slow

While the store takes 240 ms, a write was repeated after 80 ms, its repetition found it done, and nothing was learnt of the time; so each write took 380 ms. A start's answers were learnt of in the same way only when they came in time. Ruled out: shorter leases (none ran out there). Change: a write that an earlier try has done counts with its whole time; a start without an answer doubles the next wait, up to the bound, until one is answered. Tests writes_to_a_store_that_has_become_slow_are_not_repeated_for_long, answers_that_become_slow_are_learnt_of.

--- a/components/entry/src/reign/commit.rs
+++ b/components/entry/src/reign/commit.rs
@@ -136,7 +136,11 @@
                 return Some(Settled { revision, sent });
             }
             Ok(Commit::Conflict(items)) => match done_before(&items, next) {
-                Some(revision) => return Some(Settled { revision, sent }),
+                Some(revision) => {
+                    // An earlier try was only slow: its own time isn't known, but that it took longer than was waited.
+                    reign.write_latency.lock().observe(reign.host.started.elapsed() - began);
+                    return Some(Settled { revision, sent });
+                }
                 None => {
                     reign.depose("the counter of terms was changed by another host");
                     reign.host.left(reign.term);
--- a/components/entry/src/reign/orders.rs
+++ b/components/entry/src/reign/orders.rs
@@ -74,8 +74,10 @@
     let patience = reign.order_latency.lock().patience(LEAST_PATIENCE, MOST_PATIENCE);
     let order = Order { term: reign.term, until, start };
     let outcome = reign.host.edges.workers.start(&target, &order, patience).await;
-    if outcome.is_ok() {
-        reign.order_latency.lock().observe(reign.host.started.elapsed() - now);
+    match &outcome {
+        Ok(_) => reign.order_latency.lock().observe(reign.host.started.elapsed() - now),
+        Err(Fault::Unknown(_)) => reign.order_latency.lock().miss(),
+        Err(Fault::NotDone(_) | Fault::Malformed(_)) => {}
     }
     if !matches!(outcome, Err(Fault::NotDone(_))) {
         lease.lock().gave(until);
--- a/components/entry/tests/hosts.rs
+++ b/components/entry/tests/hosts.rs
@@ -175,6 +175,25 @@
     assert_eq!(cell.starts().len(), 2);
 }
 
+#[tokio::test]
+async fn writes_to_a_store_that_has_become_slow_are_not_repeated_for_long() {
+    let cell = cell();
+    let hosts = hosts(&cell, 1).await;
+    for id in 0..10 {
+        assert_eq!(submit(&hosts[0], id, 1).await, Answer::Accepted);
+    }
+    cell.commit_takes(Duration::from_millis(150));
+    for id in 10..14 {
+        assert_eq!(submit(&hosts[0], id, 1).await, Answer::Accepted);
+    }
+    let (sent, done) = (cell.commits_sent(), cell.commits());
+    for id in 14..20 {
+        assert_eq!(submit(&hosts[0], id, 1).await, Answer::Accepted);
+    }
+    let (sent, done) = (cell.commits_sent() - sent, cell.commits() - done);
+    assert!(sent < 2 * done, "{sent} were sent for {done}");
+}
+
 #[tokio::test]
 async fn a_burst_of_starts_uses_few_connections_to_a_worker() {
     let cell = cell();
--- a/components/fakes/src/cell.rs
+++ b/components/fakes/src/cell.rs
@@ -55,6 +55,7 @@
     under_way: BTreeMap<WorkerId, usize>,
     most_under_way: usize,
     commits: usize,
+    commits_sent: usize,
     config: Option<Config>,
     workers: BTreeMap<WorkerId, Runner>,
     starts: Vec<(WorkerId, Task, Attempt)>,
@@ -68,6 +69,7 @@
     conduct: Mutex<Conduct>,
     range_takes: Mutex<Duration>,
     start_takes: Mutex<Duration>,
+    commit_takes: Mutex<Duration>,
 }
 
 /// The outside as one host sees it.
@@ -87,6 +89,7 @@
             conduct: Mutex::new(Conduct { takes: Duration::ZERO, how: How::Done }),
             range_takes: Mutex::new(Duration::ZERO),
             start_takes: Mutex::new(Duration::ZERO),
+            commit_takes: Mutex::new(Duration::ZERO),
         })
     }
 
@@ -105,6 +108,16 @@
         *self.start_takes.lock() = time;
     }
 
+    /// How long a transaction takes until it is answered; it is done at once.
+    pub fn commit_takes(&self, time: Duration) {
+        *self.commit_takes.lock() = time;
+    }
+
+    /// Transactions that were sent.
+    pub fn commits_sent(&self) -> usize {
+        self.state.lock().commits_sent
+    }
+
     /// Most starts that were under way to one worker at once.
     pub fn most_starts_at_once(&self) -> usize {
         self.state.lock().most_under_way
@@ -337,14 +350,18 @@
             std::mem::forget(waiting);
             return Err(Fault::Unknown("swallowed".to_owned()));
         }
-        self.store(|state| {
+        let committed = self.store(|state| {
+            state.commits_sent += 1;
             let commit = self.cell.carry_out(state, transaction);
             if state.lost_answers > 0 {
                 state.lost_answers -= 1;
                 return Err(Fault::Unknown("the answer is lost".to_owned()));
             }
             Ok(commit)
-        })?
+        })?;
+        let takes = *self.cell.commit_takes.lock();
+        tokio::time::sleep(takes.min(patience)).await;
+        if takes > patience { Err(Fault::Unknown("too slow".to_owned())) } else { committed }
     }
 
     async fn lease(&self, ttl: Duration) -> Result<LeaseId, Fault> {
--- a/components/sched/src/latency.rs
+++ b/components/sched/src/latency.rs
@@ -13,6 +13,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Latency {
     known: Option<Smoothed>,
+    /// Calls without an answer since the last one that was answered.
+    missed: u32,
 }
 
 /// Both in seconds.
@@ -25,6 +27,7 @@
 impl Latency {
     /// Takes in how long an answer took.
     pub fn observe(&mut self, took: Duration) {
+        self.missed = 0;
         let took = took.as_secs_f64();
         self.known = Some(match self.known {
             None => Smoothed { time: took, deviation: took / 2.0 },
@@ -35,9 +38,16 @@
         });
     }
 
+    /// A call had no answer in time: the next one is waited for twice as long, or answers that have become slow would never be
+    /// learnt of.
+    pub fn miss(&mut self) {
+        self.missed += 1;
+    }
+
     /// How long to wait for the next answer, within these bounds; the longest while nothing is known.
     pub fn patience(&self, least: Duration, most: Duration) -> Duration {
         let Some(Smoothed { time, deviation }) = self.known else { return most };
-        Duration::from_secs_f64(time + DEVIATIONS * deviation).clamp(least, most)
+        let usual = Duration::from_secs_f64(time + DEVIATIONS * deviation).clamp(least, most);
+        usual.saturating_mul(2u32.saturating_pow(self.missed)).min(most)
     }
 }
--- a/components/sched/tests/latency.rs
+++ b/components/sched/tests/latency.rs
@@ -35,3 +35,15 @@
     let steady = after(&[200; 40]);
     assert!(steady > Duration::from_millis(199) && steady < Duration::from_millis(220), "{steady:?}");
 }
+
+#[test]
+fn answers_that_become_slow_are_learnt_of() {
+    let mut latency = Latency::default();
+    (0..20).for_each(|_| latency.observe(Duration::from_millis(5)));
+    latency.miss();
+    assert_eq!(latency.patience(LEAST, MOST), 2 * LEAST);
+    (0..9).for_each(|_| latency.miss());
+    assert_eq!(latency.patience(LEAST, MOST), MOST);
+    latency.observe(Duration::from_millis(5));
+    assert_eq!(latency.patience(LEAST, MOST), LEAST, "a single one was lost");
+}
