Don't deny a claim that the store shows before it has answered

A follower saw the claim in the store 3 ms before the claimer had its answer, was told that it doesn't lead, and claimed over it; then no follower was left to tell the leader that the store turned away of its successor. Change: a host that is named as leader by its present life waits for the answer of a claim that is under way.

--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -13,6 +13,8 @@
 
 /// After a failed accept (no file descriptors left, say) the loop pauses instead of spinning.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Whether a claim was answered is looked at this often.
+const CLAIM_PAUSE: Duration = Duration::from_millis(5);
 /// How long a host may take over a pushed configuration.
 const PUSH: Duration = Duration::from_millis(800);
 
@@ -57,6 +59,7 @@
     match call {
         Call::Hello { host: name, address, idle, leader, claim_delay } => {
             let term = leader.term;
+            claim_answered(&host, &leader).await;
             hello(&host, &leader, Follower { host: name, address, term, idle, link, claim_delay })
         }
         Call::Ping => Answer::Leader(host.leader()),
@@ -113,6 +116,15 @@
     }
 }
 
+/// Waits while a claim of this host is under way that the store shows already and hasn't answered yet. A follower that was told
+/// that this host doesn't lead would claim over it, and nobody would be left to tell a leader that the store turns away.
+async fn claim_answered(host: &Host, leader: &Leader) {
+    let seen_early = || leader.life == host.settings.life && leader.term > host.seated.load(Ordering::Acquire);
+    while seen_early() && host.claiming.try_lock().is_err() {
+        tokio::time::sleep(CLAIM_PAUSE).await;
+    }
+}
+
 /// Takes a follower in. One that means an earlier life of this process, or an earlier claim, is told so.
 fn hello(host: &Arc<Host>, leader: &Leader, follower: Follower) -> Answer {
     let meant = leader.life == host.settings.life && leader.term <= host.seated.load(Ordering::Acquire);
