--- a/components/entry/src/reign/duties.rs
+++ b/components/entry/src/reign/duties.rs
@@ -38,7 +38,7 @@
         }
         reign.look_for_predecessor();
         let clock = reign.host.clock();
-        let actions = {
+        let (actions, made_room) = {
             let mut engine = reign.engine.lock();
             engine.plan(clock);
             if clock.now.saturating_sub(forgotten) > FORGET {
@@ -47,8 +47,12 @@
             }
             reign.set_busy_pause(engine.busy_pause());
             measure(&reign, &engine);
-            engine.take_actions()
+            (engine.take_actions(), engine.take_made_room())
         };
+        for made in made_room {
+            emit!(reign.host.log, events::ROOM_MADE, "unit" => made.unit.to_string(), "worker" => made.worker,
+                "stopped" => made.stopped, "term" => reign.term);
+        }
         actions.into_iter().for_each(|action| orders::carry_out(&reign, action));
         if reign.engine.lock().owes() {
             reign.write.notify_one();
--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -128,6 +128,8 @@
     ADVICE_FAILED = 617, Warning, "adviser did not answer";
     /// A caller's request was answered.
     REQUEST_ANSWERED = 618, Info, "caller's request answered";
+    /// Runs are stopped so that a large urgent task finds room.
+    ROOM_MADE = 619, Info, "runs stopped to make room for an urgent task";
     /// An operator's command was carried out.
     COMMAND_DONE = 701, Info, "command done";
     /// An operator's command was refused.
--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -9,6 +9,7 @@
 use crate::advice::{Question, Shares};
 use crate::entry::{Accepted, Ended, Entry, Phase, UnitState};
 use crate::limits::{AUTHORITY, Limits};
+use crate::preempt::MadeRoom;
 use crate::rank::objective;
 use crate::room::Room;
 use crate::worker::{Contact, Info, Worker};
@@ -96,6 +97,8 @@
     /// The room of the last pass, which the next one brings up to date.
     pub(crate) room: Room,
     pub(crate) actions: Vec<Action>,
+    /// Room that was made and isn't logged yet.
+    pub(crate) made_room: Vec<MadeRoom>,
     /// Starts whose records aren't durable yet, by position.
     pub(crate) decided: VecDeque<(u64, WorkerId, Start)>,
     /// Records that the log hasn't taken yet, by position.
@@ -127,6 +130,7 @@
             shares: Shares::default(),
             room: Room::default(),
             actions: Vec::new(),
+            made_room: Vec::new(),
             decided: VecDeque::new(),
             records: VecDeque::new(),
             position: 0,
--- a/components/sched/src/lib.rs
+++ b/components/sched/src/lib.rs
@@ -28,4 +28,5 @@
 pub use lease::Lease;
 pub use limits::{AUTHORITY, Limits, lease};
 pub use order::Outcome as OrderOutcome;
+pub use preempt::MadeRoom;
 pub use worker::{End, How, Info, Report, Running};
--- a/components/sched/src/preempt.rs
+++ b/components/sched/src/preempt.rs
@@ -31,6 +31,17 @@
     pub until: Duration,
 }
 
+/// What was decided for a unit that needs room, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct MadeRoom {
+    /// The unit.
+    pub unit: Unit,
+    /// The worker.
+    pub worker: WorkerId,
+    /// Runs that are stopped there.
+    pub stopped: usize,
+}
+
 /// Runs on one worker whose stop makes room.
 struct Victims {
     worker: WorkerId,
@@ -56,6 +67,8 @@
         let places = places.filter(|place| state.claims.iter().all(|claim| claim.worker != place.id));
         let found = places.filter_map(|place| self.victims(&place.id, &need, queue.priority));
         let Some(victims) = found.min_by_key(|victims| victims.weight) else { return };
+        let stopped = victims.runs.len();
+        self.made_room.push(MadeRoom { unit, worker: victims.worker.clone(), stopped });
         for (task, attempt) in victims.runs {
             self.stop_run(&victims.worker, task, attempt);
         }
@@ -65,6 +78,11 @@
         }
     }
 
+    /// Takes note of the room that was made since the last call.
+    pub fn take_made_room(&mut self) -> Vec<MadeRoom> {
+        std::mem::take(&mut self.made_room)
+    }
+
     /// The runs on a worker that are to be stopped for a task of this need; `None` where that isn't enough.
     fn victims(&self, worker: &str, need: &Resources, priority: u32) -> Option<Victims> {
         let (id, worker) = self.workers.get_key_value(worker)?;
--- a/components/sched/tests/decisions/preempt.rs
+++ b/components/sched/tests/decisions/preempt.rs
@@ -32,6 +32,8 @@
     assert_eq!(patient.len(), 2);
     cell.submit(2, "urgent", vec![accelerated(1, 8)]);
     assert_eq!(stops(&mut cell), 2);
+    let made = cell.engine.take_made_room();
+    assert!(matches!(made.as_slice(), [one] if one.unit.job == 2 && one.stopped == 2), "{made:?}");
     assert_eq!(stops(&mut cell), 0, "once is enough");
 
     let (worker, first) = &patient[0];
