--- a/components/sched/tests/decisions/doubt.rs
+++ b/components/sched/tests/decisions/doubt.rs
@@ -15,6 +15,18 @@
     starts
 }
 
+/// Three runs in a row fail on the only worker, each of a job that is cancelled then.
+fn fail_three_times(cell: &mut Cell) {
+    for job in 1..=3 {
+        cell.submit(job, "urgent", vec![step(1, 1)]);
+        let (worker, start) = cell.starts().remove(0);
+        cell.started(&worker, &start);
+        cell.end(&worker, &start, How::Failed);
+        cell.engine.cancel(cell.clock(), job);
+        cell.write();
+    }
+}
+
 #[test]
 fn a_worker_that_leaves_starts_unanswered_is_avoided() {
     let mut cell = Cell::new(4).ready();
@@ -51,14 +63,7 @@
 #[test]
 fn a_worker_that_fails_again_and_again_gets_one_task_at_a_time() {
     let mut cell = Cell::new(1).ready();
-    for job in 1..=3 {
-        cell.submit(job, "urgent", vec![step(1, 1)]);
-        let (worker, start) = cell.starts().remove(0);
-        cell.started(&worker, &start);
-        cell.end(&worker, &start, How::Failed);
-        cell.engine.cancel(cell.clock(), job);
-        cell.write();
-    }
+    fail_three_times(&mut cell);
     cell.now += Duration::from_secs(10);
     cell.report("w0", &[], &[]);
     cell.submit(4, "urgent", vec![step(4, 1)]);
@@ -74,14 +79,7 @@
 #[test]
 fn a_gang_waits_for_a_worker_on_trial_only_for_a_while() {
     let mut cell = Cell::new(1).ready();
-    for job in 1..=3 {
-        cell.submit(job, "urgent", vec![step(1, 1)]);
-        let (worker, start) = cell.starts().remove(0);
-        cell.started(&worker, &start);
-        cell.end(&worker, &start, How::Failed);
-        cell.engine.cancel(cell.clock(), job);
-        cell.write();
-    }
+    fail_three_times(&mut cell);
     cell.submit(4, "urgent", vec![Step { gang: true, ..step(2, 1) }]);
     cell.now += Duration::from_secs(5);
     cell.report("w0", &[], &[]);
