Ask the adviser about a wide unit in several short questions at once

Cause: one question at a time for a unit. It names at most 100 workers and takes 0.95 s for that, three in ten may run the unit, and tickets hold 2 s, so that a wide gang's first tickets had run out before the last came, while 140 hosts asked nothing.

Change: what a unit still needs is reckoned as a whole (room with tickets that hold, room asked about, room on known workers, share of yes by queue) and asked in disjoint questions at once, over at most a quarter of the free hosts; a question is split until its names take half of what any question takes. One host in eight stays free for short questions. Tickets of a gang that would run out before the answers come are renewed with them. While answers are outstanding, further questions must be worth a quarter of the unit.

Test: a gang of 240 among 1,100 workers hadn't begun after 60 s on the old code; now within 2.4 s. Of twenty gangs of 40 at once all begin within 4 s on both.

--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -99,6 +99,13 @@
     pub claim_delay: Duration,
 }
 
+impl Follower {
+    /// Whether it can be asked now.
+    fn is_live(&self) -> bool {
+        self.link.silence() < FOLLOWER_SILENCE
+    }
+}
+
 /// A follower that hasn't been heard for so long isn't asked anything: it sends a sign of life every 300 ms.
 const FOLLOWER_SILENCE: Duration = Duration::from_millis(1000);
 /// The link of a follower that hasn't been heard for so long is closed.
@@ -247,7 +254,12 @@
         let mut followers = self.followers.lock();
         followers.iter().filter(|follower| follower.link.silence() > FOLLOWER_GONE).for_each(|gone| gone.link.close());
         followers.retain(|follower| !follower.link.is_down());
-        followers.iter().filter(|follower| follower.link.silence() < FOLLOWER_SILENCE).cloned().collect()
+        followers.iter().filter(|follower| follower.is_live()).cloned().collect()
+    }
+
+    /// How many followers can be asked now.
+    pub(crate) fn count_followers(&self) -> usize {
+        self.followers.lock().iter().filter(|follower| follower.is_live()).count()
     }
 
     /// Asks the adviser which of `workers` may run a unit. `None` without an adviser, or without its answer.
--- a/components/entry/src/reign/ask.rs
+++ b/components/entry/src/reign/ask.rs
@@ -14,8 +14,11 @@
 use crate::message::{Answer, Call};
 use crate::reign::Reign;
 
-/// A question that takes longer must leave one host free for short ones.
+/// A question that takes longer must leave hosts free for short ones.
 const LONG: Duration = Duration::from_millis(100);
+/// Of so many hosts that can ask, one is left for short questions: at 17 ms each, one answers some 60 a second, and urgent jobs
+/// come at up to one a second for each host.
+const HOSTS_A_SHORT_ASKER: usize = 8;
 /// How much longer than expected an answer may take.
 const SLACK: Duration = Duration::from_millis(800);
 /// Pause before a question without an answer may be asked again.
@@ -78,13 +81,29 @@
     let free: Vec<&Asker> = askers.iter().filter(|asker| !busy.contains(asker.name())).collect();
     let asker = (*free.first()?).clone();
     let mut waiting = reign.desk.waiting.lock();
-    let allowed = |question: &Question| question.cost < LONG || free.len() > 1 || askers.len() == 1;
+    let long = free_for_long(askers.len(), free.len()) > 0;
+    let allowed = |question: &Question| question.cost < LONG || long;
     let best = (0..waiting.len())
         .filter(|index| allowed(&waiting[*index]))
         .min_by_key(|index| (waiting[*index].priority, *index))?;
     Some((asker, waiting.remove(best)))
 }
 
+/// Of `free` hosts, how many may ask a long question: some are left for short ones, unless there is only one host in all.
+fn free_for_long(askers: usize, free: usize) -> usize {
+    if askers == 1 {
+        return free;
+    }
+    free.saturating_sub((askers / HOSTS_A_SHORT_ASKER).max(1))
+}
+
+/// How many hosts are free to ask a long question.
+pub(crate) fn free(reign: &Reign) -> usize {
+    let askers = reign.host.count_followers() + 1;
+    let taken = reign.desk.busy.lock().len() + reign.desk.waiting();
+    free_for_long(askers, askers.saturating_sub(taken))
+}
+
 /// Hosts that can ask: followers first, this one last.
 fn askers(reign: &Reign) -> Vec<Asker> {
     let followers = reign.host.live_followers();
@@ -109,7 +128,7 @@
         }
         None => {
             tokio::time::sleep(PAUSE).await;
-            reign.engine.lock().unadvised(question.unit);
+            reign.engine.lock().unadvised(question.unit, &question.workers);
         }
     }
     reign.desk.free(asker.name());
--- a/components/entry/src/reign/duties.rs
+++ b/components/entry/src/reign/duties.rs
@@ -8,7 +8,7 @@
 
 use crate::election::RENEWALS;
 use crate::outage::Outage;
-use crate::reign::{Reign, agent, orders};
+use crate::reign::{Reign, agent, ask, orders};
 
 /// Decisions are made anew at least this often: tickets and due times come without an event.
 const TICK: Duration = Duration::from_millis(50);
@@ -38,8 +38,10 @@
         }
         reign.look_for_predecessor();
         let clock = reign.host.clock();
+        let askers = ask::free(&reign);
         let (actions, made_room) = {
             let mut engine = reign.engine.lock();
+            engine.set_askers(askers);
             engine.plan(clock);
             if clock.now.saturating_sub(forgotten) > FORGET {
                 forgotten = clock.now;
--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -6,10 +6,11 @@
 
 use work::{Attempt, Config, Job, JobId, Outcome, Queue, QueueName, Record, State, Task, Term, Unit, WorkerId};
 
-use crate::advice::{Question, Shares};
+use crate::advice::Shares;
 use crate::entry::{Accepted, Ended, Entry, Phase, UnitState};
 use crate::limits::{AUTHORITY, Limits};
 use crate::preempt::MadeRoom;
+use crate::questions::Question;
 use crate::rank::objective;
 use crate::room::Room;
 use crate::worker::{Contact, Info, Worker};
@@ -94,6 +95,8 @@
     /// Whether everything that earlier leaders started is known or has surely ended.
     pub(crate) settled: bool,
     pub(crate) shares: Shares,
+    /// Hosts that are free to ask the adviser a long question.
+    pub(crate) askers: usize,
     /// The room of the last pass, which the next one brings up to date.
     pub(crate) room: Room,
     pub(crate) actions: Vec<Action>,
@@ -128,6 +131,7 @@
             live: BTreeSet::new(),
             settled: false,
             shares: Shares::default(),
+            askers: 1,
             room: Room::default(),
             actions: Vec::new(),
             made_room: Vec::new(),
@@ -303,7 +307,7 @@
     }
 
     /// Position of the newest record.
-    pub(crate) fn position(&self) -> u64 {
+    pub fn position(&self) -> u64 {
         self.position
     }
 
--- a/components/sched/src/explain.rs
+++ b/components/sched/src/explain.rs
@@ -105,7 +105,7 @@
                 told += slots;
             }
         }
-        let asking = if unit.known.asking { "; the adviser is being asked" } else { "" };
+        let asking = if !unit.known.asking.is_empty() { "; the adviser is being asked" } else { "" };
         let gang = if step.gang { ", all at once" } else { "" };
         format!(
             "{} tasks need places{gang}: {workers} suitable workers have room for {fitting}, those with a ticket for {told}{asking}",
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -4,15 +4,15 @@
 
 use work::{Attempt, Queue, Record, Step, Task, Unit, WorkerId};
 
-use crate::advice::Question;
 use crate::ends::taken_room;
 use crate::engine::{Action, Clock, Engine, Start};
 use crate::entry::{Phase, UnitState};
+use crate::questions::Question;
 use crate::rank::Candidate;
 use crate::room::{Choice, Room};
 use crate::worker::{self, Contact, Run, Worker};
 
-/// A unit for which no question would help is looked at again after this time: about as often as room changes.
+/// Whether a question would help a unit is looked at again after this time: about as often as room changes.
 const ASK_AGAIN: Duration = Duration::from_millis(50);
 /// Rounds of one job that are taken up in one pass.
 const OPEN_ROUNDS: u32 = 16;
@@ -112,7 +112,7 @@
             self.start(clock, unit, step, choices, room);
         }
         // Until then it asks once: the store may be away for long.
-        if kept || self.unit(unit).is_some_and(|state| state.known.asked.is_empty()) {
+        if kept || self.unit(unit).is_some_and(|state| state.known.is_new()) {
             self.ask(clock, unit, &queue, room);
         }
         if kept && candidate.on_time() {
@@ -129,27 +129,24 @@
         state.claims.iter().for_each(|claim| room.keep(&claim.worker, &need));
     }
 
-    /// Puts the next question for a unit whose tasks wait, where its queue has an adviser.
+    /// Puts the next questions for a unit whose tasks wait, where its queue has an adviser.
     fn ask(&mut self, clock: Clock, unit: Unit, queue: &Queue, room: &Room) {
         let Some(advice) = queue.advice else { return };
         let Some(state) = self.unit(unit) else { return };
-        if state.pending == 0 || state.known.asking || clock.now < state.known.ask_at {
+        if state.pending == 0 || clock.now < state.known.ask_at {
             return;
         }
-        match self.question(clock, unit, advice, queue, room) {
-            Some(question) => self.pose(question),
-            None => {
-                if let Some(state) = self.unit_mut(unit) {
-                    state.known.ask_at = clock.now + ASK_AGAIN;
-                }
-            }
+        let questions = self.questions(clock, unit, advice, queue, room);
+        if let Some(state) = self.unit_mut(unit) {
+            state.known.ask_at = clock.now + ASK_AGAIN;
         }
+        questions.into_iter().for_each(|question| self.pose(question));
     }
 
     /// Has a question asked.
     fn pose(&mut self, question: Question) {
         if let Some(state) = self.unit_mut(question.unit) {
-            state.known.asking = true;
+            state.known.asking.extend(question.workers.iter().cloned());
         }
         self.actions.push(Action::Ask(question));
     }
