Look at waiting units rarely while many wait, and at room before names

Cause: of the leader's processor while units wait, most went on looking for whom to ask: each waiting unit compared the names of all workers with those that it had asked, several times a second, and each pass looked for places of each. 34 of 100 samples of the example backlog were comparisons of names.

Change: room is looked at before names; where all workers were asked, full ones aren't looked at; whether a task is large comes first when room is made; and where more than 16 units wait, one that found no place is looked at again after 20 ms, or once it learns of workers.

--- a/components/sched/src/advice.rs
+++ b/components/sched/src/advice.rs
@@ -92,6 +92,7 @@
         self.count_shares(unit, asked, &healthy);
         let Some(state) = self.unit_mut(unit) else { return };
         state.known.answered(asked);
+        state.look_at = Duration::ZERO;
         state.known.asked.extend(asked.iter().cloned());
         state.known.healthy.extend(healthy);
     }
--- a/components/sched/src/entry.rs
+++ b/components/sched/src/entry.rs
@@ -61,6 +61,8 @@
     pub known: Known,
     /// Room that is being made for it.
     pub claims: Vec<Claim>,
+    /// While many units wait, places for it aren't looked for before this time.
+    pub look_at: Duration,
 }
 
 impl UnitState {
@@ -77,6 +79,7 @@
             saved: String::new(),
             known: Known::default(),
             claims: Vec::new(),
+            look_at: Duration::ZERO,
         }
     }
 
@@ -111,6 +114,7 @@
     pub(crate) fn set(&mut self, index: usize, phase: Phase) {
         let Some(task) = self.tasks.get_mut(index) else { return };
         task.inherited = None;
+        self.look_at = Duration::ZERO;
         let was = std::mem::replace(&mut task.phase, phase);
         match was {
             Phase::Pending => self.pending -= 1,
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -14,6 +14,11 @@
 
 /// Whether a question would help a unit is looked at again after this time: about as often as room changes.
 const ASK_AGAIN: Duration = Duration::from_millis(50);
+/// Up to so many waiting units are looked at in each pass.
+const FEW: usize = 16;
+/// Where more wait, a unit for which there was no place is looked at again after this time, unless it learns of workers: a pass
+/// comes every 2 ms, and with 1,100 workers a look takes some 0.1 ms.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
 /// Rounds of one job that are taken up in one pass.
 const OPEN_ROUNDS: u32 = 16;
 /// Units of one job that may be open before further rounds are taken up.
@@ -33,7 +38,11 @@
             return;
         }
         let mut room = self.fresh_room(clock);
+        let many = candidates.len() > FEW;
         for candidate in candidates {
+            if many && self.rests(clock, candidate.unit) {
+                continue;
+            }
             self.serve(clock, &candidate, &mut room);
         }
         self.room = room;
@@ -91,6 +100,11 @@
         self.workers.iter().filter(move |(_, worker)| worker.usable(clock.now, durable, pauses))
     }
 
+    /// Whether a unit that found no place lately is passed over. Not one for which room is kept.
+    fn rests(&self, clock: Clock, unit: Unit) -> bool {
+        self.unit(unit).is_some_and(|state| clock.now < state.look_at && state.claims.is_empty())
+    }
+
     /// Starts what can be started of a unit, and asks about the rest.
     fn serve(&mut self, clock: Clock, candidate: &Candidate, room: &mut Room) {
         let unit = candidate.unit;
@@ -108,7 +122,9 @@
         // A job that isn't kept yet is placed all the same: its starts are sent after its own record is written.
         let kept = entry.accepted.position <= self.durable;
         let choices = room.choose(clock.now, state, step, &queue);
-        if !choices.is_empty() {
+        if choices.is_empty() {
+            self.rest(clock, unit);
+        } else {
             self.start(clock, unit, step, choices, room);
         }
         // Until then it asks once: the store may be away for long.
@@ -121,6 +137,13 @@
         self.keep_claims(clock, unit, step, room);
     }
 
+    /// There was no place for a unit.
+    fn rest(&mut self, clock: Clock, unit: Unit) {
+        if let Some(state) = self.unit_mut(unit) {
+            state.look_at = clock.now + LOOK_AGAIN;
+        }
+    }
+
     /// Keeps the room that is being made for a unit from those that come later in this pass.
     fn keep_claims(&mut self, clock: Clock, unit: Unit, step: &Step, room: &mut Room) {
         let Some(state) = self.unit_mut(unit) else { return };
--- a/components/sched/src/preempt.rs
+++ b/components/sched/src/preempt.rs
@@ -12,7 +12,7 @@
 
 use crate::ends::taken_room;
 use crate::engine::{Clock, Engine};
-use crate::room::Room;
+use crate::room::{Place, Room};
 use crate::worker::{Doubt, Phase, Run, Worker};
 
 /// Room that was made is kept this long: a stop takes up to 0.4 s, and its end is reported at once.
@@ -61,9 +61,11 @@
             return;
         }
         let need = taken_room(step);
-        let places = room.may_run(clock.now, state, step, queue);
+        // What costs least is asked first: most tasks are small everywhere.
+        let places = room.places.iter().filter(|place| need.dominant_share(&place.info.capacity) > LARGE);
         let places = places.filter(|place| place.doubt == Doubt::None && place.tasks(state, step) == 0);
-        let places = places.filter(|place| need.dominant_share(&place.info.capacity) > LARGE);
+        let told = |place: &Place| queue.advice.is_none() || state.known.allows(&place.id, clock.now);
+        let places = places.filter(|place| place.suits(queue, step) && told(place));
         let places = places.filter(|place| state.claims.iter().all(|claim| claim.worker != place.id));
         let found = places.filter_map(|place| self.victims(&place.id, &need, queue.priority));
         let Some(victims) = found.min_by_key(|victims| victims.weight) else { return };
--- a/components/sched/src/questions.rs
+++ b/components/sched/src/questions.rs
@@ -120,10 +120,11 @@
             return None;
         }
         let idle = state.known.asking.is_empty();
+        let all_asked = state.known.asked.len() >= room.places.len();
         let known = expected(&expired);
         let missing = if there + known < needed { SPARE_ROOM * needed - there - known } else { 0.0 };
         let fresh = fresh(&state.known, share, missing, state.pending, room, most * MOST_NAMED, |place| {
-            slots(place).filter(|slots| idle || *slots > 0)
+            slots(place).filter(|slots| *slots > 0 || (idle && !all_asked))
         });
         // Tickets for a part of a gang are of no use.
         let whole = !step.gang || there + known + expected(&fresh) >= needed;
@@ -179,8 +180,9 @@
     }
     let fewest = fewest_named(share);
     let asked = |place: &Place| known.asked.contains(&place.id) || known.asking.contains(&place.id);
-    let open = room.places.iter().enumerate().filter(|(_, place)| !asked(place));
-    let open = open.filter_map(|(index, place)| slots(place).map(|slots| (index, slots))).collect();
+    // Room is looked at first: that costs less, and while many units wait there is little.
+    let open = room.places.iter().enumerate().filter_map(|(index, place)| Some((index, slots(place)?)));
+    let open = open.filter(|(index, _)| !asked(&room.places[*index])).collect();
     let mut found = 0.0;
     for (index, slots) in best(open, tasks, room, most) {
         // Where there is no room one question is enough, to learn who may run the unit.
--- a/components/sched/src/room.rs
+++ b/components/sched/src/room.rs
@@ -197,18 +197,6 @@
         choices
     }
 
-    /// Places on which the unit may run now, whether there is room or not.
-    pub(crate) fn may_run<'a>(
-        &'a self,
-        now: Duration,
-        state: &'a UnitState,
-        step: &'a Step,
-        queue: &'a Queue,
-    ) -> impl Iterator<Item = &'a Place> + 'a {
-        let told = move |place: &&Place| queue.advice.is_none() || state.known.allows(&place.id, now);
-        self.places.iter().filter(move |place| place.suits(queue, step)).filter(told)
-    }
-
     /// Keeps room for a task of this need on a worker.
     pub(crate) fn keep(&mut self, worker: &str, need: &Resources) {
         if let Some(index) = self.index.get(worker).copied() {
