walkhook account: advice as a cause, and how long first starts take

Waits before the first start were one cause; now the time in which a question was under way is told apart, and the table shows the first start of 50 and of 95 of 100 jobs of each queue. Test: the account of a log with questions side by side and one after them.

--- a/bins/walkhook/src/account.rs
+++ b/bins/walkhook/src/account.rs
@@ -16,6 +16,7 @@
     pub const ENDED: u64 = 612;
     pub const ORDERED: u64 = 613;
     pub const RUN_ENDED: u64 = 615;
+    pub const ADVICE: u64 = 616;
 }
 
 /// A cause stands out when it took this share of the time by which the job was late.
@@ -24,8 +25,10 @@
 /// What the time of a late job went on, the most of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Cause {
-    /// Acceptance, advice and room, before its first start.
+    /// Acceptance and room, before its first start.
     Waiting,
+    /// Questions to the adviser, before its first start.
+    Advice,
     /// Orders without an answer.
     LostOrder,
     /// Runs that failed.
@@ -47,6 +50,14 @@
     ended: f64,
     orders: Vec<Order>,
     ends: Vec<End>,
+    questions: Vec<Question>,
+}
+
+/// A question to the adviser.
+#[derive(Debug)]
+struct Question {
+    asked: f64,
+    answered: f64,
 }
 
 #[derive(Debug)]
@@ -72,8 +83,13 @@
     cancelled: u64,
     /// Attempts that were refused, all together.
     refusals: u64,
+    /// From acceptance to the first start, of half the jobs that were completed within, in milliseconds.
+    first_start_p50_ms: u64,
+    /// The same of 95 of 100.
+    first_start_p95_ms: u64,
     late: u64,
     waiting: u64,
+    advice: u64,
     lost_order: u64,
     failed_run: u64,
     interrupted: u64,
@@ -113,7 +129,8 @@
 fn take(jobs: &mut HashMap<String, Job>, event: &Value) {
     let text = |name: &str| event[name].as_str().unwrap_or_default();
     let task = text("task");
-    let id = if task.is_empty() { text("job") } else { task.split('.').next().unwrap_or_default() };
+    let unit = if task.is_empty() { text("unit") } else { task };
+    let id = if unit.is_empty() { text("job") } else { unit.split('.').next().unwrap_or_default() };
     let Some(at) = millis(text("ts")).filter(|_| !id.is_empty()) else { return };
     let job = jobs.entry(id.to_owned()).or_default();
     let task = task.to_owned();
@@ -127,6 +144,10 @@
             job.ended = at;
         }
         Some(event::ORDERED) => job.orders.push(Order { at, task, answered: text("outcome") == "Started" }),
+        Some(event::ADVICE) => {
+            let took = event["took_ms"].as_f64().unwrap_or_default();
+            job.questions.push(Question { asked: at - took, answered: at });
+        }
         Some(event::RUN_ENDED) => job.ends.push(End { at, task, how: text("how").to_owned() }),
         _ => {}
     }
@@ -142,12 +163,16 @@
 /// The jobs by queue. Of a job without an end only its refusals are known, and not its queue.
 fn rows(jobs: impl Iterator<Item = Job>) -> Vec<Row> {
     let mut rows: BTreeMap<String, Row> = BTreeMap::new();
+    let mut waits: BTreeMap<String, Vec<f64>> = BTreeMap::new();
     for job in jobs {
         let row = rows.entry(job.queue.clone()).or_default();
         row.queue = if job.queue.is_empty() { "not ended".to_owned() } else { job.queue.clone() };
         row.refusals += job.refused;
         match job.outcome.as_deref() {
-            Some("Completed") => row.completed += 1,
+            Some("Completed") => {
+                row.completed += 1;
+                waits.entry(job.queue.clone()).or_default().push(job.first_start() - job.accepted());
+            }
             Some("Failed") => row.failed += 1,
             Some("Cancelled") => row.cancelled += 1,
             _ => {}
@@ -157,13 +182,53 @@
             *row.by(cause(&job)) += 1;
         }
     }
+    for (queue, mut waits) in waits {
+        waits.sort_by(f64::total_cmp);
+        if let Some(row) = rows.get_mut(&queue) {
+            row.first_start_p50_ms = quantile(&waits, 0.5);
+            row.first_start_p95_ms = quantile(&waits, 0.95);
+        }
+    }
     rows.into_values().collect()
 }
 
+/// The value below which so many of the sorted ones lie, rounded.
+fn quantile(sorted: &[f64], share: f64) -> u64 {
+    let index = (sorted.len() as f64 * share) as usize;
+    sorted.get(index.min(sorted.len().saturating_sub(1))).map_or(0, |value| value.max(0.0).round() as u64)
+}
+
+impl Job {
+    fn accepted(&self) -> f64 {
+        self.ended - self.took
+    }
+
+    /// When its first task was started, or its end.
+    fn first_start(&self) -> f64 {
+        self.orders.iter().map(|order| order.at).fold(self.ended, f64::min)
+    }
+
+    /// How long before its first start a question was under way.
+    fn asking(&self) -> f64 {
+        let (accepted, first) = (self.accepted(), self.first_start());
+        let mut questions: Vec<&Question> = self.questions.iter().collect();
+        questions.sort_by(|a, b| a.asked.total_cmp(&b.asked));
+        let mut covered = accepted;
+        let mut sum = 0.0;
+        for question in questions {
+            let (from, until) = (question.asked.max(covered), question.answered.min(first));
+            sum += (until - from).max(0.0);
+            covered = covered.max(until);
+        }
+        sum
+    }
+}
+
 impl Row {
     fn by(&mut self, cause: Cause) -> &mut u64 {
         match cause {
             Cause::Waiting => &mut self.waiting,
+            Cause::Advice => &mut self.advice,
             Cause::LostOrder => &mut self.lost_order,
             Cause::FailedRun => &mut self.failed_run,
             Cause::Interrupted => &mut self.interrupted,
@@ -174,9 +239,10 @@
 
 /// What most of a job's time beyond its useful runs went on; if nothing stands out, the runs themselves took long.
 fn cause(job: &Job) -> Cause {
-    let accepted = job.ended - job.took;
-    let first = job.orders.iter().map(|order| order.at).fold(job.ended, f64::min);
-    let mut spent = BTreeMap::from([(Cause::Waiting, first - accepted)]);
+    let accepted = job.accepted();
+    let waited = job.first_start() - accepted;
+    let asking = job.asking();
+    let mut spent = BTreeMap::from([(Cause::Waiting, waited - asking), (Cause::Advice, asking)]);
     for order in job.orders.iter().filter(|order| !order.answered) {
         *spent.entry(Cause::LostOrder).or_default() += next_start(job, &order.task, order.at) - order.at;
     }
--- a/bins/walkhook/tests/account.rs
+++ b/bins/walkhook/tests/account.rs
@@ -18,6 +18,10 @@
     line(second, 613, &format!(r#""task":"{task}","outcome":"{outcome}""#))
 }
 
+fn asked(second: f64, unit: &str, took_ms: u64) -> String {
+    line(second, 616, &format!(r#""unit":"{unit}","took_ms":{took_ms}"#))
+}
+
 fn run_ended(second: f64, task: &str, how: &str) -> String {
     line(second, 615, &format!(r#""task":"{task}","how":"{how}""#))
 }
@@ -50,6 +54,13 @@
         run_ended(12.0, "a5.0.0.0", "Done"),
         ended(12.0, "a5", 2050),
         line(13.0, 611, r#""job":"a6""#),
+        // Two questions at once, and one after them, before its first start.
+        asked(15.0, "a7.0.0", 900),
+        asked(15.1, "a7.0.0", 1000),
+        asked(16.0, "a7.0.0", 500),
+        ordered(16.0, "a7.0.0.0", "Started"),
+        run_ended(16.5, "a7.0.0.0", "Done"),
+        ended(16.5, "a7", 2500),
     ];
     let folder = tempfile::tempdir().expect("a folder");
     let path = folder.path().join("host.log");
@@ -62,9 +73,17 @@
     let rows: serde_json::Value = serde_json::from_slice(&output.stdout).expect("JSON");
     let checks = &rows[1];
     assert_eq!(rows[0]["refusals"], 1, "{rows}");
-    for (column, count) in
-        [("completed", 5), ("late", 4), ("waiting", 1), ("lost_order", 1), ("failed_run", 1), ("running", 1)]
-    {
+    for (column, count) in [
+        ("completed", 6),
+        ("late", 5),
+        ("waiting", 1),
+        ("advice", 1),
+        ("lost_order", 1),
+        ("failed_run", 1),
+        ("running", 1),
+    ] {
         assert_eq!(checks[column], count, "{column}: {rows}");
     }
+    assert_eq!(checks["first_start_p50_ms"], 100, "{rows}");
+    assert_eq!(checks["first_start_p95_ms"], 2000, "{rows}");
 }
