Reckon pauses once a pass and a start's reach once a unit; the stand-in's calls in a file of their own

Read again: each planning pass counted all workers two to four times for the pauses between renewals, and the time by which a start arrives was reckoned anew for each worker.

--- a/components/fakes/src/cell.rs
+++ b/components/fakes/src/cell.rs
@@ -1,6 +1,8 @@
 //! Stand-ins for the outside of entry hosts, in memory: a store with leases, workers, an adviser. The store can turn
 //! single hosts away, lose answers and carry transactions out late.
 
+mod calls;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,6 +20,7 @@
 use work::{Attempt, Config, Task, Term, Unit, WorkerId};
 
 use crate::runner::{self, Run, Runner};
+use calls::{Answering, Waiting};
 
 /// How a run goes.
 #[derive(Clone, Copy, Debug)]
@@ -298,33 +301,6 @@
     }
 }
 
-/// A transaction that gets no answer. Dropped before the end of its time, it was abandoned.
-struct Waiting<'a>(&'a Cell);
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        self.0.state.lock().abandoned += 1;
-    }
-}
-
-/// A transaction that was done and whose answer is on its way.
-struct Answering<'a>(&'a Cell);
-
-impl Answering<'_> {
-    fn begin(cell: &Cell) -> Answering<'_> {
-        let mut state = cell.state.lock();
-        state.answering += 1;
-        state.most_answering = state.most_answering.max(state.answering);
-        Answering(cell)
-    }
-}
-
-impl Drop for Answering<'_> {
-    fn drop(&mut self) {
-        self.0.state.lock().answering -= 1;
-    }
-}
-
 impl View {
     /// A start is on its way, as long as starts take.
     async fn start_arrives(&self, worker: &str) {
--- a/components/sched/src/explain.rs
+++ b/components/sched/src/explain.rs
@@ -96,12 +96,13 @@
         let Some(step) = entry.step(name.step) else { return String::new() };
         let room = self.room(clock);
         let suits = room.places.iter().filter(|place| place.suits(queue, step));
+        let reached = self.reached(clock);
         let (mut workers, mut fitting, mut told) = (0, 0, 0);
         for place in suits {
             workers += 1;
             let slots = place.tasks(unit, step);
             fitting += slots;
-            if queue.advice.is_none() || unit.known.allows(&place.id, self.reached(clock)) {
+            if queue.advice.is_none() || unit.known.allows(&place.id, reached) {
                 told += slots;
             }
         }
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -11,7 +11,7 @@
 use crate::questions::Question;
 use crate::rank::Candidate;
 use crate::room::{Choice, Room};
-use crate::worker::{self, Contact, Run, Worker};
+use crate::worker::{self, Contact, Pauses, Run, Worker};
 
 /// Whether a question would help a unit is looked at again after this time: about as often as room changes.
 const ASK_AGAIN: Duration = Duration::from_millis(50);
@@ -83,21 +83,23 @@
 
     /// The room on all workers that may get new work.
     pub(crate) fn room(&self, clock: Clock) -> Room {
-        Room::new(self.usable(clock), clock.now, self.pauses())
+        let pauses = self.pauses();
+        Room::new(self.usable(clock, pauses), clock.now, pauses)
     }
 
     /// The room of the last pass, brought up to date: a new one costs more than a look at each worker.
     fn fresh_room(&mut self, clock: Clock) -> Room {
         let mut room = std::mem::take(&mut self.room);
-        match room.refresh(self.usable(clock), clock.now, self.pauses()) {
+        let pauses = self.pauses();
+        match room.refresh(self.usable(clock, pauses), clock.now, pauses) {
             true => room,
             false => self.room(clock),
         }
     }
 
     /// Workers that may get new work, in the order of their names.
-    fn usable(&self, clock: Clock) -> impl Iterator<Item = (&WorkerId, &Worker)> {
-        let (durable, pauses) = (self.durable, self.pauses());
+    fn usable(&self, clock: Clock, pauses: Pauses) -> impl Iterator<Item = (&WorkerId, &Worker)> {
+        let durable = self.durable;
         self.workers.iter().filter(move |(_, worker)| worker.usable(clock.now, durable, pauses))
     }
 
--- a/components/sched/src/preempt.rs
+++ b/components/sched/src/preempt.rs
@@ -64,7 +64,8 @@
         // What costs least is asked first: most tasks are small everywhere.
         let places = room.places.iter().filter(|place| need.dominant_share(&place.info.capacity) > LARGE);
         let places = places.filter(|place| place.doubt == Doubt::None && place.tasks(state, step) == 0);
-        let told = |place: &Place| queue.advice.is_none() || state.known.allows(&place.id, self.reached(clock));
+        let reached = self.reached(clock);
+        let told = |place: &Place| queue.advice.is_none() || state.known.allows(&place.id, reached);
         let places = places.filter(|place| place.suits(queue, step) && told(place));
         let places = places.filter(|place| state.claims.iter().all(|claim| claim.worker != place.id));
         let found = places.filter_map(|place| self.victims(&place.id, &need, queue.priority));
