Sight: runs that went with their workers, as events and metrics

Cause looked into: which tasks stood on a worker when its life ended, how long, and whether it had listed them, stood nowhere. No decision changes.

--- a/components/entry/src/reign/duties.rs
+++ b/components/entry/src/reign/duties.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use events::emit;
-use sched::Engine;
+use sched::{Ended, Engine};
 
 use crate::election::RENEWALS;
 use crate::outage::Outage;
@@ -39,7 +39,7 @@
         reign.look_for_predecessor();
         let clock = reign.host.clock();
         let askers = ask::free(&reign);
-        let (actions, made_room) = {
+        let (actions, made_room, ended_workers) = {
             let mut engine = reign.engine.lock();
             engine.set_askers(askers);
             engine.plan(clock);
@@ -49,12 +49,13 @@
             }
             reign.set_busy_pause(engine.busy_pause());
             measure(&reign, &engine);
-            (engine.take_actions(), engine.take_made_room())
+            (engine.take_actions(), engine.take_made_room(), engine.take_ended_workers())
         };
         for made in made_room {
             emit!(reign.host.log, events::ROOM_MADE, "unit" => made.unit.to_string(), "worker" => made.worker,
                 "stopped" => made.stopped, "term" => reign.term);
         }
+        ended_workers.iter().for_each(|ended| report_loss(&reign, ended));
         actions.into_iter().for_each(|action| orders::carry_out(&reign, action));
         if reign.engine.lock().owes() {
             reign.write.notify_one();
@@ -64,6 +65,22 @@
     }
 }
 
+/// Says what a worker's end took with it: from a job's id these lines lead to the workers that went under its tasks, and from a
+/// worker to what had just begun there.
+fn report_loss(reign: &Reign, ended: &Ended) {
+    let metrics = &reign.host.metrics;
+    metrics.worker_ends.get_or_create(&metrics::Outcome { outcome: ended.passing.name() }).inc();
+    let new = ended.runs.iter().filter(|lost| !lost.shown).count();
+    for lost in &ended.runs {
+        let outcome = if lost.shown { "shown" } else { "new" };
+        metrics.lost_runs.get_or_create(&metrics::Outcome { outcome }).inc();
+        emit!(reign.host.log, events::RUN_LOST, "task" => lost.task.to_string(), "attempt" => lost.attempt,
+            "worker" => &ended.worker, "learnt" => ended.passing.name(), "silent_ms" => ended.silent.as_millis() as u64,
+            "draining" => ended.draining, "age_ms" => lost.age.as_millis() as u64, "shown" => lost.shown,
+            "confirmed" => lost.confirmed, "runs" => ended.runs.len(), "new" => new, "term" => reign.term);
+    }
+}
+
 /// Brings the metrics of the reign up to date.
 fn measure(reign: &Reign, engine: &Engine) {
     let (jobs, workers) = engine.sizes();
--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -98,6 +98,8 @@
     WORKER_GONE = 410, Info, "worker gone; nothing of it runs";
     /// Another life is at a worker's address.
     WORKER_REPLACED = 411, Info, "another life is at the worker's address";
+    /// A run was on a worker whose life is over.
+    RUN_LOST = 412, Warning, "a run went with its worker";
     /// A partition is owned.
     PARTITION_OWNED = 501, Info, "partition owned";
     /// A partition was given up.
--- a/components/metrics/src/jobs.rs
+++ b/components/metrics/src/jobs.rs
@@ -49,6 +49,10 @@
     pub starts: Family<Outcome, Counter>,
     /// Runs that workers reported as ended, by how.
     pub ends: Family<Outcome, Counter>,
+    /// Workers whose life is over, by how that was learnt.
+    pub worker_ends: Family<Outcome, Counter>,
+    /// Runs that went with their workers: `new` if the worker had never listed them, else `shown`.
+    pub lost_runs: Family<Outcome, Counter>,
     /// Seconds from a job's acceptance to its end.
     pub job_seconds: Histogram,
     /// Seconds that a question to the adviser took, the wait for a free host not counted.
@@ -83,6 +87,8 @@
             request_seconds: seconds(),
             starts: Family::default(),
             ends: Family::default(),
+            worker_ends: Family::default(),
+            lost_runs: Family::default(),
             job_seconds: seconds(),
             advice_seconds: seconds(),
             questions: Gauge::default(),
@@ -105,6 +111,8 @@
         registry.register("job_request_seconds", "From receipt to answer", self.request_seconds.clone());
         registry.register("job_starts", "Orders to start by outcome", self.starts.clone());
         registry.register("job_ends", "Ends of runs by how", self.ends.clone());
+        registry.register("worker_ends", "Workers whose life is over by how it was learnt", self.worker_ends.clone());
+        registry.register("lost_runs", "Runs that went with their workers, new or shown", self.lost_runs.clone());
         registry.register("job_seconds", "From a job's acceptance to its end", self.job_seconds.clone());
         registry.register("advice_seconds", "One question to the adviser", self.advice_seconds.clone());
         registry.register("advice_waiting", "Questions that wait for a host", self.questions.clone());
--- a/components/sched/src/ends.rs
+++ b/components/sched/src/ends.rs
@@ -152,6 +152,7 @@
         self.begin(row.task);
         let Some(worker) = self.workers.get_mut(id) else { return };
         if let Some(run) = worker.runs.get_mut(&(row.task, row.attempt)) {
+            run.shown = true;
             if run.percent != row.percent {
                 run.percent = row.percent;
                 run.moved = clock.now;
@@ -178,7 +179,16 @@
         let charge = self.charge(row.task, need);
         let stoppable = self.step(row.task).and_then(|step| self.stoppable_for(row.task.unit, step));
         let Some(worker) = self.workers.get_mut(id) else { return };
-        let run = Run { phase: Phase::Running(mark), need, charge, stoppable, percent: row.percent, moved: clock.now };
+        let run = Run {
+            phase: Phase::Running(mark),
+            need,
+            charge,
+            stoppable,
+            percent: row.percent,
+            moved: clock.now,
+            decided: clock.now,
+            shown: true,
+        };
         worker.take(row.task, row.attempt, run);
         if !wanted {
             self.stop_run(id, row.task, row.attempt);
--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -13,6 +13,7 @@
 use crate::entry::{Accepted, Ended, Entry, Phase, UnitState};
 use crate::latency::Latency;
 use crate::limits::{AUTHORITY, Limits};
+use crate::loss::{self, Passing};
 use crate::preempt::MadeRoom;
 use crate::questions::Question;
 use crate::quota::Quota;
@@ -135,6 +136,8 @@
     pub(crate) actions: Vec<Action>,
     /// Room that was made and isn't logged yet.
     pub(crate) made_room: Vec<MadeRoom>,
+    /// Workers whose end isn't logged yet.
+    pub(crate) ended_workers: Vec<loss::Ended>,
     /// Starts whose records aren't durable yet, by position.
     pub(crate) decided: VecDeque<(u64, WorkerId, Start)>,
     /// Records that the log hasn't taken yet, by position.
@@ -174,6 +177,7 @@
             room: Room::default(),
             actions: Vec::new(),
             made_room: Vec::new(),
+            ended_workers: Vec::new(),
             decided: VecDeque::new(),
             records: VecDeque::new(),
             position: 0,
@@ -216,7 +220,7 @@
             .filter(|(id, old)| !listed.contains_key(*id) && listed.values().any(|new| new.address == old.info.address))
             .map(|(id, _)| id.clone())
             .collect();
-        replaced.iter().for_each(|id| self.gone(clock, id));
+        replaced.iter().for_each(|id| self.gone(clock, id, Passing::Replaced));
         for (id, info) in listed {
             self.enlist(clock, id, info);
         }
@@ -365,7 +369,8 @@
     }
 
     /// A worker's life is over: nothing runs there.
-    pub(crate) fn gone(&mut self, clock: Clock, id: &str) {
+    pub(crate) fn gone(&mut self, clock: Clock, id: &str, passing: Passing) {
+        self.note_end(clock, id, passing);
         self.vacate(clock, id);
         if self.workers.remove(id).is_some() {
             self.departed.insert(id.to_owned());
@@ -376,18 +381,17 @@
 
     /// The worker answered that another life is at its address.
     pub fn superseded(&mut self, clock: Clock, id: &str) {
-        self.gone(clock, id);
+        self.gone(clock, id, Passing::Replaced);
     }
 
     /// A worker's leases have surely run out.
     pub fn lapsed(&mut self, clock: Clock, id: &str) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.contact = Contact::Lapsed;
-        let missing = worker.missing.is_some();
-        self.vacate(clock, id);
-        if missing {
-            self.gone(clock, id);
+        if worker.missing.is_some() {
+            return self.gone(clock, id, Passing::Unlisted);
         }
+        self.vacate(clock, id);
     }
 
     /// Frees the tasks of all runs on a worker.
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -8,6 +8,7 @@
 use crate::engine::{Action, Clock, Engine, Start};
 use crate::entry::{Phase, UnitState};
 use crate::limits::{MOST_TICKET_MARGIN, TICKET_MARGIN};
+use crate::loss::Passing;
 use crate::questions::{Inquiry, Question};
 use crate::quota::may_run_unseen;
 use crate::rank::Candidate;
@@ -68,7 +69,7 @@
         let unseen = |worker: &Worker| worker.contact == Contact::Unknown && worker.missing.is_some();
         let ids: Vec<WorkerId> =
             self.workers.iter().filter(|(_, worker)| unseen(worker)).map(|(id, _)| id.clone()).collect();
-        ids.iter().for_each(|id| self.gone(clock, id));
+        ids.iter().for_each(|id| self.gone(clock, id, Passing::Unseen));
     }
 
     fn open_units(&mut self, clock: Clock) {
@@ -251,7 +252,8 @@
             let task = Task { unit, index: index as u32 };
             let Some(order) = self.order(task, step, gang_attempt, &worker) else { continue };
             let phase = worker::Phase::Starting;
-            let run = Run { phase, need, charge, stoppable, percent: 0, moved: clock.now };
+            let now = clock.now;
+            let run = Run { phase, need, charge, stoppable, percent: 0, moved: now, decided: now, shown: false };
             if let Some(held) = self.workers.get_mut(&worker) {
                 held.take(task, order.attempt, run);
             }
--- a/components/sched/src/worker.rs
+++ b/components/sched/src/worker.rs
@@ -139,6 +139,10 @@
     pub percent: u8,
     /// When the percentage last rose.
     pub moved: Duration,
+    /// When it was decided on, or found there.
+    pub decided: Duration,
+    /// Whether the worker has listed it as running.
+    pub shown: bool,
 }
 
 /// Whether orders can be given.
