Tests that fail: a task that takes its workers down is started for ever

Ruled out by them: takeovers as the cause (one leader suffices), and the workers (the task is alone in its cell).

--- a/components/sched/tests/decisions/main.rs
+++ b/components/sched/tests/decisions/main.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod assemble;
 mod cell;
+mod crash;
 mod doubt;
 mod packing;
 mod preempt;
--- a/components/sched/tests/model.rs
+++ b/components/sched/tests/model.rs
@@ -46,11 +46,21 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { cases: cases(), ..ProptestConfig::default() })]
+
+    #[test]
+    fn tasks_that_take_workers_down_are_given_up_and_no_others(seed: u64) {
+        play(World::with_crashers(seed), LONG_CALM)?;
+    }
+}
+
 /// Plays some trouble, then calm; what is promised must hold at the end.
 fn play(mut world: World, calm: usize) -> Result<(), TestCaseError> {
     (0..TROUBLE).for_each(|_| world.step(true));
     (0..calm).for_each(|_| world.step(false));
     prop_assert!(world.unfinished().is_empty(), "never ended: {:?}", world.unfinished());
+    prop_assert!(world.wrongly_failed().is_empty(), "failed without a cause: {:?}", world.wrongly_failed());
     prop_assert!(world.falsely_completed().is_empty(), "not done: {:?}", world.falsely_completed());
     (0..REST).for_each(|_| world.step(false));
     prop_assert!(world.leftovers().is_empty(), "still running: {:?}", world.leftovers());
--- a/components/sched/tests/world/mod.rs
+++ b/components/sched/tests/world/mod.rs
@@ -1,6 +1,7 @@
 //! A simulated cell: workers, a log, leaders that replace each other, and a network that loses and delays.
 
 mod checks;
+mod crashes;
 mod leader;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -13,6 +14,7 @@
 use sched::{Action, Clock, How, OrderOutcome, Owner, Report, Start, Ticket};
 use work::{Advice, Attempt, Config, Job, JobId, Outcome, Queue, Record, Step, Task, Term, WorkerId, Workspace};
 
+use crashes::Crashes;
 use fakes::runner::{Reply, Run, Runner};
 use leader::Leader;
 
@@ -59,6 +61,10 @@
     large: bool,
     /// Whose a job is, where workspaces have limits.
     owners: BTreeMap<JobId, &'static str>,
+    /// The newest leader's term.
+    newest: Term,
+    /// What tasks that take workers down do, where there are such.
+    crashes: Option<Crashes>,
 }
 
 impl World {
@@ -89,6 +95,8 @@
             lives: 0,
             large: false,
             owners: BTreeMap::new(),
+            newest: 1,
+            crashes: None,
         };
         for place in 0..4 {
             world.boot(place);
@@ -139,6 +147,7 @@
         }
         self.deliver_late();
         self.tick_workers();
+        self.crash_workers();
         let leader = std::mem::replace(&mut self.leader, Leader::new(Clock::default(), 0, self.config.clone(), &[]));
         self.leader = self.run(leader, true, trouble).expect("the newest leader stays");
         if let Some(old) = self.old.take() {
@@ -251,6 +260,7 @@
     fn take_over(&mut self) {
         let clock = self.clock();
         let next = Leader::new(clock, self.leader.term + 1, self.config.clone(), &self.log);
+        self.newest = next.term;
         self.old = Some(std::mem::replace(&mut self.leader, next));
     }
 
@@ -259,8 +269,7 @@
         if current && self.store_up {
             leader.confirmed = self.now;
             self.commit(&mut leader);
-            let listed = self.workers.iter().map(|(id, worker)| (id.clone(), worker.info.clone())).collect();
-            leader.engine.list(clock, listed);
+            leader.engine.list(clock, self.listed());
         }
         if !leader.authorized(self.now) {
             return current.then_some(leader);
@@ -327,12 +336,16 @@
     /// Renews all leases. Whether no worker knows a newer leader.
     fn hold_all(&mut self, leader: &mut Leader) -> bool {
         let clock = self.clock();
-        for (id, _) in leader.engine.addresses() {
+        for (id, address) in leader.engine.addresses() {
             if leader.next_hold.get(&id).is_some_and(|next| *next > self.now) {
                 continue;
             }
             let pause = self.rng.random_range(60..400);
             leader.next_hold.insert(id.clone(), self.now + Duration::from_millis(pause));
+            if self.replaced(&id, &address) {
+                leader.engine.superseded(clock, &id);
+                continue;
+            }
             let lease = leader.leases.entry(id.clone()).or_default();
             let until = lease.end(self.now, MAX_LEASE);
             let (mark, acked) = (leader.engine.mark(), leader.engine.acked(&id));
@@ -416,6 +429,7 @@
         let reply = worker.start(self.now, term, until, key, run);
         if reply == Reply::Done && !known {
             self.check_start(sent, term, start, &job);
+            self.bring_down(id, term, start.task);
         }
         reply
     }
