--- a/components/jobs/src/book.rs
+++ b/components/jobs/src/book.rs
@@ -226,11 +226,21 @@
             gone.extend(there.map(|(index, task)| (job.id(*index), task.attempt)));
         }
         for (task, attempt) in gone {
+            self.blame(&task, worker, now);
             self.vanished(&task, attempt, now);
         }
         self.stray.retain(|_, order| order.worker != worker);
     }
 
+    /// Holds the end of a worker against a task that had just begun there: it may be what took the worker down, and nobody else would ever
+    /// report that.
+    fn blame(&mut self, task: &Id, worker: &str, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&task.workload) else { return };
+        if job.worker_lost(task.index, worker, now, self.workers) {
+            self.notes.push(Note::Parked(task.workload.clone(), job.reason(task.index, now)));
+        }
+    }
+
     /// States that every worker that an earlier owner may have used is accounted for: what was not found
     /// surely does not run.
     pub fn all_accounted(&mut self, now: Instant) {
--- a/components/jobs/src/failure.rs
+++ b/components/jobs/src/failure.rs
@@ -67,6 +67,15 @@
         parks
     }
 
+    /// Notes that a worker went on which a task had just begun. Workers that go during a pause went with another, as a rack does, and say
+    /// nothing more.
+    pub(crate) fn worker_lost(&mut self, worker: &str, workers: usize, now: Instant) -> bool {
+        if self.not_before.is_some_and(|until| until > now) {
+            return false;
+        }
+        self.failed(worker, "its worker went down", false, workers, now)
+    }
+
     /// Pauses, twice as long as the last time. Failures during a pause are of tasks that ran at once and say nothing more: six of them on
     /// one worker that fails everything made a pause of 32 s, and a batch of 0.1 s tasks took 33 s instead of 1.3 s.
     fn pause(&mut self, now: Instant) {
--- a/components/jobs/src/job.rs
+++ b/components/jobs/src/job.rs
@@ -219,6 +219,16 @@
         parked
     }
 
+    /// Takes in that the worker of a task is gone. Tells whether the workload got parked.
+    pub(crate) fn worker_lost(&mut self, index: u32, worker: &str, now: Instant, workers: usize) -> bool {
+        let new = match self.tasks.get(&index).map(|task| &task.phase) {
+            Some(Phase::Starting { .. }) => true,
+            Some(Phase::Running { since, .. }) => now.duration_since(*since) < HEALTHY_AFTER,
+            _ => false,
+        };
+        new && self.failures.worker_lost(worker, workers, now)
+    }
+
     /// Drops the task when it is surplus or has been replaced by its successor.
     fn after_end(&mut self, index: u32, now: Instant) {
         let live = self.tasks.get(&index).is_some_and(Task::may_live);
--- a/components/jobs/tests/book.rs
+++ b/components/jobs/tests/book.rs
@@ -223,3 +223,53 @@
     assert_eq!(book.take_acknowledgements().len(), 1);
     assert_eq!(book.strays().count(), 0);
 }
+
+/// Each worker that starts the task goes down: nothing reports a failure, and it was ordered again for ever.
+#[test]
+fn a_workload_under_which_worker_after_worker_goes_is_parked() {
+    let mut now = Instant::now();
+    let mut book = book(now, Kind::Batch, 1);
+    let mut ordered = 0;
+    for life in 0..20 {
+        now += Duration::from_secs(400);
+        let worker = format!("w{life}");
+        if book.claimants(now).is_empty() {
+            break;
+        }
+        let order = book.order("plan", 0, &worker, now).expect("it waits");
+        ordered += 1;
+        book.committed(&order.task, order.attempt, now);
+        book.worker_gone(&worker, now + Duration::from_secs(1));
+    }
+    assert!(ordered <= 6, "ordered {ordered} times");
+    let parked = |note: &Note| matches!(note, Note::Parked(..));
+    assert!(book.take_notes().iter().any(parked));
+}
+
+/// A rack goes with all that has just begun there: that says no more against a workload than one worker.
+#[test]
+fn workers_that_go_at_once_count_once_against_a_workload() {
+    let now = Instant::now();
+    let mut book = book(now, Kind::Batch, 8);
+    for index in 0..8 {
+        start(&mut book, index, &format!("w{index}"), now);
+    }
+    (0..8).for_each(|index| book.worker_gone(&format!("w{index}"), now + Duration::from_secs(1)));
+    assert!(!book.take_notes().iter().any(|note| matches!(note, Note::Parked(..))));
+    assert!(!book.claimants(now + Duration::from_secs(3)).is_empty(), "after a short pause");
+}
+
+/// What had run for long when its worker went isn't to blame.
+#[test]
+fn a_worker_that_goes_under_a_healthy_task_says_nothing_against_it() {
+    let mut now = Instant::now();
+    let mut book = book(now, Kind::Batch, 1);
+    for life in 0..10 {
+        let worker = format!("w{life}");
+        let started = start(&mut book, 0, &worker, now);
+        see(&mut book, &started, &worker, TaskState::Running(None), now);
+        now += Duration::from_secs(600);
+        book.worker_gone(&worker, now);
+    }
+    assert!(!book.claimants(now).is_empty());
+}
