A replaced worker isn't taken in again while it is listed; tests of suspects

Test failing before.

Besides: suspects apart, lasting tasks both ways, a gang with such a member, starts that weren't sent, four ends for other reasons.

--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -117,6 +117,8 @@
     pub(crate) workers: BTreeMap<WorkerId, Worker>,
     /// Workers that are known to be gone.
     pub(crate) departed: BTreeSet<WorkerId>,
+    /// Of these, those at whose address another life has answered, while the list still shows them.
+    superseded: BTreeSet<WorkerId>,
     pub(crate) jobs: HashMap<JobId, Entry>,
     /// Jobs that haven't ended.
     pub(crate) live: BTreeSet<JobId>,
@@ -166,6 +168,7 @@
             config,
             workers: BTreeMap::new(),
             departed: BTreeSet::new(),
+            superseded: BTreeSet::new(),
             jobs: HashMap::new(),
             live: BTreeSet::new(),
             settled: false,
@@ -221,8 +224,12 @@
             .map(|(id, _)| id.clone())
             .collect();
         replaced.iter().for_each(|id| self.gone(clock, id, Passing::Replaced));
+        self.superseded.retain(|id| listed.contains_key(id));
         for (id, info) in listed {
-            self.enlist(clock, id, info);
+            // The entry of a dead worker stays until three signs of life are missed: it was recorded and found gone up to ten times.
+            if !self.superseded.contains(&id) {
+                self.enlist(clock, id, info);
+            }
         }
     }
 
@@ -393,6 +400,7 @@
     /// The worker answered that another life is at its address.
     pub fn superseded(&mut self, clock: Clock, id: &str) {
         self.gone(clock, id, Passing::Replaced);
+        self.superseded.insert(id.to_owned());
     }
 
     /// A worker's leases have surely run out.
--- a/components/sched/tests/decisions/crash.rs
+++ b/components/sched/tests/decisions/crash.rs
@@ -12,10 +12,10 @@
 
 use std::time::Duration;
 
-use sched::Start;
-use work::{Outcome, State};
+use sched::{How, Start};
+use work::{Outcome, State, Step};
 
-use crate::cell::{Cell, step};
+use crate::cell::{Cell, running, step};
 
 /// A task may be started twice more after three workers went down under it: a bound of the platform.
 const MOST_STARTS: usize = 5;
@@ -80,3 +80,124 @@
     cell.write();
     assert_eq!(cell.engine.state(1), Some(State::Ended(Outcome::Failed)));
 }
+
+/// A dead worker's entry stays in the list until three signs of life are missed. It was recorded, asked and found gone anew with each
+/// look at the list: up to ten times, with two records each.
+#[test]
+fn a_worker_that_another_life_has_replaced_is_not_taken_in_again_while_it_is_listed() {
+    let mut cell = Cell::new(2).ready();
+    cell.engine.superseded(cell.clock(), "w0");
+    cell.write();
+    let written = cell.log.len();
+    for _ in 0..10 {
+        cell.now += Duration::from_millis(450);
+        cell.engine.list(cell.clock(), cell.infos.clone());
+        cell.write();
+    }
+    assert_eq!(cell.log.len(), written, "{:?}", &cell.log[written..]);
+    assert!(cell.engine.addresses().iter().all(|(id, _)| id != "w0"));
+}
+
+/// Ends of workers that had nothing to do with it aren't held against a task that had been at work there.
+#[test]
+fn a_job_survives_four_workers_that_go_down_for_their_own_reasons() {
+    let mut cell = Cell::new(6).ready();
+    cell.submit(1, "urgent", vec![step(1, 1)]);
+    for _ in 0..4 {
+        let (worker, start) = start_of(&mut cell, 1).expect("it starts again");
+        cell.now += Duration::from_millis(400);
+        cell.report(&worker, &[running(&start)], &[]);
+        crash(&mut cell, &worker);
+        look(&mut cell);
+    }
+    let (worker, start) = start_of(&mut cell, 1).expect("it starts again");
+    cell.end(&worker, &start, How::Done);
+    assert_eq!(cell.engine.state(1), Some(State::Ended(Outcome::Completed)));
+}
+
+/// While a task is tried that may take its worker down nothing else begins there, and it isn't put where something has just begun.
+#[test]
+fn a_suspect_is_tried_apart_from_others() {
+    let mut cell = Cell::new(2).ready();
+    cell.submit(1, "urgent", vec![step(1, 1)]);
+    let (worker, _) = start_of(&mut cell, 1).expect("it starts");
+    crash(&mut cell, &worker);
+    // Another has just begun on the worker that is left.
+    let left: Vec<String> = cell.infos.keys().filter(|id| !id.ends_with("again")).cloned().collect();
+    left.iter().for_each(|id| cell.report(id, &[], &[]));
+    cell.submit(2, "urgent", vec![step(1, 1)]);
+    let (beside, _) = start_of(&mut cell, 2).expect("it starts");
+    cell.engine.list(cell.clock(), cell.infos.clone());
+    cell.write();
+    cell.report(&format!("{worker}-again"), &[], &[]);
+    let (tried, start) = start_of(&mut cell, 1).expect("it starts again");
+    assert_ne!(tried, beside);
+    cell.submit(3, "urgent", vec![step(20, 1)]);
+    assert!(cell.starts().iter().all(|(worker, _)| *worker != tried), "the trial goes on");
+    cell.now += Duration::from_millis(400);
+    cell.report(&tried, &[running(&start)], &[]);
+    assert!(cell.starts().iter().any(|(worker, _)| *worker == tried), "it has survived");
+}
+
+/// What is being started when a worker goes down was never there if it wasn't sent.
+#[test]
+fn a_start_that_was_not_sent_is_not_held_against_its_task() {
+    let mut cell = Cell::new(1).ready();
+    cell.submit(1, "urgent", vec![step(1, 1)]);
+    cell.engine.plan(cell.clock());
+    assert!(cell.engine.take_actions().is_empty(), "its record isn't written yet");
+    cell.engine.superseded(cell.clock(), "w0");
+    let ended = cell.engine.take_ended_workers();
+    assert!(ended[0].runs.is_empty(), "{ended:?}");
+}
+
+/// A lasting task outlives many workers in its days: only ends that come soon after its starts add up.
+#[test]
+fn a_lasting_task_that_served_for_long_outlives_any_number_of_workers() {
+    let mut cell = Cell::new(4).ready();
+    cell.submit(1, "urgent", vec![Step { lasting: true, ..step(1, 1) }]);
+    for _ in 0..12 {
+        let (worker, start) = start_of(&mut cell, 1).expect("it starts again");
+        cell.now += Duration::from_secs(40);
+        cell.report(&worker, &[running(&start)], &[]);
+        crash(&mut cell, &worker);
+        look(&mut cell);
+    }
+    assert_eq!(cell.engine.state(1), Some(State::Running));
+}
+
+/// A lasting task has no limit of attempts, but takes no more workers down than any other.
+#[test]
+fn a_lasting_task_that_takes_workers_down_is_given_up() {
+    let mut cell = Cell::new(4).ready();
+    cell.submit(1, "urgent", vec![Step { lasting: true, ..step(1, 1) }]);
+    let mut starts = 0;
+    while let Some((worker, _)) = start_of(&mut cell, 1) {
+        starts += 1;
+        assert!(starts <= MOST_STARTS, "started {starts} times, each worker went down");
+        crash(&mut cell, &worker);
+        look(&mut cell);
+    }
+    cell.write();
+    assert_eq!(cell.engine.state(1), Some(State::Ended(Outcome::Failed)));
+}
+
+/// One member of a gang takes its worker down each time: the job fails, not the other members' neighbours.
+#[test]
+fn a_gang_with_a_member_that_takes_workers_down_is_given_up() {
+    let mut cell = Cell::new(6).ready();
+    cell.submit(1, "urgent", vec![Step { gang: true, ..step(4, 9) }]);
+    let mut runs = 0;
+    loop {
+        let starts = cell.starts();
+        let Some((worker, _)) = starts.iter().find(|(_, start)| start.task.index == 0) else { break };
+        runs += 1;
+        assert!(runs <= MOST_STARTS, "started {runs} times, each worker went down");
+        starts.iter().for_each(|(worker, start)| cell.started(worker, start));
+        let down = worker.clone();
+        crash(&mut cell, &down);
+        look(&mut cell);
+    }
+    cell.write();
+    assert_eq!(cell.engine.state(1), Some(State::Ended(Outcome::Failed)));
+}
