--- a/components/sched/src/explain.rs
+++ b/components/sched/src/explain.rs
@@ -4,8 +4,9 @@
 use serde::{Deserialize, Serialize};
 use work::{JobId, State, Unit};
 
+use crate::blame::Crash;
 use crate::engine::{Clock, Engine};
-use crate::entry::{Entry, Phase, UnitState};
+use crate::entry::{Entry, Phase, TaskState, UnitState};
 
 /// How a job stands.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
@@ -37,6 +38,8 @@
     pub waiting: usize,
     /// Runs that failed.
     pub failed: usize,
+    /// Workers that ended under tasks and are held against them, as `INDEX: WORKER (EVIDENCE), ...`.
+    pub ended_workers: Vec<String>,
     /// Why tasks wait; empty when none does.
     pub why: String,
 }
@@ -75,6 +78,12 @@
             placed: placed.collect(),
             waiting: unit.pending,
             failed: unit.failed.len() + unit.tasks.iter().map(|task| task.failed.len()).sum::<usize>(),
+            ended_workers: unit
+                .tasks
+                .iter()
+                .enumerate()
+                .filter_map(|(index, task)| ended_workers(index, task))
+                .collect(),
             why: if unit.pending == 0 { String::new() } else { self.reason(clock, entry, name, unit) },
         }
     }
@@ -120,3 +129,10 @@
         )
     }
 }
+
+/// The workers that are held against a task, if there are any.
+fn ended_workers(index: usize, task: &TaskState) -> Option<String> {
+    let named = |crash: &Crash| format!("{} ({})", crash.worker, crash.evidence.name());
+    let workers: Vec<String> = task.crashes.iter().map(named).collect();
+    (!workers.is_empty()).then(|| format!("{index}: {}", workers.join(", ")))
+}
--- a/components/sched/tests/decisions/crash.rs
+++ b/components/sched/tests/decisions/crash.rs
@@ -57,6 +57,8 @@
     }
     cell.write();
     assert_eq!(cell.engine.state(1), Some(State::Ended(Outcome::Failed)));
+    let told = cell.engine.explain(cell.clock(), 1).expect("it is kept").steps[0].ended_workers.join("");
+    assert_eq!(told.matches("(sole)").count(), 3, "an operator sees why: {told}");
 }
 
 /// The leader goes down with each second worker, before it has learnt of that worker's end.
