Ages are reckoned by a clock that goes on while a machine is suspended

By the steady clock a leader that wakes took its authority, leases and book for as fresh as before its suspension. Weighed: comparing both clocks at each wake, which every loop would have to do.

Test: a leader suspended for 10 s beside a store that turns it away answers no state from its book; it does where the clock stands still.

--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -48,6 +48,8 @@
     pub workers: Arc<dyn Workers>,
     /// The adviser, where there is one.
     pub adviser: Option<Arc<dyn Adviser>>,
+    /// The clock by which all ages are reckoned.
+    pub clock: clock::Clock,
 }
 
 /// Who leads, as far as this host knows.
@@ -72,7 +74,7 @@
     /// Its metrics.
     pub metrics: metrics::Jobs,
     /// Zero of its steady clock.
-    pub(crate) started: Instant,
+    pub(crate) started: clock::Start,
     config: watch::Sender<Arc<Config>>,
     /// When it was last known to be the newest, on the steady clock.
     config_known: watch::Sender<Duration>,
@@ -126,11 +128,11 @@
     /// Puts a host together; nothing runs yet.
     pub fn new(settings: Settings, edges: Edges, log: Logger, metrics: metrics::Jobs) -> Arc<Host> {
         Arc::new(Host {
+            started: edges.clock.start(),
             settings,
             edges,
             log,
             metrics,
-            started: Instant::now(),
             config: watch::Sender::new(Arc::new(Config::default())),
             config_known: watch::Sender::new(Duration::ZERO),
             role: watch::Sender::new(Role::Nobody),
--- a/components/entry/tests/hosts.rs
+++ b/components/entry/tests/hosts.rs
@@ -396,3 +396,19 @@
     let answer = tokio::time::timeout(PATIENCE / 4, ask(&late, call)).await;
     assert_eq!(answer, Ok(Answer::NotLeader), "it isn't held until its caller gives up");
 }
+
+/// Its steady clock has stood still, so that by it the store confirmed its leadership a moment ago. Meanwhile another may have led.
+#[tokio::test]
+async fn a_leader_that_wakes_from_a_suspension_does_not_answer_from_its_book() {
+    let cell = cell();
+    let hosts = hosts(&cell, 1).await;
+    assert_eq!(submit(&hosts[0], 7, 1).await, Answer::Accepted);
+    assert_eq!(ends(&hosts[0], 7).await, Outcome::Completed);
+    cell.turn_away("host-0", true);
+    cell.suspended("host-0", Duration::from_secs(10));
+    let state = Call::State { caller: Caller::Operator, id: 7 };
+    let answer = hosts[0].ask(state, Instant::now() + Duration::from_millis(200)).await;
+    assert!(!matches!(answer, Answer::State(_)), "{answer:?}");
+    cell.turn_away("host-0", false);
+    assert_eq!(ends(&hosts[0], 7).await, Outcome::Completed, "it leads again, or still");
+}
--- a/components/fakes/src/cell.rs
+++ b/components/fakes/src/cell.rs
@@ -74,6 +74,8 @@
     state: Mutex<State>,
     changed: watch::Sender<u64>,
     began: Instant,
+    /// How long the machine of each host was suspended.
+    suspensions: Mutex<BTreeMap<String, Duration>>,
     conduct: Mutex<Conduct>,
     range_takes: Mutex<Duration>,
     start_takes: Mutex<Duration>,
@@ -94,6 +96,7 @@
             state: Mutex::new(state),
             changed: watch::Sender::new(0),
             began: Instant::now(),
+            suspensions: Mutex::new(BTreeMap::new()),
             conduct: Mutex::new(Conduct { takes: Duration::ZERO, how: How::Done }),
             range_takes: Mutex::new(Duration::ZERO),
             start_takes: Mutex::new(Duration::ZERO),
@@ -223,8 +226,14 @@
             claim_delay,
         };
         let view = Arc::new(View { cell: self.clone(), host: name.to_owned() });
-        let edges =
-            Edges { store: view.clone(), directory: view.clone(), workers: view.clone(), adviser: Some(view.clone()) };
+        let (cell, of) = (self.clone(), name.to_owned());
+        let edges = Edges {
+            store: view.clone(),
+            directory: view.clone(),
+            workers: view.clone(),
+            adviser: Some(view.clone()),
+            clock: clock::Clock::new(move || cell.host_time(&of)),
+        };
         let host = entry::Host::new(settings, edges, events::silent(), metrics::Jobs::default());
         entry::spawn(&host, listener);
         Ok(host)
@@ -236,6 +245,16 @@
         self.changed.send_replace(state.revision);
     }
 
+    /// The machine of a host was suspended for so long just now: its steady clock and its timers have stood still.
+    pub fn suspended(&self, host: &str, time: Duration) {
+        *self.suspensions.lock().entry(host.to_owned()).or_default() += time;
+    }
+
+    /// The time on the clock of a host that goes on during suspensions.
+    fn host_time(&self, host: &str) -> Duration {
+        self.began.elapsed() + self.suspensions.lock().get(host).copied().unwrap_or_default()
+    }
+
     fn now(&self) -> Duration {
         self.began.elapsed()
     }
