--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -48,6 +48,8 @@
     CONFIG_IN_FORCE = 306, Info, "configuration in force on this host";
     /// The platform answers again.
     PLATFORM_BACK = 307, Info, "platform answers again";
+    /// An entry among those of the workers names none.
+    ENTRY_UNUSABLE = 308, Warning, "an entry in the list of workers makes no sense; it names none";
     /// The leader is known.
     LEADER_KNOWN = 310, Info, "leader known";
     /// No leader is known.
--- a/components/metrics/src/jobs.rs
+++ b/components/metrics/src/jobs.rs
@@ -65,6 +65,8 @@
     pub store_calls: Family<StoreCall, Counter>,
     /// Seconds that a call to the store took.
     pub store_seconds: Histogram,
+    /// Entries in the list of workers that name none.
+    pub unusable_entries: Gauge,
     /// Version of the configuration in force.
     pub config_version: Gauge,
     /// Term of this host's reign; 0 while another host leads.
@@ -97,6 +99,7 @@
             questions: Gauge::default(),
             store_calls: Family::default(),
             store_seconds: seconds(),
+            unusable_entries: Gauge::default(),
             config_version: Gauge::default(),
             term: Gauge::default(),
             workers: Gauge::default(),
@@ -126,6 +129,7 @@
         registry.register("advice_waiting", "Questions that wait for a host", self.questions.clone());
         registry.register("store_calls", "Calls to the store by kind and outcome", self.store_calls.clone());
         registry.register("store_seconds", "One call to the store", self.store_seconds.clone());
+        registry.register("unusable_worker_entries", "Entries that name no worker", self.unusable_entries.clone());
         registry.register("config_version", "Configuration in force", self.config_version.clone());
         registry.register("leader_term", "Term of this host's reign, 0 if it doesn't lead", self.term.clone());
         registry.register("held_workers", "Workers that the leader holds", self.workers.clone());
--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -227,12 +227,17 @@
         self.superseded.retain(|id| listed.contains_key(id));
         for (id, info) in listed {
             // The entry of a dead worker stays until three signs of life are missed: it was recorded and found gone up to ten times.
-            if !self.superseded.contains(&id) {
+            if !self.superseded.contains(&id) && (self.workers.contains_key(&id) || self.has_pool(&info.pool)) {
                 self.enlist(clock, id, info);
             }
         }
     }
 
+    /// Whether a queue uses a pool. Anybody may write into the list: a worker of a pool that nobody names isn't even called.
+    fn has_pool(&self, pool: &str) -> bool {
+        self.most_urgent.contains_key(pool) || self.config.queues.is_empty()
+    }
+
     /// Takes in one worker of the list.
     fn enlist(&mut self, clock: Clock, id: WorkerId, info: Info) {
         if let Some(worker) = self.workers.get_mut(&id) {
--- a/components/sched/tests/decisions/main.rs
+++ b/components/sched/tests/decisions/main.rs
@@ -466,3 +466,12 @@
     cell.engine.list(cell.clock(), cell.infos.clone());
     assert!(!cell.engine.starting(&worker, start.task, start.attempt), "its worker leaves");
 }
+
+#[test]
+fn a_worker_of_a_pool_that_no_queue_names_is_not_called() {
+    let mut cell = Cell::new(2);
+    cell.infos.get_mut("w1").expect("listed").pool = "nobody's".to_owned();
+    let cell = cell.ready();
+    let called: Vec<String> = cell.engine.addresses().into_iter().map(|(id, _)| id).collect();
+    assert_eq!(called, ["w0"]);
+}
