--- a/bins/walkhook/tests/job.rs
+++ b/bins/walkhook/tests/job.rs
@@ -47,6 +47,7 @@
         labels: Vec::new(),
         capacity: Resources::new(4, 4000, 0),
         draining: false,
+        evacuated: false,
     };
     cell.add_worker("w1", info);
     cell.conduct(Conduct { takes: Duration::from_secs(600), how: How::Done });
--- a/components/entry/tests/support/mod.rs
+++ b/components/entry/tests/support/mod.rs
@@ -43,6 +43,7 @@
             labels: vec!["kind".to_owned(), "rack".to_owned()],
             capacity: Resources::new(4, 4000, 0),
             draining: false,
+            evacuated: false,
         };
         cell.add_worker(&format!("w{number}"), info);
     }
--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -50,6 +50,8 @@
     PLATFORM_BACK = 307, Info, "platform answers again";
     /// An entry among those of the workers names none.
     ENTRY_UNUSABLE = 308, Warning, "an entry in the list of workers makes no sense; it names none";
+    /// Other data centres are evacuated than before.
+    EVACUATED = 309, Info, "data centres to which nothing new is sent have changed";
     /// The leader is known.
     LEADER_KNOWN = 310, Info, "leader known";
     /// No leader is known.
--- a/components/fakes/src/runner.rs
+++ b/components/fakes/src/runner.rs
@@ -61,6 +61,7 @@
             labels: vec!["kind".to_owned(), "rack".to_owned()],
             capacity,
             draining: false,
+            evacuated: false,
         };
         Runner {
             info,
--- a/components/sched/examples/cell/mod.rs
+++ b/components/sched/examples/cell/mod.rs
@@ -39,6 +39,7 @@
         labels: vec!["a".to_owned(), format!("rack-{}", number / RACK)],
         capacity: Resources { cpu_milli: WORKER_CPU_MILLI, memory_mib: 65_536, accelerators: 0 },
         draining: false,
+        evacuated: false,
     }
 }
 
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -323,7 +323,7 @@
     pub fn starting(&self, worker: &str, task: Task, attempt: Attempt) -> bool {
         let Some(worker) = self.workers.get(worker) else { return false };
         let run = worker.runs.get(&(task, attempt));
-        !worker.info.draining && run.is_some_and(|run| run.phase == worker::Phase::Starting)
+        worker.info.is_open() && run.is_some_and(|run| run.phase == worker::Phase::Starting)
     }
 
     fn still_wanted(&self, clock: Clock, worker: &str, start: &Start) -> bool {
--- a/components/sched/src/restore.rs
+++ b/components/sched/src/restore.rs
@@ -227,5 +227,6 @@
         labels: Vec::new(),
         capacity: model::Resources::ZERO,
         draining: false,
+        evacuated: false,
     }
 }
--- a/components/sched/src/worker.rs
+++ b/components/sched/src/worker.rs
@@ -45,6 +45,15 @@
     pub capacity: Resources,
     /// Whether it is about to leave.
     pub draining: bool,
+    /// Whether its data centre is being evacuated: nothing new is sent there until that is taken back.
+    pub evacuated: bool,
+}
+
+impl Info {
+    /// Whether it may get new work, as far as it goes by the platform's list.
+    pub(crate) fn is_open(&self) -> bool {
+        !self.draining && !self.evacuated
+    }
 }
 
 /// A run that a worker lists as running.
@@ -295,7 +304,7 @@
         let listed = self.missing.is_none_or(|since| now.saturating_sub(since) < LIST_GRACE);
         let pause = if self.runs.is_empty() { pauses.idle } else { pauses.busy };
         let heard = now.saturating_sub(self.heard) < SILENCE + pause;
-        listed && heard && self.contact == Contact::Held && !self.info.draining && self.position <= durable
+        listed && heard && self.contact == Contact::Held && self.info.is_open() && self.position <= durable
     }
 
     /// Gives the room of a run back, by counting anew: an adopted run may have exceeded the room.
--- a/components/sched/tests/decisions/cell/mod.rs
+++ b/components/sched/tests/decisions/cell/mod.rs
@@ -149,6 +149,7 @@
         labels: vec!["kind".to_owned(), format!("rack-{}", number / 2)],
         capacity: Resources::new(16, 64_000, 0),
         draining: false,
+        evacuated: false,
     }
 }
 
--- a/components/sched/tests/decisions/main.rs
+++ b/components/sched/tests/decisions/main.rs
@@ -475,3 +475,19 @@
     let called: Vec<String> = cell.engine.addresses().into_iter().map(|(id, _)| id).collect();
     assert_eq!(called, ["w0"]);
 }
+
+#[test]
+fn an_evacuated_worker_gets_nothing_new_until_that_is_taken_back() {
+    let mut cell = Cell::new(2).ready();
+    cell.submit(1, "urgent", vec![Step { spread: 1, ..step(2, 1) }]);
+    let sent = cell.starts();
+    let waiting = sent.iter().find(|(worker, _)| worker == "w0").expect("one each");
+    cell.infos.get_mut("w0").expect("listed").evacuated = true;
+    cell.engine.list(cell.clock(), cell.infos.clone());
+    assert!(!cell.engine.starting("w0", waiting.1.task, waiting.1.attempt), "not sent any more");
+    cell.submit(2, "urgent", vec![step(8, 2)]);
+    assert!(cell.starts().iter().all(|(worker, _)| worker == "w1"));
+    cell.infos.get_mut("w0").expect("listed").evacuated = false;
+    cell.engine.list(cell.clock(), cell.infos.clone());
+    assert!(cell.starts().iter().any(|(worker, _)| worker == "w0"));
+}
