--- a/components/sched/tests/decisions/main.rs
+++ b/components/sched/tests/decisions/main.rs
@@ -491,3 +491,19 @@
     cell.engine.list(cell.clock(), cell.infos.clone());
     assert!(cell.starts().iter().any(|(worker, _)| worker == "w0"));
 }
+
+#[test]
+fn a_worker_whose_room_has_shrunk_gets_what_fits_into_the_rest() {
+    let mut cell = Cell::new(1).ready();
+    cell.submit(1, "urgent", vec![step(1, 10)]);
+    let (worker, start) = cell.starts().remove(0);
+    cell.started(&worker, &start);
+    let room = |cores| model::Resources::new(cores, 64_000, 0);
+    cell.infos.get_mut("w0").expect("listed").capacity = room(8);
+    cell.engine.list(cell.clock(), cell.infos.clone());
+    cell.submit(2, "urgent", vec![step(2, 2)]);
+    assert!(cell.starts().is_empty(), "what runs takes more than there is, and goes on");
+    cell.infos.get_mut("w0").expect("listed").capacity = room(12);
+    cell.engine.list(cell.clock(), cell.infos.clone());
+    assert_eq!(cell.starts().len(), 1, "it has grown by one of them");
+}
