--- a/components/fakes/src/cell.rs
+++ b/components/fakes/src/cell.rs
@@ -2,6 +2,8 @@
 //! single hosts away, lose answers and carry transactions out late.
 
 mod calls;
+mod suspension;
+mod tampering;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -188,13 +190,6 @@
         self.state.lock().abandoned
     }
 
-    /// Removes a key without a sign to its owner.
-    pub fn revoke(&self, key: &str) {
-        let mut state = self.state.lock();
-        state.items.remove(key);
-        self.change(&mut state);
-    }
-
     /// Transactions that were done.
     pub fn commits(&self) -> usize {
         self.state.lock().commits
@@ -245,16 +240,6 @@
         self.changed.send_replace(state.revision);
     }
 
-    /// The machine of a host was suspended for so long just now: its steady clock and its timers have stood still.
-    pub fn suspended(&self, host: &str, time: Duration) {
-        *self.suspensions.lock().entry(host.to_owned()).or_default() += time;
-    }
-
-    /// The time on the clock of a host that goes on during suspensions.
-    fn host_time(&self, host: &str) -> Duration {
-        self.began.elapsed() + self.suspensions.lock().get(host).copied().unwrap_or_default()
-    }
-
     fn now(&self) -> Duration {
         self.began.elapsed()
     }
--- /dev/null
+++ b/components/fakes/src/cell/tampering.rs
@@ -0,0 +1,18 @@
+//! What the store does with keys behind its clients' backs.
+
+use super::Cell;
+
+impl Cell {
+    /// Removes a key without a sign to its owner.
+    pub fn revoke(&self, key: &str) {
+        let mut state = self.state.lock();
+        state.items.remove(key);
+        self.change(&mut state);
+    }
+
+    /// Changes all values below a prefix, as another version of the program would have written them.
+    pub fn rewrite(&self, prefix: &str, change: impl Fn(&mut Vec<u8>)) {
+        let mut state = self.state.lock();
+        state.items.iter_mut().filter(|(key, _)| key.starts_with(prefix)).for_each(|(_, kept)| change(&mut kept.value));
+    }
+}
--- a/components/sched/tests/decisions/main.rs
+++ b/components/sched/tests/decisions/main.rs
@@ -9,6 +9,7 @@
 mod preempt;
 mod quota;
 mod wide;
+mod workers;
 
 use std::time::Duration;
 
@@ -194,30 +195,6 @@
     assert!(matches!(actions.as_slice(), [Action::Stop(..)]), "{actions:?}");
 }
 
-#[test]
-fn a_leaving_worker_gets_nothing_new() {
-    let mut cell = Cell::new(2).ready();
-    cell.infos.get_mut("w0").expect("listed").draining = true;
-    cell.engine.list(cell.clock(), cell.infos.clone());
-    cell.submit(1, "urgent", vec![step(4, 2)]);
-    assert!(cell.starts().iter().all(|(worker, _)| worker == "w1"));
-}
-
-#[test]
-fn another_life_at_an_address_ends_the_earlier_one() {
-    let mut cell = Cell::new(1).ready();
-    cell.submit(1, "urgent", vec![step(1, 1)]);
-    assert_eq!(cell.starts().len(), 1);
-    let info = cell.infos.remove("w0").expect("listed");
-    cell.infos.insert("w0-again".to_owned(), info);
-    cell.engine.list(cell.clock(), cell.infos.clone());
-    cell.write();
-    cell.report("w0-again", &[], &[]);
-    let starts = cell.starts();
-    assert_eq!(starts.len(), 1);
-    assert_eq!(starts[0].0, "w0-again");
-}
-
 #[test]
 fn a_known_id_stays_the_job_that_it_is() {
     let mut cell = Cell::new(1).ready();
@@ -466,44 +443,3 @@
     cell.engine.list(cell.clock(), cell.infos.clone());
     assert!(!cell.engine.starting(&worker, start.task, start.attempt), "its worker leaves");
 }
-
-#[test]
-fn a_worker_of_a_pool_that_no_queue_names_is_not_called() {
-    let mut cell = Cell::new(2);
-    cell.infos.get_mut("w1").expect("listed").pool = "nobody's".to_owned();
-    let cell = cell.ready();
-    let called: Vec<String> = cell.engine.addresses().into_iter().map(|(id, _)| id).collect();
-    assert_eq!(called, ["w0"]);
-}
-
-#[test]
-fn an_evacuated_worker_gets_nothing_new_until_that_is_taken_back() {
-    let mut cell = Cell::new(2).ready();
-    cell.submit(1, "urgent", vec![Step { spread: 1, ..step(2, 1) }]);
-    let sent = cell.starts();
-    let waiting = sent.iter().find(|(worker, _)| worker == "w0").expect("one each");
-    cell.infos.get_mut("w0").expect("listed").evacuated = true;
-    cell.engine.list(cell.clock(), cell.infos.clone());
-    assert!(!cell.engine.starting("w0", waiting.1.task, waiting.1.attempt), "not sent any more");
-    cell.submit(2, "urgent", vec![step(8, 2)]);
-    assert!(cell.starts().iter().all(|(worker, _)| worker == "w1"));
-    cell.infos.get_mut("w0").expect("listed").evacuated = false;
-    cell.engine.list(cell.clock(), cell.infos.clone());
-    assert!(cell.starts().iter().any(|(worker, _)| worker == "w0"));
-}
-
-#[test]
-fn a_worker_whose_room_has_shrunk_gets_what_fits_into_the_rest() {
-    let mut cell = Cell::new(1).ready();
-    cell.submit(1, "urgent", vec![step(1, 10)]);
-    let (worker, start) = cell.starts().remove(0);
-    cell.started(&worker, &start);
-    let room = |cores| model::Resources::new(cores, 64_000, 0);
-    cell.infos.get_mut("w0").expect("listed").capacity = room(8);
-    cell.engine.list(cell.clock(), cell.infos.clone());
-    cell.submit(2, "urgent", vec![step(2, 2)]);
-    assert!(cell.starts().is_empty(), "what runs takes more than there is, and goes on");
-    cell.infos.get_mut("w0").expect("listed").capacity = room(12);
-    cell.engine.list(cell.clock(), cell.infos.clone());
-    assert_eq!(cell.starts().len(), 1, "it has grown by one of them");
-}
