--- a/components/sched/tests/decisions/crash.rs
+++ b/components/sched/tests/decisions/crash.rs
@@ -44,19 +44,24 @@
     starts.into_iter().find(|(_, start)| start.task.unit.job == job)
 }
 
-#[test]
-fn a_task_that_takes_workers_down_is_given_up() {
-    let mut cell = Cell::new(4).ready();
-    cell.submit(1, "urgent", vec![step(1, 1)]);
+/// Each worker goes down that starts the task of job 1, until that is given up.
+fn take_workers_down(cell: &mut Cell) {
     let mut starts = 0;
-    while let Some((worker, _)) = start_of(&mut cell, 1) {
+    while let Some((worker, _)) = start_of(cell, 1) {
         starts += 1;
         assert!(starts <= MOST_STARTS, "started {starts} times, each worker went down");
-        crash(&mut cell, &worker);
-        look(&mut cell);
+        crash(cell, &worker);
+        look(cell);
     }
     cell.write();
     assert_eq!(cell.engine.state(1), Some(State::Ended(Outcome::Failed)));
+}
+
+#[test]
+fn a_task_that_takes_workers_down_is_given_up() {
+    let mut cell = Cell::new(4).ready();
+    cell.submit(1, "urgent", vec![step(1, 1)]);
+    take_workers_down(&mut cell);
     let told = cell.engine.explain(cell.clock(), 1).expect("it is kept").steps[0].ended_workers.join("");
     assert_eq!(told.matches("(sole)").count(), 3, "an operator sees why: {told}");
 }
@@ -173,15 +178,7 @@
 fn a_lasting_task_that_takes_workers_down_is_given_up() {
     let mut cell = Cell::new(4).ready();
     cell.submit(1, "urgent", vec![Step { lasting: true, ..step(1, 1) }]);
-    let mut starts = 0;
-    while let Some((worker, _)) = start_of(&mut cell, 1) {
-        starts += 1;
-        assert!(starts <= MOST_STARTS, "started {starts} times, each worker went down");
-        crash(&mut cell, &worker);
-        look(&mut cell);
-    }
-    cell.write();
-    assert_eq!(cell.engine.state(1), Some(State::Ended(Outcome::Failed)));
+    take_workers_down(&mut cell);
 }
 
 /// One member of a gang takes its worker down each time: the job fails, not the other members' neighbours.
