A leader one of whose loops fails leads no more

A panic in one of the leader's loops ended that loop alone; the leader kept its lease, decided no more, and nobody had a reason to replace it. Its reign ends now (325). Test failing before: it never led anew in 40 s.

--- a/components/entry/src/reign.rs
+++ b/components/entry/src/reign.rs
@@ -19,7 +19,7 @@
 use parking_lot::Mutex;
 use sched::{Engine, Latency};
 use tokio::sync::{Notify, watch};
-use tokio::task::AbortHandle;
+use tokio::task::{AbortHandle, JoinSet};
 use work::log::PartId;
 use work::{JobId, State, Term, WorkerId};
 
@@ -145,16 +145,30 @@
     }
 
     fn start(self: Arc<Reign>) {
+        let mut loops = JoinSet::new();
         let handles = vec![
-            tokio::spawn(commit::run(self.clone())).abort_handle(),
-            tokio::spawn(duties::plan(self.clone())).abort_handle(),
-            tokio::spawn(duties::list(self.clone())).abort_handle(),
-            tokio::spawn(duties::lease(self.clone())).abort_handle(),
-            tokio::spawn(duties::config(self.clone())).abort_handle(),
-            tokio::spawn(yielding::run(self.clone())).abort_handle(),
-            tokio::spawn(ask::run(self.clone())).abort_handle(),
+            loops.spawn(commit::run(self.clone())),
+            loops.spawn(duties::plan(self.clone())),
+            loops.spawn(duties::list(self.clone())),
+            loops.spawn(duties::lease(self.clone())),
+            loops.spawn(duties::config(self.clone())),
+            loops.spawn(yielding::run(self.clone())),
+            loops.spawn(ask::run(self.clone())),
         ];
         *self.loops.lock() = handles;
+        tokio::spawn(self.end_with(loops));
+    }
+
+    /// Ends the reign if one of its loops fails. Else it would keep its lease without deciding, or reading the list, for ever, and no host
+    /// would see a reason to replace it.
+    async fn end_with(self: Arc<Reign>, mut loops: JoinSet<()>) {
+        while let Some(ended) = loops.join_next().await {
+            if ended.is_err_and(|fault| fault.is_panic()) {
+                emit!(self.host.log, events::LOOP_FAILED, "term" => self.term);
+                self.depose("a loop of the leader failed");
+                self.host.left(self.term);
+            }
+        }
     }
 
     /// Whether the leader before is known to give no leases any more.
--- a/components/entry/tests/hosts.rs
+++ b/components/entry/tests/hosts.rs
@@ -432,3 +432,14 @@
     let answer = last.ask(state, Instant::now() + Duration::from_secs(2)).await;
     assert!(!leads(&last), "{answer:?}");
 }
+
+/// One that only stopped reading the list, or deciding, would keep its lease for ever, and nobody else would lead.
+#[tokio::test]
+async fn a_leader_one_of_whose_loops_fails_leads_no_more() {
+    let cell = cell();
+    let hosts = hosts(&cell, 1).await;
+    cell.break_list();
+    until("it leads anew", || matches!(hosts[0].role(), Role::Leading(reign) if reign.term > 1)).await;
+    assert_eq!(submit(&hosts[0], 7, 1).await, Answer::Accepted);
+    assert_eq!(ends(&hosts[0], 7).await, Outcome::Completed);
+}
--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -82,6 +82,8 @@
     CONFIG_NOT_PASSED = 323, Warning, "configuration not passed between this host and the leader";
     /// The configuration has a part that makes no sense.
     CONFIG_FAULT = 324, Warning, "a part of the configuration makes no sense and is left out";
+    /// One of the leader's loops has panicked.
+    LOOP_FAILED = 325, Error, "a loop of the leader failed; its reign ends";
     /// A worker is held.
     WORKER_HELD = 401, Info, "worker held";
     /// Another host holds the worker.
--- a/components/fakes/src/cell.rs
+++ b/components/fakes/src/cell.rs
@@ -55,6 +55,7 @@
     turned_away: BTreeSet<String>,
     lost_answers: usize,
     swallowed: usize,
+    broken_list: bool,
     abandoned: usize,
     /// Starts under way, by worker.
     under_way: BTreeMap<WorkerId, usize>,
@@ -416,6 +417,10 @@
     }
 
     async fn workers(&self) -> Result<BTreeMap<WorkerId, Info>, Fault> {
+        assert!(
+            !std::mem::take(&mut self.cell.state.lock().broken_list),
+            "the list breaks its reader, as a test wants it"
+        );
         self.store(|state| state.workers.iter().map(|(id, worker)| (id.clone(), worker.info.clone())).collect())
     }
 }
--- a/components/fakes/src/cell/tampering.rs
+++ b/components/fakes/src/cell/tampering.rs
@@ -15,4 +15,9 @@
         let mut state = self.state.lock();
         state.items.iter_mut().filter(|(key, _)| key.starts_with(prefix)).for_each(|(_, kept)| change(&mut kept.value));
     }
+
+    /// Whoever reads the list of workers next panics.
+    pub fn break_list(&self) {
+        self.state.lock().broken_list = true;
+    }
 }
