--- a/components/sched/src/blame.rs
+++ b/components/sched/src/blame.rs
@@ -77,11 +77,7 @@
 
     /// Begins to look for places for suspects, apart from others for a while.
     pub(crate) fn look_apart(&mut self, now: Duration) {
-        self.apart_until = match self.apart_until {
-            None if self.has_suspects() => Some(now + APART),
-            Some(until) if self.has_suspects() => Some(until),
-            _ => None,
-        };
+        self.apart_until = self.has_suspects().then(|| self.apart_until.unwrap_or(now + APART));
     }
 
     /// Whether suspects still wait for a place where nothing has just begun.
--- a/components/sched/src/ends.rs
+++ b/components/sched/src/ends.rs
@@ -134,8 +134,7 @@
         let spent = failed.len() >= most as usize;
         self.record(Record::Failed { task, attempt });
         if spent {
-            self.end(clock, task.unit.job, Outcome::Failed);
-            self.stop_all(task.unit.job);
+            self.give_up(clock, [task.unit.job]);
         }
     }
 
