--- a/components/sched/src/blame.rs
+++ b/components/sched/src/blame.rs
@@ -103,6 +103,7 @@
         Passing::Replaced if lost.sole && lost.confirmed => Some(Evidence::Sole),
         Passing::Replaced => Some(Evidence::Shared),
         Passing::Unlisted | Passing::Unseen => Some(Evidence::Weak),
+        Passing::Restarted => None,
     }
 }
 
--- a/components/sched/src/ends.rs
+++ b/components/sched/src/ends.rs
@@ -1,12 +1,14 @@
 //! Reports of workers: adopts what runs, takes in ends, notices what is missing.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use model::Resources;
 use work::{Attempt, Outcome, Record, Step, Task, Unit};
 
 use crate::engine::{Clock, Engine};
 use crate::entry::{self, Placement};
+use crate::loss::Lost;
 use crate::quota::Charge;
 use crate::worker::{Contact, End, FAILURES_IN_A_ROW, How, Phase, Report, Run, Running};
 
@@ -14,9 +16,9 @@
     /// Takes in a worker's answer to a renewal under this reign's term.
     pub fn report(&mut self, clock: Clock, id: &str, report: Report) {
         let Some(worker) = self.workers.get_mut(id) else { return };
+        let heard = std::mem::replace(&mut worker.heard, clock.now);
         worker.contact = Contact::Held;
-        worker.heard = clock.now;
-        worker.left.clear();
+        let left = std::mem::take(&mut worker.left);
         let taken = worker.taken;
         for end in report.ended.iter().filter(|end| end.number > taken) {
             self.ended(clock, id, end);
@@ -24,7 +26,9 @@
         for running in &report.running {
             self.running(clock, id, running);
         }
-        self.missing(clock, id, &report);
+        let mut vanished = unlisted(left, &report);
+        vanished.extend(self.missing(clock, id, heard, &report));
+        self.restarted(clock, id, heard, vanished);
     }
 
     /// Takes in an end; it may be acknowledged once the records that it led to are durable.
@@ -213,17 +217,20 @@
         entry.charge(task.unit.step).or_else(|| Some(Charge { workspace: entry.workspace?, need }))
     }
 
-    /// Releases runs that must have shown in this report and don't.
-    fn missing(&mut self, clock: Clock, id: &str, report: &Report) {
+    /// Releases runs that must have shown in this report and don't. Those that had begun.
+    fn missing(&mut self, clock: Clock, id: &str, heard: Duration, report: &Report) -> Vec<Lost> {
         let shown: BTreeSet<(Task, Attempt)> = report.running.iter().map(|row| (row.task, row.attempt)).collect();
-        let Some(worker) = self.workers.get(id) else { return };
-        let lost: Vec<(Task, Attempt)> = worker
-            .runs
-            .iter()
-            .filter(|(key, run)| !shown.contains(*key) && must_show(run.phase, report.mark))
-            .map(|(key, _)| *key)
-            .collect();
-        lost.into_iter().for_each(|(task, attempt)| self.release(clock, id, task, attempt));
+        let Some(worker) = self.workers.get(id) else { return Vec::new() };
+        let missing = |(key, run): &(&(Task, Attempt), &Run)| !shown.contains(*key) && must_show(run.phase, report.mark);
+        let lost: BTreeMap<(Task, Attempt), bool> =
+            worker.runs.iter().filter(missing).map(|(key, run)| (*key, run.begun.is_some())).collect();
+        let begun = |lost: &BTreeMap<_, bool>, run: &Lost| lost.get(&(run.task, run.attempt)) == Some(&true);
+        let vanished = match lost.values().any(|begun| *begun) {
+            true => self.losses(id, heard).into_iter().filter(|run| begun(&lost, run)).collect(),
+            false => Vec::new(),
+        };
+        lost.into_keys().for_each(|(task, attempt)| self.release(clock, id, task, attempt));
+        vanished
     }
 
     /// Stops what is left of gangs that lost a member.
@@ -253,6 +260,14 @@
     }
 }
 
+/// Runs that had begun before the worker's leases ran out, and that it neither lists nor has ended.
+fn unlisted(left: Vec<Lost>, report: &Report) -> Vec<Lost> {
+    let running = report.running.iter().map(|row| (row.task, row.attempt));
+    let ended = report.ended.iter().map(|end| (end.task, end.attempt));
+    let listed: BTreeSet<(Task, Attempt)> = running.chain(ended).collect();
+    left.into_iter().filter(|run| run.begun() && !listed.contains(&(run.task, run.attempt))).collect()
+}
+
 /// Whether a report shows a run in this phase for certain, if its renewal was sent at `mark`.
 fn must_show(phase: Phase, mark: u64) -> bool {
     match phase {
--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -389,8 +389,9 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         let silent = clock.now.saturating_sub(worker.heard);
         let draining = worker.info.draining;
+        let heard = worker.heard;
         let mut runs = std::mem::take(&mut worker.left);
-        runs.extend(self.losses(id));
+        runs.extend(self.losses(id, heard));
         let mut ended = loss::Ended { worker: id.to_owned(), passing, silent, draining, runs };
         self.vacate(clock, id);
         let spent = self.hold_against(&mut ended);
@@ -416,7 +417,8 @@
             return self.gone(clock, id, Passing::Unlisted);
         }
         // It may turn out to have ended then.
-        let lost = self.losses(id);
+        let heard = worker.heard;
+        let lost = self.losses(id, heard);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.left.extend(lost);
         }
--- a/components/sched/src/loss.rs
+++ b/components/sched/src/loss.rs
@@ -5,7 +5,7 @@
 
 use work::{Attempt, Evidence, JobId, Task, WorkerId};
 
-use crate::engine::Engine;
+use crate::engine::{Clock, Engine};
 use crate::worker::{Phase, Run};
 
 /// How a worker's life was learnt to be over.
@@ -17,6 +17,8 @@
     Unlisted,
     /// An earlier leader knew it; nobody lists it any more and it never answered this one.
     Unseen,
+    /// It answers, and neither lists a run that it had begun nor the run's end: it has started again under its id.
+    Restarted,
 }
 
 impl Passing {
@@ -26,6 +28,7 @@
             Passing::Replaced => "replaced",
             Passing::Unlisted => "unlisted",
             Passing::Unseen => "unseen",
+            Passing::Restarted => "restarted",
         }
     }
 }
@@ -73,6 +76,11 @@
 }
 
 impl Lost {
+    /// Whether it had certainly begun: this leader has had an answer to its start, or has seen it listed.
+    pub(crate) fn begun(&self) -> bool {
+        self.attempt != 0 && (self.confirmed || self.shown)
+    }
+
     /// A task that an earlier leader placed on a worker from which nothing has been heard since.
     pub(crate) fn inherited(task: Task) -> Lost {
         Lost {
@@ -92,8 +100,8 @@
 }
 
 impl Engine {
-    /// What goes with a worker if it is never heard again: its runs, but for starts that weren't sent.
-    pub(crate) fn losses(&self, id: &str) -> Vec<Lost> {
+    /// What goes with a worker that was last heard at this time: its runs, but for starts that weren't sent.
+    pub(crate) fn losses(&self, id: &str, heard: Duration) -> Vec<Lost> {
         let Some(worker) = self.workers.get(id) else { return Vec::new() };
         let unsent = |task: &Task, attempt: Attempt| {
             let same = |start: &crate::engine::Start| start.task == *task && start.attempt == attempt;
@@ -107,7 +115,7 @@
             .collect();
         let new: BTreeSet<JobId> = sent.iter().filter(|(.., run)| !run.shown).map(|(task, ..)| task.unit.job).collect();
         let lost = |(task, attempt, run): &(Task, Attempt, &Run)| Lost {
-            age: worker.heard.saturating_sub(run.decided),
+            age: heard.saturating_sub(run.decided),
             shown: run.shown,
             confirmed: matches!(run.phase, Phase::Running(_)),
             sole: new.len() == 1,
@@ -119,6 +127,17 @@
         sent.iter().map(lost).collect()
     }
 
+    /// A worker answers, and these runs, which had begun there, are neither listed nor ended.
+    pub(crate) fn restarted(&mut self, clock: Clock, id: &str, heard: Duration, runs: Vec<Lost>) {
+        if runs.is_empty() {
+            return;
+        }
+        let draining = self.workers.get(id).is_some_and(|worker| worker.info.draining);
+        let silent = clock.now.saturating_sub(heard);
+        let ended = Ended { worker: id.to_owned(), passing: Passing::Restarted, silent, draining, runs };
+        self.ended_workers.push(ended);
+    }
+
     /// Takes the ends of workers since the last call.
     pub fn take_ended_workers(&mut self) -> Vec<Ended> {
         std::mem::take(&mut self.ended_workers)
