--- a/components/sched/tests/decisions/restart.rs
+++ b/components/sched/tests/decisions/restart.rs
@@ -18,10 +18,27 @@
 const MOST_STARTS: usize = 5;
 /// A worker that went down is back after this time, before its leases have run out.
 const SOON: Duration = Duration::from_secs(1);
+/// ... or after they have, as is known by then.
+const LATE: Duration = Duration::from_secs(7);
+
+/// What a leader learns while a worker that goes down is away.
+#[derive(Clone, Copy, PartialEq)]
+enum Away {
+    /// Nothing.
+    Soon,
+    /// That its leases have run out.
+    Late,
+}
 
 /// A worker goes down and is back under its id, with an empty list. All others answer as before.
-fn restart(cell: &mut Cell) {
-    cell.now += SOON;
+fn restart(cell: &mut Cell, worker: &str, away: Away) {
+    match away {
+        Away::Soon => cell.now += SOON,
+        Away::Late => {
+            cell.now += LATE;
+            cell.engine.lapsed(cell.clock(), worker);
+        }
+    }
     let ids: Vec<String> = cell.infos.keys().cloned().collect();
     ids.iter().for_each(|id| cell.report(id, &[], &[]));
 }
@@ -34,14 +51,14 @@
 }
 
 /// Each worker goes down that starts the task of job 1, until that is given up.
-fn take_workers_down(workers: usize) {
+fn take_workers_down(workers: usize, away: Away) {
     let mut cell = Cell::new(workers).ready();
     cell.submit(1, "urgent", vec![step(1, 1)]);
     let mut starts = 0;
-    while next_start(&mut cell).is_some() {
+    while let Some((worker, _)) = next_start(&mut cell) {
         starts += 1;
         assert!(starts <= MOST_STARTS, "started {starts} times, each worker went down");
-        restart(&mut cell);
+        restart(&mut cell, &worker, away);
     }
     cell.write();
     assert_eq!(cell.engine.state(1), Some(State::Ended(Outcome::Failed)));
@@ -49,5 +66,10 @@
 
 #[test]
 fn a_task_whose_workers_are_back_within_their_leases_is_given_up() {
-    take_workers_down(4);
+    take_workers_down(4, Away::Soon);
+}
+
+#[test]
+fn a_task_whose_workers_are_back_after_their_leases_is_given_up() {
+    take_workers_down(4, Away::Late);
 }
