Test that fails: a task that takes two workers down in turn

Ends are held once an id, so that a cell of fewer than three workers would go on for ever also once restarts are seen.

--- a/components/sched/tests/decisions/restart.rs
+++ b/components/sched/tests/decisions/restart.rs
@@ -73,3 +73,9 @@
 fn a_task_whose_workers_are_back_after_their_leases_is_given_up() {
     take_workers_down(4, Away::Late);
 }
+
+/// Each end counts, also of a worker that went down before: a cell of two workers has no third one to count.
+#[test]
+fn a_task_that_takes_two_workers_down_in_turn_is_given_up() {
+    take_workers_down(2, Away::Soon);
+}
