The log names the run that went with a worker; formats 2 and 3 are read

An end was held against a task once a worker's id. A worker that is back under its id ends again, with another run: each run now counts once, so that replaying a record twice changes nothing, as before. What a leader inherits has its run's number, too.

Ruled out: telling the ends apart by time (hosts' clocks), or by a count in the record (records that are written anew would be counted again).

--- a/components/entry/src/reign/commit.rs
+++ b/components/entry/src/reign/commit.rs
@@ -326,6 +326,7 @@
         | Record::Placed { .. }
         | Record::Done { .. }
         | Record::Failed { .. }
-        | Record::Crashed { .. } => {}
+        | Record::Crashed { .. }
+        | Record::RunLost { .. } => {}
     }
 }
--- a/components/entry/src/reign/parts.rs
+++ b/components/entry/src/reign/parts.rs
@@ -16,10 +16,10 @@
 const LOG_PREFIX: &str = "walkhook/log/";
 /// What a part's value begins with: a zero, and the number of the format of what follows. Parts without a format, of versions before
 /// workspaces were known, begin with a number of at least 1.
-const FORMAT: [u8; 2] = [0, 3];
-/// The format before, which lacks records only: it is read, so that hosts can be replaced one after the other. A host of that version
+const FORMAT: [u8; 2] = [0, 4];
+/// The formats before, which lack records only: they are read, so that hosts can be replaced one after the other. A host of such a version
 /// doesn't lead any more once this one has.
-const FORMER: [u8; 2] = [0, 2];
+const FORMER: [[u8; 2]; 2] = [[0, 2], [0, 3]];
 /// Most parts removed by one transaction: the store takes 32 entries.
 const MOST_REMOVED: usize = 24;
 /// Parts are removed after this time: most of their jobs have ended by then, and of these only the outcome is written
@@ -84,7 +84,7 @@
 /// Reads the log.
 pub(crate) async fn load(host: &Host, seat: &Seat) -> anyhow::Result<Found> {
     let items = host.edges.store.range(LOG_PREFIX).await?;
-    let readable = |item: &&Item| item.value.starts_with(&FORMAT) || item.value.starts_with(&FORMER);
+    let readable = |item: &&Item| [FORMAT].iter().chain(&FORMER).any(|format| item.value.starts_with(format));
     if let Some(item) = items.iter().find(|item| !readable(item)) {
         bail!("{} is of another format than {}: another version of this program has written it", item.key, FORMAT[1]);
     }
--- a/components/sched/src/blame.rs
+++ b/components/sched/src/blame.rs
@@ -13,7 +13,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use work::{Evidence, JobId, Outcome, Record, Task, WorkerId};
+use work::{Attempt, Evidence, JobId, Outcome, Record, Task, WorkerId};
 
 use crate::engine::{Clock, Engine};
 use crate::entry::{Phase, TaskState, UnitState};
@@ -36,19 +36,23 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Crash {
     pub worker: WorkerId,
+    /// The run that went with it; 0 where that isn't known.
+    pub attempt: Attempt,
     pub evidence: Evidence,
 }
 
 impl TaskState {
-    /// Holds the end of a worker against the task. Whether that is news: each worker ends once.
-    pub(crate) fn hold_against(&mut self, worker: &str, evidence: Evidence) -> bool {
-        if evidence == Evidence::Cleared {
+    /// Holds the end of a worker against the task. Whether that is news: each run ends once. A worker may end again and again under its id,
+    /// with another run each time.
+    pub(crate) fn hold_against(&mut self, crash: Crash) -> bool {
+        if crash.evidence == Evidence::Cleared {
             return !std::mem::take(&mut self.crashes).is_empty();
         }
-        if self.crashes.iter().any(|crash| crash.worker == worker) {
+        let same = |known: &Crash| known.worker == crash.worker && known.attempt == crash.attempt;
+        if self.crashes.iter().any(same) {
             return false;
         }
-        self.crashes.push(Crash { worker: worker.to_owned(), evidence });
+        self.crashes.push(crash);
         true
     }
 
@@ -108,14 +112,17 @@
 }
 
 impl Engine {
-    /// Holds the end of a worker against the tasks that were there. The jobs that are to be given up for it.
+    /// Holds the end of a worker against the tasks that were there, each once. The jobs that are to be given up for it.
     pub(crate) fn hold_against(&mut self, ended: &mut Ended) -> BTreeSet<JobId> {
         let mut spent = BTreeSet::new();
+        let mut held = BTreeSet::new();
         for index in 0..ended.runs.len() {
-            let task = ended.runs[index].task;
+            let Lost { task, attempt, .. } = ended.runs[index];
             let Some(evidence) = evidence(ended, &ended.runs[index]) else { continue };
             let Some(state) = self.open_task(task) else { continue };
-            if !state.hold_against(&ended.worker, evidence) {
+            let worker = ended.worker.clone();
+            // What was left of an earlier run of the task may have been there, too.
+            if !held.insert(task) || !state.hold_against(Crash { worker: worker.clone(), attempt, evidence }) {
                 continue;
             }
             let lost = &mut ended.runs[index];
@@ -125,7 +132,7 @@
             if lost.given_up {
                 spent.insert(task.unit.job);
             }
-            self.record(Record::Crashed { task, worker: ended.worker.clone(), evidence });
+            self.record(Record::RunLost { task, attempt, worker, evidence });
         }
         spent
     }
--- a/components/sched/src/ends.rs
+++ b/components/sched/src/ends.rs
@@ -266,7 +266,7 @@
     let running = report.running.iter().map(|row| (row.task, row.attempt));
     let ended = report.ended.iter().map(|end| (end.task, end.attempt));
     let listed: BTreeSet<(Task, Attempt)> = running.chain(ended).collect();
-    left.into_iter().filter(|run| run.begun() && !listed.contains(&(run.task, run.attempt))).collect()
+    left.into_iter().filter(|run| run.begun && !listed.contains(&(run.task, run.attempt))).collect()
 }
 
 /// Whether a report shows a run in this phase for certain, if its renewal was sent at `mark`.
--- a/components/sched/src/entry.rs
+++ b/components/sched/src/entry.rs
@@ -35,8 +35,16 @@
     pub saved: String,
     /// Workers that ended under it.
     pub crashes: Vec<Crash>,
-    /// Worker on which an earlier leader placed it last: it may run there until the opposite is known.
-    pub inherited: Option<WorkerId>,
+    /// Where an earlier leader placed it last: it may run there until the opposite is known.
+    pub inherited: Option<Inherited>,
+}
+
+/// A run that an earlier leader ordered.
+#[derive(Clone, Debug)]
+pub(crate) struct Inherited {
+    pub worker: WorkerId,
+    /// 0 where an earlier format didn't tell.
+    pub attempt: Attempt,
 }
 
 /// Where a run is, or may be.
--- a/components/sched/src/loss.rs
+++ b/components/sched/src/loss.rs
@@ -53,12 +53,14 @@
 pub struct Lost {
     /// The task.
     pub task: Task,
-    /// The run; 0 where an earlier leader ordered it.
+    /// The run; 0 where an earlier leader ordered it and its number isn't known.
     pub attempt: Attempt,
     /// From the decision to start it to the worker's last answer; zero if that answer came before.
     pub age: Duration,
     /// Whether the worker has listed it when it had run for a moment.
     pub shown: bool,
+    /// Whether it had certainly begun: this leader has had an answer to its start, or has seen it listed.
+    pub begun: bool,
     /// Whether its start was answered and no stop was ordered.
     pub confirmed: bool,
     /// Whether no run of another job was there that the worker hadn't listed yet.
@@ -76,18 +78,14 @@
 }
 
 impl Lost {
-    /// Whether it had certainly begun: this leader has had an answer to its start, or has seen it listed.
-    pub(crate) fn begun(&self) -> bool {
-        self.attempt != 0 && (self.confirmed || self.shown)
-    }
-
     /// A task that an earlier leader placed on a worker from which nothing has been heard since.
-    pub(crate) fn inherited(task: Task) -> Lost {
+    pub(crate) fn inherited(task: Task, attempt: Attempt) -> Lost {
         Lost {
             task,
-            attempt: 0,
+            attempt,
             age: Duration::ZERO,
             shown: true,
+            begun: false,
             confirmed: false,
             sole: false,
             explained: false,
@@ -117,12 +115,12 @@
         let lost = |(task, attempt, run): &(Task, Attempt, &Run)| Lost {
             age: heard.saturating_sub(run.decided),
             shown: run.shown,
+            begun: run.begun.is_some(),
             confirmed: matches!(run.phase, Phase::Running(_)),
             sole: new.len() == 1,
             explained: run.shown && worker.suspects > 0,
             lasting: self.step(*task).is_some_and(|step| step.lasting),
-            attempt: *attempt,
-            ..Lost::inherited(*task)
+            ..Lost::inherited(*task, *attempt)
         };
         sent.iter().map(lost).collect()
     }
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -300,7 +300,7 @@
             return None;
         }
         let open = |worker: &&WorkerId| may_run_unseen(&self.workers, &self.departed, worker);
-        state.tasks.iter().filter_map(|task| task.inherited.as_ref()).find(open)
+        state.tasks.iter().filter_map(|task| task.inherited.as_ref()).map(|run| &run.worker).find(open)
     }
 
     /// Sends the starts whose records are durable, unless they have become pointless meanwhile.
--- a/components/sched/src/quota.rs
+++ b/components/sched/src/quota.rs
@@ -172,8 +172,8 @@
         for entry in self.jobs.values() {
             for ((_, step), unit) in &entry.units {
                 let Some(charge) = entry.charge(*step) else { continue };
-                for worker in unit.tasks.iter().filter_map(|task| task.inherited.as_ref()) {
-                    inherited.entry(worker.clone()).or_default().push(charge);
+                for run in unit.tasks.iter().filter_map(|task| task.inherited.as_ref()) {
+                    inherited.entry(run.worker.clone()).or_default().push(charge);
                 }
             }
         }
--- a/components/sched/src/restore.rs
+++ b/components/sched/src/restore.rs
@@ -3,10 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use work::{Evidence, JobId, Outcome, Record, Task, Unit, WorkerId, WorkspaceName};
+use work::{JobId, Outcome, Record, Task, Unit, WorkspaceName};
 
+use crate::blame::Crash;
 use crate::engine::{Clock, Engine, Owner};
-use crate::entry::{Accepted, Ended, Phase, TaskState, UnitState};
+use crate::entry::{Accepted, Ended, Inherited, Phase, TaskState, UnitState};
 use crate::loss::Lost;
 use crate::worker::{Info, Worker};
 
@@ -18,11 +19,16 @@
                 self.replay_job(clock, id, Owner { queue, workspace }, at, job);
             }
             Record::Rewritten(record) => self.replay(clock, *record),
-            Record::Placed { task, worker, .. } => self.replay_placed(task, worker),
+            Record::Placed { task, attempt, worker } => self.replay_placed(task, Inherited { worker, attempt }),
             Record::Done { task } => self.replay_done(task),
             Record::Failed { task, attempt } => self.replay_failed(task, attempt),
             Record::Ended { id, outcome, workspace } => self.replay_end(clock, id, outcome, workspace),
-            Record::Crashed { task, worker, evidence } => self.replay_crashed(task, &worker, evidence),
+            Record::Crashed { task, worker, evidence } => {
+                self.replay_crash(task, Crash { worker, attempt: 0, evidence });
+            }
+            Record::RunLost { task, attempt, worker, evidence } => {
+                self.replay_crash(task, Crash { worker, attempt, evidence });
+            }
             Record::Worker { id, address } => {
                 let info = Info { address, ..unlisted() };
                 let worker = Worker::new(info, Some(clock.now), 0, clock.now);
@@ -51,9 +57,9 @@
             for ((round, step), unit) in &entry.units {
                 let name = Unit { job: *id, round: *round, step: *step };
                 for (task, index) in unit.tasks.iter().zip(0..) {
-                    let worker = task.inherited.as_ref().and_then(|worker| self.workers.get_mut(worker));
-                    if let Some(worker) = worker {
-                        worker.left.push(Lost::inherited(Task { unit: name, index }));
+                    let Some(run) = &task.inherited else { continue };
+                    if let Some(worker) = self.workers.get_mut(&run.worker) {
+                        worker.left.push(Lost::inherited(Task { unit: name, index }, run.attempt));
                     }
                 }
             }
@@ -109,12 +115,12 @@
         entry.units.get_mut(&(unit.round, unit.step))
     }
 
-    fn replay_placed(&mut self, task: Task, worker: WorkerId) {
+    fn replay_placed(&mut self, task: Task, run: Inherited) {
         let Some(unit) = self.replay_unit(task.unit) else { return };
         if let Some(state) = unit.tasks.get_mut(task.index as usize)
             && state.phase == Phase::Pending
         {
-            state.inherited = Some(worker);
+            state.inherited = Some(run);
         }
     }
 
@@ -133,10 +139,10 @@
         }
     }
 
-    fn replay_crashed(&mut self, task: Task, worker: &str, evidence: Evidence) {
+    fn replay_crash(&mut self, task: Task, crash: Crash) {
         let Some(unit) = self.replay_unit(task.unit) else { return };
         if let Some(state) = unit.tasks.get_mut(task.index as usize) {
-            state.hold_against(worker, evidence);
+            state.hold_against(crash);
         }
     }
 
@@ -203,11 +209,12 @@
         if let Phase::Held(worker, attempt) = &task.phase {
             records.push(Record::Placed { task: task_name, attempt: *attempt, worker: worker.clone() });
         }
-        if let Some(worker) = &task.inherited {
-            records.push(Record::Placed { task: task_name, attempt: 0, worker: worker.clone() });
+        if let Some(Inherited { worker, attempt }) = &task.inherited {
+            records.push(Record::Placed { task: task_name, attempt: *attempt, worker: worker.clone() });
         }
-        records.extend(task.crashes.iter().map(|crash| Record::Crashed {
+        records.extend(task.crashes.iter().map(|crash| Record::RunLost {
             task: task_name,
+            attempt: crash.attempt,
             worker: crash.worker.clone(),
             evidence: crash.evidence,
         }));
--- a/components/work/src/record.rs
+++ b/components/work/src/record.rs
@@ -154,13 +154,24 @@
         /// Whose it is, since only they may ask; the record of its acceptance may be gone.
         workspace: Option<WorkspaceName>,
     },
-    /// A worker's life ended while a run of the task was there.
+    /// As [`Record::RunLost`] without the run: what an earlier format wrote, still read.
     Crashed {
         /// The task.
         task: Task,
-        /// The worker; its end counts once.
+        /// The worker.
         worker: WorkerId,
         /// What that says against the task.
         evidence: Evidence,
     },
+    /// A run went with its worker.
+    RunLost {
+        /// The task.
+        task: Task,
+        /// The run; it tells the ends of one worker apart.
+        attempt: Attempt,
+        /// The worker.
+        worker: WorkerId,
+        /// What its end says against the task.
+        evidence: Evidence,
+    },
 }
