Mend: a run that its worker's list lacks has gone with the life that ran it

Callers saw a task that takes its workers down started without end, and all that stood beside it lost each time, where a worker is back under its former id.

Cause: a worker's end was learnt from its id alone. A run that had to show in a report and didn't was released as if it had never begun. Ruled out: a stop that was answered (the run's end is listed until it is acknowledged), an answer that is overtaken (a worker's renewals follow one another), a start without an answer (it hasn't begun for certain, and isn't held against anything).

Change: a run that had begun (its start was answered, or it was listed), must show, and is neither running nor ended in the report is the end of a worker like any other. Why it holds: a worker lists what runs and each end until it is acknowledged, and acknowledged ends were taken in before, so only a worker that has begun anew can lack both.

--- a/components/sched/src/blame.rs
+++ b/components/sched/src/blame.rs
@@ -92,7 +92,8 @@
 
 /// What the end of a worker says against a run that went with it; `None` where nothing.
 ///
-/// Only another life at its address shows for certain that a worker went down: one that is cut off for long is taken for gone, too. One
+/// Only another life at its address, or a run that its lists lack, shows for certain that a worker went down: one that is cut off for long
+/// is taken for gone, too. One
 /// that had announced its end took along what it ran. Where a suspect was tried, that explains what happened to runs that had begun
 /// before.
 fn evidence(ended: &Ended, lost: &Lost) -> Option<Evidence> {
@@ -103,11 +104,10 @@
         return (!ended.draining && !lost.explained).then_some(Evidence::Weak);
     }
     match ended.passing {
-        Passing::Replaced if ended.draining => Some(Evidence::Weak),
-        Passing::Replaced if lost.sole && lost.confirmed => Some(Evidence::Sole),
-        Passing::Replaced => Some(Evidence::Shared),
+        Passing::Replaced | Passing::Restarted if ended.draining => Some(Evidence::Weak),
+        Passing::Replaced | Passing::Restarted if lost.sole && lost.confirmed => Some(Evidence::Sole),
+        Passing::Replaced | Passing::Restarted => Some(Evidence::Shared),
         Passing::Unlisted | Passing::Unseen => Some(Evidence::Weak),
-        Passing::Restarted => None,
     }
 }
 
--- a/components/sched/src/ends.rs
+++ b/components/sched/src/ends.rs
@@ -1,14 +1,10 @@
 //! Reports of workers: adopts what runs, takes in ends, notices what is missing.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
-
 use model::Resources;
 use work::{Attempt, Outcome, Record, Step, Task, Unit};
 
 use crate::engine::{Clock, Engine};
 use crate::entry::{self, Placement};
-use crate::loss::Lost;
 use crate::quota::Charge;
 use crate::worker::{Contact, End, FAILURES_IN_A_ROW, How, Phase, Report, Run, Running};
 
@@ -19,6 +15,9 @@
         let heard = std::mem::replace(&mut worker.heard, clock.now);
         worker.contact = Contact::Held;
         let left = std::mem::take(&mut worker.left);
+        self.note_forgotten(clock, id, heard, left, &report);
+        self.look_for_restart(clock, id, heard, &report);
+        let Some(worker) = self.workers.get(id) else { return };
         let taken = worker.taken;
         for end in report.ended.iter().filter(|end| end.number > taken) {
             self.ended(clock, id, end);
@@ -26,9 +25,7 @@
         for running in &report.running {
             self.running(clock, id, running);
         }
-        let mut vanished = unlisted(left, &report);
-        vanished.extend(self.missing(clock, id, heard, &report));
-        self.restarted(clock, id, heard, vanished);
+        self.missing(clock, id, &report);
     }
 
     /// Takes in an end; it may be acknowledged once the records that it led to are durable.
@@ -217,21 +214,14 @@
         entry.charge(task.unit.step).or_else(|| Some(Charge { workspace: entry.workspace?, need }))
     }
 
-    /// Releases runs that must have shown in this report and don't. Those that had begun.
-    fn missing(&mut self, clock: Clock, id: &str, heard: Duration, report: &Report) -> Vec<Lost> {
-        let shown: BTreeSet<(Task, Attempt)> = report.running.iter().map(|row| (row.task, row.attempt)).collect();
-        let Some(worker) = self.workers.get(id) else { return Vec::new() };
+    /// Releases runs that must have shown in this report and don't.
+    fn missing(&mut self, clock: Clock, id: &str, report: &Report) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let listed = report.listed();
         let missing =
-            |(key, run): &(&(Task, Attempt), &Run)| !shown.contains(*key) && must_show(run.phase, report.mark);
-        let lost: BTreeMap<(Task, Attempt), bool> =
-            worker.runs.iter().filter(missing).map(|(key, run)| (*key, run.begun.is_some())).collect();
-        let begun = |lost: &BTreeMap<_, bool>, run: &Lost| lost.get(&(run.task, run.attempt)) == Some(&true);
-        let vanished = match lost.values().any(|begun| *begun) {
-            true => self.losses(id, heard).into_iter().filter(|run| begun(&lost, run)).collect(),
-            false => Vec::new(),
-        };
-        lost.into_keys().for_each(|(task, attempt)| self.release(clock, id, task, attempt));
-        vanished
+            |(key, run): &(&(Task, Attempt), &Run)| !listed.contains(*key) && must_show(run.phase, report.mark);
+        let lost: Vec<(Task, Attempt)> = worker.runs.iter().filter(missing).map(|(key, _)| *key).collect();
+        lost.into_iter().for_each(|(task, attempt)| self.release(clock, id, task, attempt));
     }
 
     /// Stops what is left of gangs that lost a member.
@@ -261,16 +251,8 @@
     }
 }
 
-/// Runs that had begun before the worker's leases ran out, and that it neither lists nor has ended.
-fn unlisted(left: Vec<Lost>, report: &Report) -> Vec<Lost> {
-    let running = report.running.iter().map(|row| (row.task, row.attempt));
-    let ended = report.ended.iter().map(|end| (end.task, end.attempt));
-    let listed: BTreeSet<(Task, Attempt)> = running.chain(ended).collect();
-    left.into_iter().filter(|run| run.begun && !listed.contains(&(run.task, run.attempt))).collect()
-}
-
 /// Whether a report shows a run in this phase for certain, if its renewal was sent at `mark`.
-fn must_show(phase: Phase, mark: u64) -> bool {
+pub(crate) fn must_show(phase: Phase, mark: u64) -> bool {
     match phase {
         Phase::Running(settled) | Phase::Stopped(settled) => settled <= mark,
         Phase::Starting | Phase::Stopping => false,
--- a/components/sched/src/lib.rs
+++ b/components/sched/src/lib.rs
@@ -24,6 +24,7 @@
 mod quota;
 mod rank;
 mod records;
+mod restart;
 mod restore;
 mod room;
 mod worker;
--- a/components/sched/src/loss.rs
+++ b/components/sched/src/loss.rs
@@ -5,7 +5,7 @@
 
 use work::{Attempt, Evidence, JobId, Task, WorkerId};
 
-use crate::engine::{Clock, Engine};
+use crate::engine::Engine;
 use crate::worker::{Phase, Run};
 
 /// How a worker's life was learnt to be over.
@@ -125,17 +125,6 @@
         sent.iter().map(lost).collect()
     }
 
-    /// A worker answers, and these runs, which had begun there, are neither listed nor ended.
-    pub(crate) fn restarted(&mut self, clock: Clock, id: &str, heard: Duration, runs: Vec<Lost>) {
-        if runs.is_empty() {
-            return;
-        }
-        let draining = self.workers.get(id).is_some_and(|worker| worker.info.draining);
-        let silent = clock.now.saturating_sub(heard);
-        let ended = Ended { worker: id.to_owned(), passing: Passing::Restarted, silent, draining, runs };
-        self.ended_workers.push(ended);
-    }
-
     /// Takes the ends of workers since the last call.
     pub fn take_ended_workers(&mut self) -> Vec<Ended> {
         std::mem::take(&mut self.ended_workers)
--- a/components/sched/src/worker.rs
+++ b/components/sched/src/worker.rs
@@ -1,6 +1,6 @@
 //! Workers as the leader knows them: what they offer, and every run that may be there.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -126,6 +126,15 @@
     pub ended: Vec<End>,
 }
 
+impl Report {
+    /// Runs that it tells of, running or ended.
+    pub(crate) fn listed(&self) -> BTreeSet<(Task, Attempt)> {
+        let running = self.running.iter().map(|row| (row.task, row.attempt));
+        let ended = self.ended.iter().map(|end| (end.task, end.attempt));
+        running.chain(ended).collect()
+    }
+}
+
 /// What is known of a run on a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
--- a/components/sched/tests/decisions/restart.rs
+++ b/components/sched/tests/decisions/restart.rs
@@ -6,6 +6,9 @@
 //!
 //! Evidence: with four such workers 13 starts of 13 rounds, the job still running and nothing held against it, whether they are back
 //! before or after their leases have run out; with new ids the same task is given up after three.
+//!
+//! Cause: that a worker has ended was learnt from its id alone. A run that its list lacks was let go without a word, and ends were counted
+//! once an id.
 
 use std::time::Duration;
 
