Mend: what was there when a worker's leases ran out counts if its next answer lacks it

Cause: what was there when the leases ran out is kept until the worker is known to be gone, and was dropped with its next answer, whoever gave it. A worker that was only cut off lists such a run as lapsed, or as ended otherwise; one that lists neither has begun anew.

--- a/components/sched/src/ends.rs
+++ b/components/sched/src/ends.rs
@@ -15,8 +15,7 @@
         let heard = std::mem::replace(&mut worker.heard, clock.now);
         worker.contact = Contact::Held;
         let left = std::mem::take(&mut worker.left);
-        self.note_forgotten(clock, id, heard, left, &report);
-        self.look_for_restart(clock, id, heard, &report);
+        self.look_for_restart(clock, id, heard, left, &report);
         let Some(worker) = self.workers.get(id) else { return };
         let taken = worker.taken;
         for end in report.ended.iter().filter(|end| end.number > taken) {
--- a/components/sched/src/loss.rs
+++ b/components/sched/src/loss.rs
@@ -78,6 +78,11 @@
 }
 
 impl Lost {
+    /// Which run it is.
+    pub(crate) fn key(&self) -> (Task, Attempt) {
+        (self.task, self.attempt)
+    }
+
     /// A task that an earlier leader placed on a worker from which nothing has been heard since.
     pub(crate) fn inherited(task: Task, attempt: Attempt) -> Lost {
         Lost {
--- a/components/sched/src/restart.rs
+++ b/components/sched/src/restart.rs
@@ -11,48 +11,42 @@
 use crate::ends::must_show;
 use crate::engine::{Clock, Engine};
 use crate::loss::{Ended, Lost, Passing};
-use crate::worker::{Report, Worker};
+use crate::worker::{Report, Run, Worker};
 
 impl Engine {
-    /// Looks whether a worker, last heard at this time, has started again: that is the end of a worker like any other.
-    pub(crate) fn look_for_restart(&mut self, clock: Clock, id: &str, heard: Duration, report: &Report) {
+    /// Looks whether a worker, last heard at this time, has started again: that is the end of a worker like any other. `left` was there when
+    /// its leases ran out: it shows as ended, or went with an earlier life, too.
+    pub(crate) fn look_for_restart(
+        &mut self,
+        clock: Clock,
+        id: &str,
+        heard: Duration,
+        left: Vec<Lost>,
+        report: &Report,
+    ) {
         let Some(worker) = self.workers.get(id) else { return };
-        let vanished = worker.vanished(report);
-        if vanished.is_empty() {
+        let draining = worker.info.draining;
+        let listed = report.listed();
+        let vanished = worker.vanished(&listed, report.mark);
+        let mut runs: Vec<Lost> = left.into_iter().filter(|lost| lost.begun && !listed.contains(&lost.key())).collect();
+        if vanished.is_empty() && runs.is_empty() {
             return;
         }
-        let went = |lost: &Lost| vanished.contains(&(lost.task, lost.attempt));
-        let runs: Vec<Lost> = self.losses(id, heard).into_iter().filter(went).collect();
-        let mut ended = self.restart(clock, id, heard, runs);
+        runs.extend(self.losses(id, heard).into_iter().filter(|lost| vanished.contains(&lost.key())));
+        let silent = clock.now.saturating_sub(heard);
+        let mut ended = Ended { worker: id.to_owned(), passing: Passing::Restarted, silent, draining, runs };
         let spent = self.hold_against(&mut ended);
         self.ended_workers.push(ended);
         self.give_up(clock, spent);
     }
-
-    /// Notes runs that were there when the worker's leases ran out, and that it neither lists nor has ended.
-    pub(crate) fn note_forgotten(&mut self, clock: Clock, id: &str, heard: Duration, left: Vec<Lost>, report: &Report) {
-        let listed = report.listed();
-        let went = |lost: &Lost| lost.begun && !listed.contains(&(lost.task, lost.attempt));
-        let runs: Vec<Lost> = left.into_iter().filter(went).collect();
-        if !runs.is_empty() {
-            let ended = self.restart(clock, id, heard, runs);
-            self.ended_workers.push(ended);
-        }
-    }
-
-    /// The end of a worker's life with these runs, though its id goes on.
-    fn restart(&self, clock: Clock, id: &str, heard: Duration, runs: Vec<Lost>) -> Ended {
-        let draining = self.workers.get(id).is_some_and(|worker| worker.info.draining);
-        let silent = clock.now.saturating_sub(heard);
-        Ended { worker: id.to_owned(), passing: Passing::Restarted, silent, draining, runs }
-    }
 }
 
 impl Worker {
-    /// Runs that had begun, must show in this report, and are neither running nor ended there.
-    fn vanished(&self, report: &Report) -> BTreeSet<(Task, Attempt)> {
-        let begun = self.runs.iter().filter(|(_, run)| run.begun.is_some() && must_show(run.phase, report.mark));
-        let keys: BTreeSet<(Task, Attempt)> = begun.map(|(key, _)| *key).collect();
-        &keys - &report.listed()
+    /// Runs that had begun, must show in a report of this mark, and aren't listed there.
+    fn vanished(&self, listed: &BTreeSet<(Task, Attempt)>, mark: u64) -> BTreeSet<(Task, Attempt)> {
+        let went = |(key, run): &(&(Task, Attempt), &Run)| {
+            run.begun.is_some() && must_show(run.phase, mark) && !listed.contains(*key)
+        };
+        self.runs.iter().filter(went).map(|(key, _)| *key).collect()
     }
 }
--- a/components/sched/tests/decisions/restart.rs
+++ b/components/sched/tests/decisions/restart.rs
@@ -8,7 +8,7 @@
 //! before or after their leases have run out; with new ids the same task is given up after three.
 //!
 //! Cause: that a worker has ended was learnt from its id alone. A run that its list lacks was let go without a word, and ends were counted
-//! once an id.
+//! once an id. What was remembered of a worker whose leases had run out was forgotten with its next answer, whoever gave it.
 
 use std::time::Duration;
 
