Tests that fail: ends of a worker's next life are passed over, or acknowledged unseen

The numbers of a worker's ends begin again with its next life. In the first the end is passed over for its low number; in the second the renewal acknowledges it before anybody has seen it.

--- /dev/null
+++ b/components/entry/tests/restart.rs
@@ -0,0 +1,30 @@
+//! Whole entry hosts and workers that are back under their former id.
+//!
+//! What users would see: a task that is done is done again, on a platform where a worker that starts again keeps its id. In the order of
+//! events: a worker lists ends 1 to 3, and they are acknowledged; it starts again, and the numbers of its ends begin at 1; a task is done
+//! there as end 1, and the next renewal, which acknowledges ends up to 3 once more, has it forgotten before anybody has seen it.
+
+mod support;
+
+use entry::Answer;
+use support::{cell, ends, hosts, info, submit};
+use work::Outcome;
+
+/// Jobs before the workers start again, and after.
+const JOBS: u64 = 6;
+
+#[tokio::test]
+async fn an_end_of_a_next_life_is_not_acknowledged_unseen() {
+    let cell = cell();
+    let hosts = hosts(&cell, 1).await;
+    for id in 0..JOBS {
+        assert_eq!(submit(&hosts[0], id, 1).await, Answer::Accepted);
+        assert_eq!(ends(&hosts[0], id).await, Outcome::Completed);
+    }
+    (0..2).for_each(|number| cell.add_worker(&format!("w{number}"), info(number)));
+    for id in JOBS..2 * JOBS {
+        assert_eq!(submit(&hosts[0], id, 1).await, Answer::Accepted);
+        assert_eq!(ends(&hosts[0], id).await, Outcome::Completed);
+    }
+    assert_eq!(cell.starts().len() as u64, 2 * JOBS, "each task is done once");
+}
--- a/components/entry/tests/support/mod.rs
+++ b/components/entry/tests/support/mod.rs
@@ -35,21 +35,23 @@
 
 pub fn cell() -> Arc<Cell> {
     let cell = Cell::new(config(1));
-    for number in 0..2 {
-        let info = Info {
-            address: format!("10.0.0.{number}:80"),
-            pool: "pool".to_owned(),
-            zone: "zone".to_owned(),
-            labels: vec!["kind".to_owned(), "rack".to_owned()],
-            capacity: Resources::new(4, 4000, 0),
-            draining: false,
-            evacuated: false,
-        };
-        cell.add_worker(&format!("w{number}"), info);
-    }
+    (0..2).for_each(|number| cell.add_worker(&format!("w{number}"), info(number)));
     cell
 }
 
+/// What worker `number` says of itself.
+pub fn info(number: usize) -> Info {
+    Info {
+        address: format!("10.0.0.{number}:80"),
+        pool: "pool".to_owned(),
+        zone: "zone".to_owned(),
+        labels: vec!["kind".to_owned(), "rack".to_owned()],
+        capacity: Resources::new(4, 4000, 0),
+        draining: false,
+        evacuated: false,
+    }
+}
+
 pub fn job(tasks: u32) -> Job {
     let step = Step { count: tasks, need: Resources::new(1, 100, 0), ..Step::default() };
     Job { specification: "text".to_owned(), steps: vec![step], schedule: None }
--- a/components/sched/tests/decisions/restart.rs
+++ b/components/sched/tests/decisions/restart.rs
@@ -12,7 +12,7 @@
 
 use std::time::Duration;
 
-use sched::Start;
+use sched::{How, Start};
 use work::{Outcome, State};
 
 use crate::cell::{Cell, step};
@@ -82,3 +82,23 @@
 fn a_task_that_takes_two_workers_down_in_turn_is_given_up() {
     take_workers_down(2, Away::Soon);
 }
+
+/// The numbers of a worker's ends begin again with each of its lives. An end that was passed over for its low number left its task to be
+/// done a second time.
+#[test]
+fn an_end_of_a_next_life_counts_though_its_number_was_there_before() {
+    let mut cell = Cell::new(1).ready();
+    for job in 1..=3 {
+        cell.submit(job, "urgent", vec![step(1, 1)]);
+        let (worker, start) = next_start(&mut cell).expect("it starts");
+        cell.end(&worker, &start, How::Done);
+    }
+    cell.numbers.clear();
+    cell.report("w0", &[], &[]);
+    cell.submit(4, "urgent", vec![step(1, 1)]);
+    let (worker, start) = next_start(&mut cell).expect("it starts");
+    cell.end(&worker, &start, How::Done);
+    assert!(cell.starts().is_empty(), "it is done");
+    assert_eq!(cell.engine.state(4), Some(State::Ended(Outcome::Completed)));
+    assert_eq!(cell.engine.acked("w0"), 1, "what is acknowledged is the next life's");
+}
