Mend: the numbers of ends are those of one life

Callers saw a job that was done go on, be done again or be given up, where a worker starts again under its id.

Cause: the numbers of a worker's ends begin again with its next life. An end with a number that was taken in before was passed over, and each renewal acknowledged all ends up to the former life's last once more, so that the next life forgot its first ends before anybody had seen them.

Change: an end of a run that is still held, under a number that was taken in before, shows a restart (in one life numbers only rise and an end that was taken in frees its run). With a restart the numbers begin again, here too. A renewal acknowledges only what no answered one has, and nothing after a silence: it can no longer reach a next life with the numbers of the former one, since a life that ends breaks the call that was on its way.

In the host test the acknowledgements are waited for before the restart: the stand-in let a renewal of one life be answered by the next, which no platform does.

--- a/components/entry/src/reign/agent.rs
+++ b/components/entry/src/reign/agent.rs
@@ -65,7 +65,7 @@
     lease: Arc<Mutex<Lease>>,
     /// Ends the rest while the worker is idle.
     wake: Arc<Notify>,
-    /// Highest end that the last renewal acknowledged.
+    /// Highest end that an answered renewal acknowledged.
     acknowledged: u64,
     /// Whether the last renewals had no answer.
     silent: bool,
@@ -115,11 +115,13 @@
             let engine = self.reign.engine.lock();
             (engine.mark(), engine.acked(&self.target.id))
         };
-        match self.send(acked).await {
+        match self.send(self.to_acknowledge(acked)).await {
             Ok(Reply::Done(held)) => {
-                self.acknowledged = acked;
+                self.acknowledged = if self.silent { self.acknowledged } else { acked };
                 self.answered(held.clock);
-                report(&self.reign, &self.target, mark, held).await;
+                if report(&self.reign, &self.target, mark, held).await {
+                    self.acknowledged = 0;
+                }
             }
             Ok(Reply::Fenced) => {
                 self.reign.depose("a worker knows a newer leader");
@@ -145,6 +147,12 @@
         true
     }
 
+    /// What a renewal acknowledges: nothing that an answered one has before, nor the first one after a silence. The worker may have started
+    /// again, and the numbers of its ends with it: ends that nobody has seen would be forgotten, and what is done be done again.
+    fn to_acknowledge(&self, acked: u64) -> u64 {
+        if self.silent || acked <= self.acknowledged { 0 } else { acked }
+    }
+
     /// Sends a renewal, and takes note of the lease that it may have carried there.
     async fn send(&self, acked: u64) -> Result<Reply<Held>, Fault> {
         let host = &self.reign.host;
@@ -198,19 +206,20 @@
     }
 }
 
-/// Gives a worker's answer to the engine, and waits a little until its ends can be acknowledged.
-async fn report(reign: &Arc<Reign>, target: &Target, mark: u64, held: Held) {
+/// Gives a worker's answer to the engine, and waits a little until its ends can be acknowledged. Whether it has started again.
+async fn report(reign: &Arc<Reign>, target: &Target, mark: u64, held: Held) -> bool {
     let newest = held.ended.last().map(|end| end.number);
     let report = Report { mark, running: held.running, ended: held.ended };
-    let fresh = {
+    let ended = report.ended.clone();
+    let (restarted, taken) = {
         let mut engine = reign.engine.lock();
-        // Until its record is written an end comes again with every renewal.
         let taken = engine.taken(&target.id);
-        let fresh: Vec<_> = report.ended.iter().filter(|end| end.number > taken).cloned().collect();
-        engine.report(reign.host.clock(), &target.id, report);
-        fresh
+        let restarted = engine.report(reign.host.clock(), &target.id, report);
+        (restarted, if restarted { 0 } else { taken })
     };
-    for end in &fresh {
+    // Until its record is written an end comes again with every renewal.
+    let fresh = ended.iter().filter(|end| end.number > taken);
+    for end in fresh {
         reign.host.metrics.ends.get_or_create(&metrics::Outcome { outcome: end.how.name() }).inc();
         emit!(reign.host.log, events::RUN_ENDED, "task" => end.task.to_string(), "attempt" => end.attempt,
             "worker" => &target.id, "how" => format!("{:?}", end.how), "number" => end.number);
@@ -220,6 +229,7 @@
     if let Some(newest) = newest {
         acknowledge(reign, target, newest).await;
     }
+    restarted
 }
 
 /// Has the records of a worker's ends written, and waits a little until they are.
--- a/components/entry/tests/restart.rs
+++ b/components/entry/tests/restart.rs
@@ -3,11 +3,14 @@
 //! What users would see: a task that is done is done again, on a platform where a worker that starts again keeps its id. In the order of
 //! events: a worker lists ends 1 to 3, and they are acknowledged; it starts again, and the numbers of its ends begin at 1; a task is done
 //! there as end 1, and the next renewal, which acknowledges ends up to 3 once more, has it forgotten before anybody has seen it.
+//!
+//! Evidence: with six jobs before and six after, the worker's renewals all acknowledge end 6 and list no end of the seventh job, which is
+//! started three times and then given up. Cause: each renewal repeated what had been acknowledged long before.
 
 mod support;
 
 use entry::Answer;
-use support::{cell, ends, hosts, info, submit};
+use support::{cell, ends, hosts, info, submit, until};
 use work::Outcome;
 
 /// Jobs before the workers start again, and after.
@@ -21,6 +24,8 @@
         assert_eq!(submit(&hosts[0], id, 1).await, Answer::Accepted);
         assert_eq!(ends(&hosts[0], id).await, Outcome::Completed);
     }
+    let acknowledged = |id| cell.worker(id, |worker| worker.ended.is_empty()) == Some(true);
+    until("all ends are acknowledged", || acknowledged("w0") && acknowledged("w1")).await;
     (0..2).for_each(|number| cell.add_worker(&format!("w{number}"), info(number)));
     for id in JOBS..2 * JOBS {
         assert_eq!(submit(&hosts[0], id, 1).await, Answer::Accepted);
--- a/components/sched/examples/backlog.rs
+++ b/components/sched/examples/backlog.rs
@@ -63,7 +63,9 @@
     engine.list(clock, infos.clone());
     cell::write(&mut engine, clock);
     let empty = Report { mark: engine.mark(), running: Vec::new(), ended: Vec::new() };
-    infos.keys().for_each(|id| engine.report(clock, id, empty.clone()));
+    for id in infos.keys() {
+        engine.report(clock, id, empty.clone());
+    }
     fill(&mut engine, clock, workers);
     engine
 }
--- a/components/sched/src/ends.rs
+++ b/components/sched/src/ends.rs
@@ -1,5 +1,7 @@
 //! Reports of workers: adopts what runs, takes in ends, notices what is missing.
 
+use std::collections::BTreeSet;
+
 use model::Resources;
 use work::{Attempt, Outcome, Record, Step, Task, Unit};
 
@@ -9,15 +11,14 @@
 use crate::worker::{Contact, End, FAILURES_IN_A_ROW, How, Phase, Report, Run, Running};
 
 impl Engine {
-    /// Takes in a worker's answer to a renewal under this reign's term.
-    pub fn report(&mut self, clock: Clock, id: &str, report: Report) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
+    /// Takes in a worker's answer to a renewal under this reign's term. Whether it shows that the worker has started again.
+    pub fn report(&mut self, clock: Clock, id: &str, report: Report) -> bool {
+        let Some(worker) = self.workers.get_mut(id) else { return false };
         let heard = std::mem::replace(&mut worker.heard, clock.now);
         worker.contact = Contact::Held;
         let left = std::mem::take(&mut worker.left);
-        self.look_for_restart(clock, id, heard, left, &report);
-        let Some(worker) = self.workers.get(id) else { return };
-        let taken = worker.taken;
+        let restarted = self.look_for_restart(clock, id, heard, left, &report);
+        let taken = self.taken(id);
         for end in report.ended.iter().filter(|end| end.number > taken) {
             self.ended(clock, id, end);
         }
@@ -25,6 +26,7 @@
             self.running(clock, id, running);
         }
         self.missing(clock, id, &report);
+        restarted
     }
 
     /// Takes in an end; it may be acknowledged once the records that it led to are durable.
@@ -215,11 +217,14 @@
 
     /// Releases runs that must have shown in this report and don't.
     fn missing(&mut self, clock: Clock, id: &str, report: &Report) {
+        let shown: BTreeSet<(Task, Attempt)> = report.running.iter().map(|row| (row.task, row.attempt)).collect();
         let Some(worker) = self.workers.get(id) else { return };
-        let listed = report.listed();
-        let missing =
-            |(key, run): &(&(Task, Attempt), &Run)| !listed.contains(*key) && must_show(run.phase, report.mark);
-        let lost: Vec<(Task, Attempt)> = worker.runs.iter().filter(missing).map(|(key, _)| *key).collect();
+        let lost: Vec<(Task, Attempt)> = worker
+            .runs
+            .iter()
+            .filter(|(key, run)| !shown.contains(*key) && must_show(run.phase, report.mark))
+            .map(|(key, _)| *key)
+            .collect();
         lost.into_iter().for_each(|(task, attempt)| self.release(clock, id, task, attempt));
     }
 
--- a/components/sched/src/restart.rs
+++ b/components/sched/src/restart.rs
@@ -14,8 +14,8 @@
 use crate::worker::{Report, Run, Worker};
 
 impl Engine {
-    /// Looks whether a worker, last heard at this time, has started again: that is the end of a worker like any other. `left` was there when
-    /// its leases ran out: it shows as ended, or went with an earlier life, too.
+    /// Looks whether a worker, last heard at this time, has started again, and tells whether it has: that is the end of a worker like any
+    /// other. `left` was there when its leases ran out: it shows as ended, or went with an earlier life, too.
     pub(crate) fn look_for_restart(
         &mut self,
         clock: Clock,
@@ -23,21 +23,25 @@
         heard: Duration,
         left: Vec<Lost>,
         report: &Report,
-    ) {
-        let Some(worker) = self.workers.get(id) else { return };
+    ) -> bool {
+        let Some(worker) = self.workers.get(id) else { return false };
         let draining = worker.info.draining;
         let listed = report.listed();
         let vanished = worker.vanished(&listed, report.mark);
         let mut runs: Vec<Lost> = left.into_iter().filter(|lost| lost.begun && !listed.contains(&lost.key())).collect();
-        if vanished.is_empty() && runs.is_empty() {
-            return;
+        if vanished.is_empty() && runs.is_empty() && !worker.numbers_begin_again(report) {
+            return false;
         }
         runs.extend(self.losses(id, heard).into_iter().filter(|lost| vanished.contains(&lost.key())));
         let silent = clock.now.saturating_sub(heard);
         let mut ended = Ended { worker: id.to_owned(), passing: Passing::Restarted, silent, draining, runs };
         let spent = self.hold_against(&mut ended);
         self.ended_workers.push(ended);
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.begin_anew();
+        }
         self.give_up(clock, spent);
+        true
     }
 }
 
@@ -49,4 +53,19 @@
         };
         self.runs.iter().filter(went).map(|(key, _)| *key).collect()
     }
+
+    /// Whether a run that is still held has ended under a number that was taken in before: in one life numbers only rise.
+    fn numbers_begin_again(&self, report: &Report) -> bool {
+        report.ended.iter().any(|end| end.number <= self.taken && self.runs.contains_key(&(end.task, end.attempt)))
+    }
+
+    /// Forgets what doesn't hold for a next life: the numbers of its ends begin again, and it has neither failed nor left anything unanswered.
+    fn begin_anew(&mut self) {
+        self.taken = 0;
+        self.acked = 0;
+        self.pending.clear();
+        self.failures = 0;
+        self.unanswered = 0;
+        self.avoid_until = Duration::ZERO;
+    }
 }
