--- a/components/sched/tests/decisions/main.rs
+++ b/components/sched/tests/decisions/main.rs
@@ -5,6 +5,7 @@
 mod cell;
 mod crash;
 mod doubt;
+mod lives;
 mod packing;
 mod preempt;
 mod quota;
