Mend: a life is a worker's name and its birth; an order for a former life is waited for at the next

Callers would see a task that runs twice, or work lost, where a worker is back under its former id.

Cause: ids were taken for lives. An order names the worker only, so that one without an answer may be carried out by the next life, while its task was started elsewhere with the end of the former one.

What passes to the next life is decided at one place, sched::handover: runs that hadn't begun for certain are stopped there before their tasks start again, what an earlier leader ordered is waited for until the next life has answered, and nothing else passes on: leases and clock begin anew (with the longest lease that a worker takes), as do the numbers of ends, tickets and pauses. A life that answers before its entry is written is held and not used. Births that are text, negative, a fraction or yet to come name no worker; one that goes back or is left out changes nothing; one that becomes known renames the worker, with what runs there, so that hosts can be replaced one after the other.

--- a/components/entry/src/edge.rs
+++ b/components/entry/src/edge.rs
@@ -144,8 +144,10 @@
 /// A worker's answer to a renewal.
 #[derive(Clone, Debug)]
 pub struct Held {
-    /// The worker's clock.
+    /// The worker's clock, which begins again with each of its lives.
     pub clock: Duration,
+    /// When the life that answers was born, in milliseconds since 1970; `None` where it doesn't say.
+    pub born: Option<u64>,
     /// All that runs.
     pub running: Vec<Running>,
     /// Ends not acknowledged.
--- a/components/entry/src/reign/agent.rs
+++ b/components/entry/src/reign/agent.rs
@@ -8,6 +8,7 @@
 use sched::{Lease, Report, USUAL_PAUSE};
 use tokio::sync::{Notify, Semaphore};
 use tokio::task::AbortHandle;
+use work::Life;
 
 use crate::edge::{Fault, Held, Renewal, Reply, Target};
 use crate::reign::Reign;
@@ -116,6 +117,10 @@
             (engine.mark(), engine.acked(&self.target.id))
         };
         match self.send(self.to_acknowledge(acked)).await {
+            Ok(Reply::Done(held)) if self.is_other(held.born) => {
+                self.replaced(held.born);
+                return false;
+            }
             Ok(Reply::Done(held)) => {
                 self.acknowledged = if self.silent { self.acknowledged } else { acked };
                 self.answered(held.clock);
@@ -129,7 +134,7 @@
                 return false;
             }
             Ok(Reply::OtherLife) => {
-                self.replaced();
+                self.replaced(None);
                 return false;
             }
             Ok(Reply::Refused(refusal)) => {
@@ -177,16 +182,26 @@
         }
         self.lapsed = false;
         let known = self.reign.seat.lock().last.is_some();
-        self.lease.lock().read(clock, host.started.elapsed(), host.settings.limits.inherited(known));
+        let follows = self.reign.engine.lock().follows(&self.target.id);
+        self.lease.lock().read(clock, host.started.elapsed(), host.settings.limits.inherited(known && !follows));
+    }
+
+    /// Whether the life that answers is another one than this. An order names the worker only, and reaches whichever life is there.
+    fn is_other(&self, born: Option<u64>) -> bool {
+        let own = Life::of(&self.target.id).born;
+        own.is_some() && born.is_some() && own != born
     }
 
-    /// Another life is at the worker's address: this one is over.
-    fn replaced(&self) {
+    /// Another life is at the worker's address, born then if it goes by the same name: this one is over.
+    fn replaced(&self, born: Option<u64>) {
         let id = &self.target.id;
         let host = &self.reign.host;
         emit!(host.log, events::WORKER_REPLACED, "worker" => id, "address" => &self.target.address);
-        self.reign.engine.lock().superseded(host.clock(), id);
+        let next = born.map(|born| Life { born: Some(born), ..Life::of(id) }.id());
+        self.reign.engine.lock().superseded(host.clock(), id, next);
         self.reign.agents.lock().remove(id);
+        follow(&self.reign);
+        self.reign.write.notify_one();
         self.reign.plan.notify_one();
     }
 
--- a/components/fakes/src/cell.rs
+++ b/components/fakes/src/cell.rs
@@ -19,7 +19,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::Instant;
-use work::{Attempt, Config, Task, Term, Unit, WorkerId};
+use work::{Attempt, Config, Life, Task, Term, Unit, WorkerId};
 
 use crate::runner::{self, Run, Runner};
 use calls::{Answering, Waiting};
@@ -68,7 +68,8 @@
     config: Option<Config>,
     /// How often the configuration was read, or waited for.
     config_calls: usize,
-    workers: BTreeMap<WorkerId, Runner>,
+    /// By name.
+    workers: BTreeMap<String, Runner>,
     starts: Vec<(WorkerId, Task, Attempt)>,
 }
 
@@ -142,7 +143,7 @@
         self.state.lock().most_under_way
     }
 
-    /// Adds a worker.
+    /// Adds a worker, or another life of one that keeps its name.
     pub fn add_worker(&self, id: &str, info: Info) {
         let mut runner = Runner::new(info.address.clone(), info.capacity);
         runner.info = info;
@@ -421,7 +422,8 @@
             !std::mem::take(&mut self.cell.state.lock().broken_list),
             "the list breaks its reader, as a test wants it"
         );
-        self.store(|state| state.workers.iter().map(|(id, worker)| (id.clone(), worker.info.clone())).collect())
+        let life = |(name, worker): (&String, &Runner)| (Life { name, born: worker.born }.id(), worker.info.clone());
+        self.store(|state| state.workers.iter().map(life).collect())
     }
 }
 
@@ -429,7 +431,7 @@
     fn at<T>(&self, target: &Target, order: impl FnOnce(&mut Runner, Duration) -> T) -> Result<Reply<T>, Fault> {
         let now = self.cell.now();
         let mut state = self.cell.state.lock();
-        let Some(runner) = state.workers.get_mut(&target.id) else { return Ok(Reply::OtherLife) };
+        let Some(runner) = state.workers.get_mut(Life::of(&target.id).name) else { return Ok(Reply::OtherLife) };
         if !runner.reachable {
             return Err(Fault::NotDone("unreachable".to_owned()));
         }
@@ -454,8 +456,10 @@
         // Waits a little for an end, as workers do.
         tokio::time::sleep(renewal.wait.min(Duration::from_millis(20))).await;
         let held = self.at(target, |runner, now| {
+            let born = runner.born;
             runner.hold(renewal.term, renewal.until, renewal.acked).map(|(running, ended)| Held {
                 clock: now,
+                born,
                 running,
                 ended,
             })
--- a/components/fakes/src/runner.rs
+++ b/components/fakes/src/runner.rs
@@ -35,6 +35,8 @@
 pub struct Runner {
     /// What it says of itself.
     pub info: Info,
+    /// When it started, in milliseconds since 1970, where the platform tells.
+    pub born: Option<u64>,
     /// Whether orders and renewals reach it.
     pub reachable: bool,
     /// Highest term seen.
@@ -65,6 +67,7 @@
         };
         Runner {
             info,
+            born: None,
             reachable: true,
             fence: 0,
             lease: Duration::ZERO,
--- a/components/sched/src/ends.rs
+++ b/components/sched/src/ends.rs
@@ -15,9 +15,12 @@
     pub fn report(&mut self, clock: Clock, id: &str, report: Report) -> bool {
         let Some(worker) = self.workers.get_mut(id) else { return false };
         let heard = std::mem::replace(&mut worker.heard, clock.now);
-        worker.contact = Contact::Held;
+        let first = std::mem::replace(&mut worker.contact, Contact::Held) == Contact::Unknown;
         let left = std::mem::take(&mut worker.left);
         let restarted = self.look_for_restart(clock, id, heard, left, &report);
+        if first {
+            self.stop_handed_over(id);
+        }
         let taken = self.taken(id);
         for end in report.ended.iter().filter(|end| end.number > taken) {
             self.ended(clock, id, end);
--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -19,7 +19,7 @@
 use crate::quota::Quota;
 use crate::rank::objective;
 use crate::room::Room;
-use crate::worker::{Contact, Info, Pauses, Worker};
+use crate::worker::{Contact, Pauses, Worker};
 
 /// The time of an event.
 #[derive(Clone, Copy, Debug, Default)]
@@ -118,7 +118,7 @@
     /// Workers that are known to be gone.
     pub(crate) departed: BTreeSet<WorkerId>,
     /// Of these, those at whose address another life has answered, while the list still shows them.
-    superseded: BTreeSet<WorkerId>,
+    pub(crate) superseded: BTreeSet<WorkerId>,
     pub(crate) jobs: HashMap<JobId, Entry>,
     /// Jobs that haven't ended.
     pub(crate) live: BTreeSet<JobId>,
@@ -210,50 +210,6 @@
         }
     }
 
-    /// Takes the platform's list of workers.
-    pub fn list(&mut self, clock: Clock, listed: BTreeMap<WorkerId, Info>) {
-        for (id, worker) in &mut self.workers {
-            if !listed.contains_key(id) {
-                worker.missing.get_or_insert(clock.now);
-            }
-        }
-        let replaced: Vec<WorkerId> = self
-            .workers
-            .iter()
-            .filter(|(id, old)| !listed.contains_key(*id) && listed.values().any(|new| new.address == old.info.address))
-            .map(|(id, _)| id.clone())
-            .collect();
-        replaced.iter().for_each(|id| self.gone(clock, id, Passing::Replaced));
-        self.superseded.retain(|id| listed.contains_key(id));
-        for (id, info) in listed {
-            // The entry of a dead worker stays until three signs of life are missed: it was recorded and found gone up to ten times.
-            if !self.superseded.contains(&id) && (self.workers.contains_key(&id) || self.has_pool(&info.pool)) {
-                self.enlist(clock, id, info);
-            }
-        }
-    }
-
-    /// Whether a queue uses a pool. Anybody may write into the list: a worker of a pool that nobody names isn't even called.
-    fn has_pool(&self, pool: &str) -> bool {
-        self.most_urgent.contains_key(pool) || self.config.queues.is_empty()
-    }
-
-    /// Takes in one worker of the list.
-    fn enlist(&mut self, clock: Clock, id: WorkerId, info: Info) {
-        if let Some(worker) = self.workers.get_mut(&id) {
-            worker.missing = None;
-            // A worker that is leaving never stays after all.
-            let info = Info { draining: worker.info.draining || info.draining, ..info };
-            if *worker.info != info {
-                worker.info = Arc::new(info);
-                worker.recount();
-            }
-            return;
-        }
-        let position = self.record(Record::Worker { id: id.clone(), address: info.address.clone() });
-        self.workers.insert(id, Worker::new(info, None, position, clock.now));
-    }
-
     /// How long the renewals of a worker on which nothing runs may be apart: there is no lease to prolong, and all of them
     /// together must not take the leader's time.
     pub fn idle_pause(&self) -> Duration {
@@ -384,31 +340,6 @@
         (self.term - 1) * ATTEMPTS_A_TERM + starts + 1
     }
 
-    /// A worker's life is over: nothing runs there. That is held against the tasks that were there before anything of them starts again.
-    pub(crate) fn gone(&mut self, clock: Clock, id: &str, passing: Passing) {
-        let Some(worker) = self.workers.get_mut(id) else { return };
-        let silent = clock.now.saturating_sub(worker.heard);
-        let draining = worker.info.draining;
-        let heard = worker.heard;
-        let mut runs = std::mem::take(&mut worker.left);
-        runs.extend(self.losses(id, heard));
-        let mut ended = loss::Ended { worker: id.to_owned(), passing, silent, draining, runs };
-        self.vacate(clock, id);
-        let spent = self.hold_against(&mut ended);
-        self.ended_workers.push(ended);
-        self.workers.remove(id);
-        self.departed.insert(id.to_owned());
-        self.record(Record::Gone { id: id.to_owned() });
-        self.actions.push(Action::Forget(id.to_owned()));
-        self.give_up(clock, spent);
-    }
-
-    /// The worker answered that another life is at its address.
-    pub fn superseded(&mut self, clock: Clock, id: &str) {
-        self.gone(clock, id, Passing::Replaced);
-        self.superseded.insert(id.to_owned());
-    }
-
     /// A worker's leases have surely run out.
     pub fn lapsed(&mut self, clock: Clock, id: &str) {
         let Some(worker) = self.workers.get_mut(id) else { return };
@@ -426,7 +357,7 @@
     }
 
     /// Frees the tasks of all runs on a worker.
-    fn vacate(&mut self, clock: Clock, id: &str) {
+    pub(crate) fn vacate(&mut self, clock: Clock, id: &str) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         let runs = std::mem::take(&mut worker.runs);
         worker.recount();
--- /dev/null
+++ b/components/sched/src/handover.rs
@@ -0,0 +1,148 @@
+//! What passes from one life of a worker to the next one under its name.
+//!
+//! An order names the worker and not its life: one that had no answer, or that an earlier leader sent, may be carried out by the next life.
+//! Its task waits until that life has answered; what this leader sent is stopped there first. Nothing else passes on: neither leases and
+//! clock, nor the numbers of ends, tickets, failures and pauses.
+
+use work::{Attempt, Record, Task, Unit, WorkerId};
+
+use crate::engine::{Action, Clock, Engine};
+use crate::entry;
+use crate::worker::{Contact, Phase, Run};
+
+/// A run of which its worker has not shown that it had begun, though it may have been ordered.
+pub(crate) struct Unsettled {
+    task: Task,
+    attempt: Attempt,
+    run: Run,
+    /// Whether its task waits for it.
+    held: bool,
+}
+
+impl Engine {
+    /// Runs whose orders may still be on their way to a worker.
+    pub(crate) fn unsettled(&self, id: &str) -> Vec<Unsettled> {
+        let Some(worker) = self.workers.get(id) else { return Vec::new() };
+        let sent = worker.runs.iter().filter(|((task, attempt), _)| !self.is_unsent(id, *task, *attempt));
+        let unsettled = |((task, attempt), run): (&(Task, Attempt), &Run)| Unsettled {
+            task: *task,
+            attempt: *attempt,
+            run: run.clone(),
+            held: self.holds(*task, id, *attempt),
+        };
+        sent.filter(|(_, run)| run.begun.is_none()).map(unsettled).collect()
+    }
+
+    /// Whether a start was decided and not given out yet.
+    pub(crate) fn is_unsent(&self, id: &str, task: Task, attempt: Attempt) -> bool {
+        let same = |(_, to, start): &(u64, WorkerId, crate::engine::Start)| {
+            to == id && start.task == task && start.attempt == attempt
+        };
+        self.decided.iter().any(same)
+    }
+
+    /// Whether a task's run is this one.
+    fn holds(&self, task: Task, id: &str, attempt: Attempt) -> bool {
+        let state = self.unit(task.unit).and_then(|unit| unit.tasks.get(task.index as usize));
+        state.is_some_and(|state| state.phase == entry::Phase::Held(id.to_owned(), attempt))
+    }
+
+    /// Hands over to the next life what it may carry out of the orders for a former one.
+    pub(crate) fn hand_over(&mut self, id: &str, next: &str, unsettled: Vec<Unsettled>) {
+        for Unsettled { task, attempt, run, held } in unsettled {
+            let Some(worker) = self.workers.get_mut(next) else { return };
+            worker.take(task, attempt, Run { phase: Phase::Stopping, ..run });
+            if held {
+                self.place(task, next, attempt);
+            }
+        }
+        if let Some(worker) = self.workers.get_mut(next) {
+            worker.follows = true;
+        }
+        self.stop_handed_over(next);
+        self.hand_inherited_over(id, next);
+    }
+
+    /// Whether a worker's life follows another under its name. A lease that was meant for that one may have been given there, by the next
+    /// life's clock: as long as workers take any.
+    pub fn follows(&self, id: &str) -> bool {
+        self.workers.get(id).is_some_and(|worker| worker.follows)
+    }
+
+    /// Stops at a worker what was handed over to it, once it has answered: before that no order can be given.
+    pub(crate) fn stop_handed_over(&mut self, id: &str) {
+        let Some(worker) = self.workers.get(id).filter(|worker| worker.contact == Contact::Held) else { return };
+        let stopping = worker.runs.iter().filter(|(_, run)| run.phase == Phase::Stopping);
+        let stops = stopping.map(|((task, attempt), _)| Action::Stop(id.to_owned(), *task, *attempt));
+        self.actions.extend(stops.collect::<Vec<_>>());
+    }
+
+    /// The same for what an earlier leader ordered: its orders are refused once the next life has answered under this term.
+    fn hand_inherited_over(&mut self, id: &str, next: &str) {
+        for (task, attempt) in self.inherited_by(id) {
+            if let Some(state) = self.task_mut(task) {
+                state.inherited = Some(entry::Inherited { worker: next.to_owned(), attempt });
+            }
+            self.record(Record::Placed { task, attempt, worker: next.to_owned() });
+        }
+        self.quota.hand_over(id, next);
+    }
+
+    /// Tasks that an earlier leader placed on a worker, with their runs. None once all of its orders have surely ended.
+    fn inherited_by(&self, id: &str) -> Vec<(Task, Attempt)> {
+        if self.settled {
+            return Vec::new();
+        }
+        let mut found = Vec::new();
+        for (job, entry) in self.live.iter().filter_map(|id| Some((*id, self.jobs.get(id)?))) {
+            for ((round, step), unit) in &entry.units {
+                let name = Unit { job, round: *round, step: *step };
+                let of = |(task, index): (&entry::TaskState, u32)| {
+                    let run = task.inherited.as_ref().filter(|run| run.worker == id)?;
+                    Some((Task { unit: name, index }, run.attempt))
+                };
+                found.extend(unit.tasks.iter().zip(0..).filter_map(of));
+            }
+        }
+        found
+    }
+
+    /// A task's run is, or may be, on this worker.
+    fn place(&mut self, task: Task, id: &str, attempt: Attempt) {
+        if let Some(unit) = self.unit_mut(task.unit) {
+            unit.set(task.index as usize, entry::Phase::Held(id.to_owned(), attempt));
+        }
+        self.record(Record::Placed { task, attempt, worker: id.to_owned() });
+    }
+
+    /// The platform tells when a worker was born that was known without: it is the same life as far as is known, and goes by its id from
+    /// now on.
+    pub(crate) fn rename(&mut self, clock: Clock, id: &str, born: &str) {
+        let unsettled = self.unsettled(id);
+        let Some(worker) = self.workers.get(id) else { return };
+        let begun: Vec<(Task, Attempt, Run)> = worker
+            .runs
+            .iter()
+            .filter(|(_, run)| run.begun.is_some())
+            .map(|((task, attempt), run)| (*task, *attempt, run.clone()))
+            .filter(|(task, attempt, _)| self.holds(*task, id, *attempt))
+            .collect();
+        let (info, left) = (worker.info.clone(), worker.left.clone());
+        self.record_worker(clock, born.to_owned(), (*info).clone());
+        self.vacate(clock, id);
+        self.workers.remove(id);
+        for (task, attempt, run) in begun {
+            if let Some(worker) = self.workers.get_mut(born) {
+                worker.take(task, attempt, run);
+            }
+            self.place(task, born, attempt);
+        }
+        self.hand_over(id, born, unsettled);
+        if let Some(worker) = self.workers.get_mut(born) {
+            worker.left = left;
+        }
+        self.departed.insert(id.to_owned());
+        self.record(Record::Gone { id: id.to_owned() });
+        self.actions.push(Action::Forget(id.to_owned()));
+    }
+}
--- /dev/null
+++ b/components/sched/src/list.rs
@@ -0,0 +1,163 @@
+//! The platform's list of workers, and what becomes of a worker's life when it is over.
+//!
+//! A worker that starts again may keep its name, and its entry may be late: the next life may be known from its own answer before the list
+//! shows it, and the list may show a former one for a while. Orders name the worker, not its life.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use work::{Life, Record, WorkerId};
+
+use crate::engine::{Action, Clock, Engine};
+use crate::loss::{Ended, Passing};
+use crate::restore::unlisted;
+use crate::worker::{Info, Worker};
+
+/// What an entry says of the workers that are known.
+enum Entry {
+    /// It is that of a life that isn't known yet.
+    New,
+    /// It is that of this life.
+    Of(WorkerId),
+    /// It is older than what is known of this life, and changes nothing.
+    Late(WorkerId),
+    /// It tells when this life was born, which wasn't known.
+    Born(WorkerId),
+}
+
+impl Engine {
+    /// Takes the platform's list of workers.
+    pub fn list(&mut self, clock: Clock, listed: BTreeMap<WorkerId, Info>) {
+        self.superseded.retain(|id| listed.contains_key(id));
+        let mut present = BTreeMap::new();
+        for (id, info) in listed {
+            match self.entry(&id) {
+                Entry::New => present.insert(id, Some(info)),
+                Entry::Of(known) => present.insert(known, Some(info)),
+                Entry::Late(known) => present.insert(known, None),
+                Entry::Born(known) => {
+                    self.rename(clock, &known, &id);
+                    present.insert(id, Some(info))
+                }
+            };
+        }
+        self.take_list(clock, present);
+    }
+
+    /// What an entry under this id says of the workers that are known.
+    fn entry(&self, id: &str) -> Entry {
+        let Some(known) = self.namesake(id) else { return Entry::New };
+        match (Life::of(id).born, Life::of(&known).born) {
+            _ if self.superseded.contains(id) => Entry::Late(known),
+            (Some(born), Some(latest)) if born < latest => Entry::Late(known),
+            (Some(born), Some(latest)) if born > latest => Entry::New,
+            (Some(_), None) => Entry::Born(known),
+            _ => Entry::Of(known),
+        }
+    }
+
+    /// The newest known life of the worker that an id names.
+    pub(crate) fn namesake(&self, id: &str) -> Option<WorkerId> {
+        let name = Life::of(id).name;
+        let first = Life { name, born: Some(0) }.id();
+        let born = self.workers.range(first..).map(|(id, _)| id);
+        let lives = born.take_while(|id| Life::of(id).name == name);
+        let unborn = self.workers.get_key_value(name).map(|(id, _)| id);
+        lives.chain(unborn).max_by_key(|id| Life::of(id).born).cloned()
+    }
+
+    /// Takes the lives that are listed now. Those without an entry of their own stay as they are.
+    fn take_list(&mut self, clock: Clock, present: BTreeMap<WorkerId, Option<Info>>) {
+        for (id, worker) in &mut self.workers {
+            match present.contains_key(id) {
+                true => worker.missing = None,
+                false => {
+                    worker.missing.get_or_insert(clock.now);
+                }
+            }
+        }
+        let replaced = self.replaced(&present);
+        for (id, info) in present {
+            let Some(info) = info else { continue };
+            // The entry of a dead worker stays until three signs of life are missed: it was recorded and found gone up to ten times.
+            let follows = self.namesake(&id).is_some();
+            if !self.superseded.contains(&id) && (follows || self.has_pool(&info.pool)) {
+                self.enlist(clock, id, info);
+            }
+        }
+        replaced.iter().for_each(|id| self.gone(clock, id, Passing::Replaced));
+    }
+
+    /// Lives whose name, or whose address, is another one's now.
+    fn replaced(&self, present: &BTreeMap<WorkerId, Option<Info>>) -> Vec<WorkerId> {
+        let follows = |id: &str, worker: &Worker, other: &str, info: &Info| {
+            info.address == worker.info.address || Life::of(other).name == Life::of(id).name
+        };
+        let replaced = |(id, worker): &(&WorkerId, &Worker)| {
+            let mut others = present.iter().filter_map(|(other, info)| Some((other, info.as_ref()?)));
+            !present.contains_key(*id) && others.any(|(other, info)| follows(id, worker, other, info))
+        };
+        self.workers.iter().filter(replaced).map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Whether a queue uses a pool. Anybody may write into the list: a worker of a pool that nobody names isn't even called.
+    fn has_pool(&self, pool: &str) -> bool {
+        self.most_urgent.contains_key(pool) || self.config.queues.is_empty()
+    }
+
+    /// Takes in one worker of the list.
+    fn enlist(&mut self, clock: Clock, id: WorkerId, info: Info) {
+        if let Some(worker) = self.workers.get_mut(&id) {
+            worker.missing = None;
+            // A worker that is leaving never stays after all.
+            let info = Info { draining: worker.info.draining || info.draining, ..info };
+            if *worker.info != info {
+                worker.info = Arc::new(info);
+                worker.recount();
+            }
+            return;
+        }
+        self.record_worker(clock, id, info);
+    }
+
+    /// Takes in a worker that wasn't known; it gets orders once its record is written.
+    pub(crate) fn record_worker(&mut self, clock: Clock, id: WorkerId, info: Info) {
+        let position = self.record(Record::Worker { id: id.clone(), address: info.address.clone() });
+        self.workers.insert(id, Worker::new(info, None, position, clock.now));
+    }
+
+    /// A worker's life is over: nothing runs there. That is held against the tasks that were there before anything of them starts again.
+    pub(crate) fn gone(&mut self, clock: Clock, id: &str, passing: Passing) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let (heard, draining) = (worker.heard, worker.info.draining);
+        let silent = clock.now.saturating_sub(heard);
+        let mut runs = std::mem::take(&mut worker.left);
+        runs.extend(self.losses(id, heard));
+        let next = self.namesake(id).filter(|next| next != id);
+        let mut ended = Ended { worker: id.to_owned(), passing, silent, draining, runs, next: next.clone() };
+        let unsettled = self.unsettled(id);
+        self.vacate(clock, id);
+        let spent = self.hold_against(&mut ended);
+        self.ended_workers.push(ended);
+        self.workers.remove(id);
+        self.departed.insert(id.to_owned());
+        if let Some(next) = &next {
+            self.hand_over(id, next, unsettled);
+        }
+        self.record(Record::Gone { id: id.to_owned() });
+        self.actions.push(Action::Forget(id.to_owned()));
+        self.give_up(clock, spent);
+    }
+
+    /// Another life is at the worker's address; `next` is its id if it goes by the same name. That one's entry may be still to come: until
+    /// then it is only held.
+    pub fn superseded(&mut self, clock: Clock, id: &str, next: Option<WorkerId>) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let address = worker.info.address.clone();
+        if let Some(next) = next.filter(|next| !self.workers.contains_key(next)) {
+            self.record_worker(clock, next, Info { address, ..unlisted() });
+        }
+        self.gone(clock, id, Passing::Replaced);
+        self.superseded.insert(id.to_owned());
+    }
+}
--- a/components/sched/src/loss.rs
+++ b/components/sched/src/loss.rs
@@ -46,6 +46,8 @@
     pub draining: bool,
     /// Runs that were there, or may have been, when it last answered or later.
     pub runs: Vec<Lost>,
+    /// The life that follows it under its name, if that is known.
+    pub next: Option<WorkerId>,
 }
 
 /// A run that went with its worker.
@@ -106,15 +108,11 @@
     /// What goes with a worker that was last heard at this time: its runs, but for starts that weren't sent.
     pub(crate) fn losses(&self, id: &str, heard: Duration) -> Vec<Lost> {
         let Some(worker) = self.workers.get(id) else { return Vec::new() };
-        let unsent = |task: &Task, attempt: Attempt| {
-            let same = |start: &crate::engine::Start| start.task == *task && start.attempt == attempt;
-            self.decided.iter().any(|(_, to, start)| to == id && same(start))
-        };
         let sent: Vec<(Task, Attempt, &Run)> = worker
             .runs
             .iter()
             .map(|((task, attempt), run)| (*task, *attempt, run))
-            .filter(|(task, attempt, run)| run.phase != Phase::Starting || !unsent(task, *attempt))
+            .filter(|(task, attempt, run)| run.phase != Phase::Starting || !self.is_unsent(id, *task, *attempt))
             .collect();
         let new: BTreeSet<JobId> = sent.iter().filter(|(.., run)| !run.shown).map(|(task, ..)| task.unit.job).collect();
         let lost = |(task, attempt, run): &(Task, Attempt, &Run)| Lost {
--- a/components/sched/src/quota.rs
+++ b/components/sched/src/quota.rs
@@ -155,6 +155,13 @@
         job.steps.iter().enumerate().find_map(excess)
     }
 
+    /// What an earlier leader placed on one life of a worker may run on the next one.
+    pub(crate) fn hand_over(&mut self, id: &str, next: &str) {
+        if let Some(charges) = self.inherited.remove(id) {
+            self.inherited.entry(next.to_owned()).or_default().extend(charges);
+        }
+    }
+
     /// Counts anew what is used.
     fn recount(&mut self, workers: &BTreeMap<WorkerId, Worker>, open: impl Fn(&WorkerId) -> bool) {
         self.inherited.retain(|worker, _| open(worker));
--- a/components/sched/src/restart.rs
+++ b/components/sched/src/restart.rs
@@ -34,7 +34,8 @@
         }
         runs.extend(self.losses(id, heard).into_iter().filter(|lost| vanished.contains(&lost.key())));
         let silent = clock.now.saturating_sub(heard);
-        let mut ended = Ended { worker: id.to_owned(), passing: Passing::Restarted, silent, draining, runs };
+        let mut ended =
+            Ended { worker: id.to_owned(), passing: Passing::Restarted, silent, draining, runs, next: None };
         let spent = self.hold_against(&mut ended);
         self.ended_workers.push(ended);
         if let Some(worker) = self.workers.get_mut(id) {
--- a/components/sched/src/restore.rs
+++ b/components/sched/src/restore.rs
@@ -226,7 +226,7 @@
 }
 
 /// A worker that the log names and the list doesn't: it is renewed, but gets no work.
-fn unlisted() -> Info {
+pub(crate) fn unlisted() -> Info {
     Info {
         address: String::new(),
         pool: String::new(),
--- a/components/sched/src/worker.rs
+++ b/components/sched/src/worker.rs
@@ -223,6 +223,8 @@
     /// What was there when it was last heard of, though its leases have run out or an earlier leader placed it. It counts if the worker
     /// turns out to have ended.
     pub left: Vec<Lost>,
+    /// Whether it follows another life under its name; see [`crate::handover`].
+    pub follows: bool,
     /// Highest end that was taken in.
     pub taken: u64,
     /// Ends that wait for their records: number, and position of the records.
@@ -250,6 +252,7 @@
             new: 0,
             suspects: 0,
             left: Vec::new(),
+            follows: false,
             taken: 0,
             pending: VecDeque::new(),
             acked: 0,
--- a/components/sched/tests/decisions/crash.rs
+++ b/components/sched/tests/decisions/crash.rs
@@ -93,7 +93,7 @@
 #[test]
 fn a_worker_that_another_life_has_replaced_is_not_taken_in_again_while_it_is_listed() {
     let mut cell = Cell::new(2).ready();
-    cell.engine.superseded(cell.clock(), "w0");
+    cell.engine.superseded(cell.clock(), "w0", None);
     cell.write();
     let written = cell.log.len();
     for _ in 0..10 {
@@ -153,7 +153,7 @@
     cell.submit(1, "urgent", vec![step(1, 1)]);
     cell.engine.plan(cell.clock());
     assert!(cell.engine.take_actions().is_empty(), "its record isn't written yet");
-    cell.engine.superseded(cell.clock(), "w0");
+    cell.engine.superseded(cell.clock(), "w0", None);
     let ended = cell.engine.take_ended_workers();
     assert!(ended[0].runs.is_empty(), "{ended:?}");
 }
--- a/components/sched/tests/world/mod.rs
+++ b/components/sched/tests/world/mod.rs
@@ -305,7 +305,7 @@
             let pause = self.rng.random_range(60..400);
             leader.next_hold.insert(id.clone(), self.now + Duration::from_millis(pause));
             if self.replaced(&id, &address) {
-                leader.engine.superseded(clock, &id);
+                leader.engine.superseded(clock, &id, None);
                 continue;
             }
             let lease = leader.leases.entry(id.clone()).or_default();
--- a/components/work/src/id.rs
+++ b/components/work/src/id.rs
@@ -11,7 +11,7 @@
 pub type QueueName = String;
 /// A workspace's name in the configuration.
 pub type WorkspaceName = String;
-/// One life of a worker.
+/// One life of a worker; see [`crate::Life`].
 pub type WorkerId = String;
 /// Number of a reign: each leader has a higher one than all before it. It fences orders to workers.
 pub type Term = u64;
