Model: workers that are back under their names; only a listed run is certainly the former life's

An answer to a start tells no birth, so that it may be the next life's: a run that was answered and not listed was freed while it ran there (a task on two workers at 3.92 s). What was handed over counted again when the next life ended (a job failed under which fewer than two workers went down): a run ends once now, whichever life carried it out. And a next life that never answers would have kept its tasks for ever, by reading: they are freed once the longest lease has surely run out, with a test.

--- a/components/sched/src/blame.rs
+++ b/components/sched/src/blame.rs
@@ -42,13 +42,14 @@
 }
 
 impl TaskState {
-    /// Holds the end of a worker against the task. Whether that is news: each run ends once. A worker may end again and again under its id,
-    /// with another run each time.
+    /// Holds the end of a worker against the task. Whether that is news: each run ends once, with one of the lives that may have carried its
+    /// order out. A worker may end again and again under its id, with another run each time.
     pub(crate) fn hold_against(&mut self, crash: Crash) -> bool {
         if crash.evidence == Evidence::Cleared {
             return !std::mem::take(&mut self.crashes).is_empty();
         }
-        let same = |known: &Crash| known.worker == crash.worker && known.attempt == crash.attempt;
+        let unnamed = crash.attempt == 0;
+        let same = |known: &Crash| known.attempt == crash.attempt && (!unnamed || known.worker == crash.worker);
         if self.crashes.iter().any(same) {
             return false;
         }
--- a/components/sched/src/ends.rs
+++ b/components/sched/src/ends.rs
@@ -195,6 +195,7 @@
             moved: clock.now,
             decided: clock.now,
             begun: Some(clock.now),
+            listed: true,
             shown: true,
             suspect: false,
         };
--- a/components/sched/src/handover.rs
+++ b/components/sched/src/handover.rs
@@ -1,16 +1,16 @@
 //! What passes from one life of a worker to the next one under its name.
 //!
-//! An order names the worker and not its life: one that had no answer, or that an earlier leader sent, may be carried out by the next life.
-//! Its task waits until that life has answered; what this leader sent is stopped there first. Nothing else passes on: neither leases and
-//! clock, nor the numbers of ends, tickets, failures and pauses.
+//! An order names the worker and not its life, and no answer to it tells which life has carried it out: that of a run that wasn't listed, or
+//! that an earlier leader sent, may have been the next one. Its task waits until that life has answered; what this leader sent is stopped
+//! there first. Nothing else passes on: neither leases and clock, nor the numbers of ends, tickets, failures and pauses.
 
 use work::{Attempt, Record, Task, Unit, WorkerId};
 
 use crate::engine::{Action, Clock, Engine};
 use crate::entry;
-use crate::worker::{Contact, Phase, Run};
+use crate::worker::{Contact, Phase, Run, Worker};
 
-/// A run of which its worker has not shown that it had begun, though it may have been ordered.
+/// A run that may have been ordered, and that its worker hasn't listed.
 pub(crate) struct Unsettled {
     task: Task,
     attempt: Attempt,
@@ -30,7 +30,7 @@
             run: run.clone(),
             held: self.holds(*task, id, *attempt),
         };
-        sent.filter(|(_, run)| run.begun.is_none()).map(unsettled).collect()
+        sent.filter(|(_, run)| !run.listed).map(unsettled).collect()
     }
 
     /// Whether a start was decided and not given out yet.
@@ -77,7 +77,20 @@
         self.actions.extend(stops.collect::<Vec<_>>());
     }
 
-    /// The same for what an earlier leader ordered: its orders are refused once the next life has answered under this term.
+    /// Frees what was handed over to lives that have never answered, once a lease that one of them may have taken has surely run out. An order
+    /// was sent before the former life's end was known.
+    pub(crate) fn free_handed_over(&mut self, clock: Clock) {
+        let longest = self.limits.longest_lease();
+        let over = |worker: &Worker| {
+            let silent = worker.contact == Contact::Unknown && !worker.runs.is_empty();
+            silent && clock.now.saturating_sub(worker.heard) > longest
+        };
+        let ids: Vec<WorkerId> =
+            self.workers.iter().filter(|(_, worker)| over(worker)).map(|(id, _)| id.clone()).collect();
+        ids.iter().for_each(|id| self.vacate(clock, id));
+    }
+
+    /// Hands over what an earlier leader ordered: its orders are refused once the next life has answered under this term.
     fn hand_inherited_over(&mut self, id: &str, next: &str) {
         for (task, attempt) in self.inherited_by(id) {
             if let Some(state) = self.task_mut(task) {
@@ -120,10 +133,10 @@
     pub(crate) fn rename(&mut self, clock: Clock, id: &str, born: &str) {
         let unsettled = self.unsettled(id);
         let Some(worker) = self.workers.get(id) else { return };
-        let begun: Vec<(Task, Attempt, Run)> = worker
+        let listed: Vec<(Task, Attempt, Run)> = worker
             .runs
             .iter()
-            .filter(|(_, run)| run.begun.is_some())
+            .filter(|(_, run)| run.listed)
             .map(|((task, attempt), run)| (*task, *attempt, run.clone()))
             .filter(|(task, attempt, _)| self.holds(*task, id, *attempt))
             .collect();
@@ -131,7 +144,7 @@
         self.record_worker(clock, born.to_owned(), (*info).clone());
         self.vacate(clock, id);
         self.workers.remove(id);
-        for (task, attempt, run) in begun {
+        for (task, attempt, run) in listed {
             if let Some(worker) = self.workers.get_mut(born) {
                 worker.take(task, attempt, run);
             }
--- a/components/sched/src/limits.rs
+++ b/components/sched/src/limits.rs
@@ -52,6 +52,11 @@
         self.lease.mul_f64(CLOCK_SLACK) + LAPSE_MARGIN
     }
 
+    /// Time after which a lease that was given just now has surely run out, however long it was meant to be.
+    pub(crate) fn longest_lease(&self) -> Duration {
+        self.max_lease.mul_f64(CLOCK_SLACK) + LAPSE_MARGIN
+    }
+
     /// The longest lease that the leader before may have given: ours, if it is known to be of this version.
     ///
     /// Always reckoning with the longest that workers take, a lasting task on a worker that was gone 2 s after a takeover came
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -34,6 +34,7 @@
             self.fail_spent(clock);
         }
         self.settle(clock);
+        self.free_handed_over(clock);
         self.open_units(clock);
         self.stop_broken_gangs();
         let candidates = self.candidates(clock);
@@ -270,6 +271,7 @@
                 moved: now,
                 decided: now,
                 begun: None,
+                listed: false,
                 shown: false,
                 suspect,
             };
--- a/components/sched/src/worker.rs
+++ b/components/sched/src/worker.rs
@@ -164,6 +164,8 @@
     pub decided: Duration,
     /// When the worker answered its start, or first listed it.
     pub begun: Option<Duration>,
+    /// Whether the worker has listed it: an answer to its start may be that of the worker's next life.
+    pub listed: bool,
     /// Whether the worker has listed it when it had run for a moment.
     pub shown: bool,
     /// Whether its task may take the worker down; see [`crate::blame`].
@@ -299,6 +301,7 @@
     /// Takes note that it lists a run, if it has it.
     pub(crate) fn show(&mut self, now: Duration, task: Task, attempt: Attempt) -> Option<&mut Run> {
         let run = self.runs.get_mut(&(task, attempt))?;
+        run.listed = true;
         let begun = *run.begun.get_or_insert(now);
         if !run.shown && now.saturating_sub(begun) >= MOMENT {
             run.shown = true;
--- a/components/sched/tests/model.rs
+++ b/components/sched/tests/model.rs
@@ -55,6 +55,24 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { cases: cases(), ..ProptestConfig::default() })]
+
+    #[test]
+    fn promises_hold_where_workers_are_back_under_their_names(seed: u64) {
+        play(World::new(seed).with_births(), CALM)?;
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: cases(), ..ProptestConfig::default() })]
+
+    #[test]
+    fn tasks_that_take_workers_down_are_given_up_where_names_stay(seed: u64) {
+        play(World::with_crashers(seed).with_births(), LONG_CALM)?;
+    }
+}
+
 /// Plays some trouble, then calm; what is promised must hold at the end.
 fn play(mut world: World, calm: usize) -> Result<(), TestCaseError> {
     (0..TROUBLE).for_each(|_| world.step(true));
