Test that fails: a task whose workers stay silent is started anew with each lapse

A worker that went down is silent, its entry is listed for a while, and its leases run out before it is known to have ended: nothing is held against the task by then.

--- a/components/sched/tests/decisions/crash.rs
+++ b/components/sched/tests/decisions/crash.rs
@@ -200,3 +200,27 @@
     cell.write();
     assert_eq!(cell.engine.state(1), Some(State::Ended(Outcome::Failed)));
 }
+
+/// A worker that went down stays silent, its entry is listed for a while, and its leases run out before anybody knows that it has ended.
+/// Ends that are still to be learnt are reckoned with: else a task is started anew with each lapse.
+#[test]
+fn a_task_whose_workers_stay_silent_waits_for_what_became_of_them() {
+    let mut cell = Cell::new(8).ready();
+    cell.submit(1, "urgent", vec![step(1, 1)]);
+    let mut silent = Vec::new();
+    let mut first = None;
+    while let Some((worker, start)) = start_of(&mut cell, 1) {
+        first.get_or_insert(start);
+        silent.push(worker.clone());
+        assert!(silent.len() <= MOST_STARTS, "started {} times, each worker is silent", silent.len());
+        cell.now += Duration::from_secs(7);
+        cell.engine.lapsed(cell.clock(), &worker);
+        let ids: Vec<String> = cell.infos.keys().filter(|id| !silent.contains(id)).cloned().collect();
+        ids.iter().for_each(|id| cell.report(id, &[], &[]));
+    }
+    let told = cell.engine.explain(cell.clock(), 1).expect("it is kept").steps[0].why.clone();
+    assert!(told.contains("silent"), "an operator sees why: {told}");
+    // The first of them was only cut off, and lists the run as lapsed.
+    cell.end(&silent[0], &first.expect("it started"), How::Lapsed);
+    assert_eq!(cell.starts().len(), 1, "one less may have ended");
+}
