Mend: a task that may have taken too many workers down waits until the silent ones are known to have ended or not

Callers saw workers go down beyond the platform's bound where a worker's entry outlasts its leases: with each lapse (7 s) the task started anew, before the end of the worker before was held against it (9 s by three signs of life of 3 s).

Cause: a lapse frees the tasks of a silent worker, and what was there is only counted once the worker is known to have ended.

Change: silent workers that may have ended under a task are counted with it, over takeovers, too; where they and the known ends reach the bound of five, the task waits until one of them answers or is gone. Why it holds: a start is now either a known end, a silent worker, or answered for.

--- a/components/sched/src/blame.rs
+++ b/components/sched/src/blame.rs
@@ -75,6 +75,13 @@
 }
 
 impl UnitState {
+    /// Whether a task that waits may have taken as many workers down as one may, once what became of the silent ones is known. Till then it
+    /// isn't started: leases run out before a worker is known to have ended, and it would start anew with each.
+    pub(crate) fn awaits_ends(&self) -> bool {
+        let doubtful = |task: &TaskState| task.silent > 0 && task.crashes.len() + task.silent >= MOST_ENDS;
+        self.tasks.iter().any(|task| task.phase == Phase::Pending && doubtful(task))
+    }
+
     /// Whether a task that waits is to be tried apart from others.
     fn has_suspects(&self) -> bool {
         self.tasks.iter().any(|task| task.phase == Phase::Pending && task.is_suspect())
@@ -113,6 +120,24 @@
 }
 
 impl Engine {
+    /// Takes note that a worker is silent under which these runs may have taken it down: not those that it had listed for a moment.
+    pub(crate) fn doubt(&mut self, left: &[Lost]) {
+        for lost in left.iter().filter(|lost| lost.may_have_begun_last()) {
+            if let Some(state) = self.task_mut(lost.task) {
+                state.silent += 1;
+            }
+        }
+    }
+
+    /// Takes that back: the worker has answered, or is known to have ended.
+    pub(crate) fn undoubt(&mut self, left: &[Lost]) {
+        for lost in left.iter().filter(|lost| lost.may_have_begun_last()) {
+            if let Some(state) = self.task_mut(lost.task) {
+                state.silent = state.silent.saturating_sub(1);
+            }
+        }
+    }
+
     /// Holds the end of a worker against the tasks that were there, each once. The jobs that are to be given up for it.
     pub(crate) fn hold_against(&mut self, ended: &mut Ended) -> BTreeSet<JobId> {
         let mut spent = BTreeSet::new();
--- a/components/sched/src/ends.rs
+++ b/components/sched/src/ends.rs
@@ -17,6 +17,7 @@
         let heard = std::mem::replace(&mut worker.heard, clock.now);
         let first = std::mem::replace(&mut worker.contact, Contact::Held) == Contact::Unknown;
         let left = std::mem::take(&mut worker.left);
+        self.undoubt(&left);
         let restarted = self.look_for_restart(clock, id, heard, left, &report);
         if first {
             self.stop_handed_over(id);
--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -350,6 +350,7 @@
         // It may turn out to have ended then.
         let heard = worker.heard;
         let lost = self.losses(id, heard);
+        self.doubt(&lost);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.left.extend(lost);
         }
--- a/components/sched/src/entry.rs
+++ b/components/sched/src/entry.rs
@@ -35,6 +35,8 @@
     pub saved: String,
     /// Workers that ended under it.
     pub crashes: Vec<Crash>,
+    /// Silent workers that may have ended under it; see [`crate::blame`].
+    pub silent: usize,
     /// Where an earlier leader placed it last: it may run there until the opposite is known.
     pub inherited: Option<Inherited>,
 }
@@ -90,6 +92,7 @@
             starts: 0,
             saved: String::new(),
             crashes: Vec::new(),
+            silent: 0,
             inherited: None,
         };
         UnitState {
--- a/components/sched/src/explain.rs
+++ b/components/sched/src/explain.rs
@@ -102,6 +102,9 @@
         if let Some(worker) = self.unresolved(unit) {
             return format!("a task may still run on {worker}, which hasn't answered since the last takeover");
         }
+        if unit.awaits_ends() {
+            return "a task has been on too many workers that have ended or are silent: what became of these is awaited".to_owned();
+        }
         let Some(queue) = self.queues.get(&entry.queue) else {
             return format!("the configuration (version {}) has no queue {}", self.config.version, entry.queue);
         };
--- a/components/sched/src/handover.rs
+++ b/components/sched/src/handover.rs
@@ -4,7 +4,7 @@
 //! that an earlier leader sent, may have been the next one. Its task waits until that life has answered; what this leader sent is stopped
 //! there first. Nothing else passes on: neither leases and clock, nor the numbers of ends, tickets, failures and pauses.
 
-use work::{Attempt, Record, Task, Unit, WorkerId};
+use work::{Attempt, Record, Task, WorkerId};
 
 use crate::engine::{Action, Clock, Engine};
 use crate::entry;
@@ -90,9 +90,11 @@
         ids.iter().for_each(|id| self.vacate(clock, id));
     }
 
-    /// Hands over what an earlier leader ordered: its orders are refused once the next life has answered under this term.
+    /// Hands over what an earlier leader ordered: its orders are refused once the next life has answered under this term. Nothing once all of
+    /// them have surely ended.
     fn hand_inherited_over(&mut self, id: &str, next: &str) {
-        for (task, attempt) in self.inherited_by(id) {
+        let inherited = if self.settled { Vec::new() } else { self.inherited_runs() };
+        for (task, entry::Inherited { attempt, .. }) in inherited.into_iter().filter(|(_, run)| run.worker == id) {
             if let Some(state) = self.task_mut(task) {
                 state.inherited = Some(entry::Inherited { worker: next.to_owned(), attempt });
             }
@@ -101,25 +103,6 @@
         self.quota.hand_over(id, next);
     }
 
-    /// Tasks that an earlier leader placed on a worker, with their runs. None once all of its orders have surely ended.
-    fn inherited_by(&self, id: &str) -> Vec<(Task, Attempt)> {
-        if self.settled {
-            return Vec::new();
-        }
-        let mut found = Vec::new();
-        for (job, entry) in self.live.iter().filter_map(|id| Some((*id, self.jobs.get(id)?))) {
-            for ((round, step), unit) in &entry.units {
-                let name = Unit { job, round: *round, step: *step };
-                let of = |(task, index): (&entry::TaskState, u32)| {
-                    let run = task.inherited.as_ref().filter(|run| run.worker == id)?;
-                    Some((Task { unit: name, index }, run.attempt))
-                };
-                found.extend(unit.tasks.iter().zip(0..).filter_map(of));
-            }
-        }
-        found
-    }
-
     /// A task's run is, or may be, on this worker.
     fn place(&mut self, task: Task, id: &str, attempt: Attempt) {
         if let Some(unit) = self.unit_mut(task.unit) {
--- a/components/sched/src/list.rs
+++ b/components/sched/src/list.rs
@@ -132,6 +132,7 @@
         let (heard, draining) = (worker.heard, worker.info.draining);
         let silent = clock.now.saturating_sub(heard);
         let mut runs = std::mem::take(&mut worker.left);
+        self.undoubt(&runs);
         runs.extend(self.losses(id, heard));
         let next = self.namesake(id).filter(|next| next != id);
         let mut ended = Ended { worker: id.to_owned(), passing, silent, draining, runs, next: next.clone() };
--- a/components/sched/src/loss.rs
+++ b/components/sched/src/loss.rs
@@ -85,6 +85,11 @@
         (self.task, self.attempt)
     }
 
+    /// Whether it may have begun a moment before its worker fell silent.
+    pub(crate) fn may_have_begun_last(&self) -> bool {
+        !self.shown || !self.begun
+    }
+
     /// A task that an earlier leader placed on a worker from which nothing has been heard since.
     pub(crate) fn inherited(task: Task, attempt: Attempt) -> Lost {
         Lost {
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -136,7 +136,7 @@
         let Some(state) = entry.units.get(&(unit.round, unit.step)) else { return };
         let need = taken_room(step);
         room.unclaim(&state.claims, &need);
-        if !self.resolved(state) {
+        if !self.resolved(state) || state.awaits_ends() {
             return;
         }
         if step.gang && state.pending != state.tasks.len() {
--- a/components/sched/src/restore.rs
+++ b/components/sched/src/restore.rs
@@ -52,18 +52,27 @@
 
     /// What the leader before has placed on a worker counts against its task if the worker turns out to have ended.
     fn inherit_runs(&mut self) {
-        for id in &self.live {
-            let Some(entry) = self.jobs.get(id) else { continue };
+        for (task, run) in self.inherited_runs() {
+            let Some(worker) = self.workers.get_mut(&run.worker) else { continue };
+            let lost = Lost::inherited(task, run.attempt);
+            worker.left.push(lost.clone());
+            self.doubt(&[lost]);
+        }
+    }
+
+    /// Tasks of open jobs that an earlier leader placed, each with its run.
+    pub(crate) fn inherited_runs(&self) -> Vec<(Task, Inherited)> {
+        let mut found = Vec::new();
+        for (job, entry) in self.live.iter().filter_map(|id| Some((*id, self.jobs.get(id)?))) {
             for ((round, step), unit) in &entry.units {
-                let name = Unit { job: *id, round: *round, step: *step };
-                for (task, index) in unit.tasks.iter().zip(0..) {
-                    let Some(run) = &task.inherited else { continue };
-                    if let Some(worker) = self.workers.get_mut(&run.worker) {
-                        worker.left.push(Lost::inherited(Task { unit: name, index }, run.attempt));
-                    }
-                }
+                let name = Unit { job, round: *round, step: *step };
+                let tasks = unit.tasks.iter().zip(0..);
+                found.extend(
+                    tasks.filter_map(|(task, index)| Some((Task { unit: name, index }, task.inherited.clone()?))),
+                );
             }
         }
+        found
     }
 
     /// Ends jobs that have used up their attempts.
