--- a/components/sched/tests/model.rs
+++ b/components/sched/tests/model.rs
@@ -16,6 +16,8 @@
 const LONG_CALM: usize = 2 * CALM;
 /// The same where each of two workspaces may have a sixth of the cores running: one seed's last job began after 120 s.
 const LIMITED_CALM: usize = 2 * LONG_CALM;
+/// The same where workers that tasks take down are away for 6 s on average: most of them are, until the last such task is given up.
+const SILENT_CALM: usize = 2 * LIMITED_CALM;
 /// Steps of 20 ms in which what is left of the last job to end is stopped.
 const REST: usize = 100;
 
@@ -69,7 +71,7 @@
 
     #[test]
     fn tasks_that_take_workers_down_are_given_up_where_names_stay(seed: u64) {
-        play(World::with_crashers(seed).with_births(), LONG_CALM)?;
+        play(World::with_crashers(seed).with_births().with_long_silence(), SILENT_CALM)?;
     }
 }
 
@@ -107,6 +109,27 @@
     // Gangs that needed a worker on trial waited for ever.
     let seed = 1814634927052574518;
     play(World::with_large_tasks(seed), LONG_CALM).unwrap_or_else(|fault| panic!("{seed}: {fault}"));
+    let silent = [
+        // Each lapse of a silent worker's leases freed the task that had taken it down, before its end was known.
+        813552271129291035,
+        41863839887977036,
+    ];
+    for seed in silent {
+        let worlds = [World::with_crashers(seed), World::with_crashers(seed).with_births()];
+        for world in worlds {
+            play(world.with_long_silence(), SILENT_CALM).unwrap_or_else(|fault| panic!("{seed}: {fault}"));
+        }
+    }
+    let births = [
+        // The answer to a start may be the next life's: its task ran there and was started elsewhere.
+        14034209081161130306,
+        // What was handed over to the next life counted once more when that one ended.
+        9770322964475985470,
+    ];
+    for seed in births {
+        let world = World::with_crashers(seed).with_births();
+        play(world, LONG_CALM).unwrap_or_else(|fault| panic!("{seed}: {fault}"));
+    }
     let limited = [
         // A new leader counts what may run on a worker that is cut off; a leftover of an unanswered order there is beyond it.
         13475611914668490679,
--- a/components/sched/tests/world/crashes.rs
+++ b/components/sched/tests/world/crashes.rs
@@ -22,6 +22,8 @@
 const LINGERS_MS: std::ops::Range<u64> = 1000..4500;
 /// Its machine is back after so many.
 const BACK_MS: std::ops::Range<u64> = 500..5000;
+/// The same where both may outlast leases of 6 s.
+const LONG_MS: std::ops::Range<u64> = 500..12_000;
 
 /// What such tasks have done.
 #[derive(Default)]
@@ -36,6 +38,8 @@
     starts: BTreeMap<Task, Vec<Duration>>,
     /// Workers that went down.
     pub(super) count: usize,
+    /// Whether they may be silent for longer than leases last.
+    long: bool,
 }
 
 impl World {
@@ -44,6 +48,14 @@
         World { crashes: Some(Crashes::default()), ..World::new(seed) }
     }
 
+    /// The same with workers that may be silent for longer than leases last.
+    pub fn with_long_silence(mut self) -> World {
+        if let Some(crashes) = &mut self.crashes {
+            crashes.long = true;
+        }
+        self
+    }
+
     /// Whether a task takes its workers down.
     pub(super) fn is_crasher(&self, task: Task) -> bool {
         self.crashes.is_some() && task.index == 0 && task.unit.job.is_multiple_of(ONE_IN)
@@ -72,8 +84,10 @@
         for id in std::mem::take(&mut crashes.next) {
             let Some(worker) = self.workers.remove(&id) else { continue };
             let place = worker.info.address.trim_end_matches(":80").rsplit('.').next().and_then(|at| at.parse().ok());
-            let listed = self.now + Duration::from_millis(self.rng.random_range(LINGERS_MS));
-            let back = self.now + Duration::from_millis(self.rng.random_range(BACK_MS));
+            let listed = self.now
+                + Duration::from_millis(self.rng.random_range(if crashes.long { LONG_MS } else { LINGERS_MS }));
+            let back =
+                self.now + Duration::from_millis(self.rng.random_range(if crashes.long { LONG_MS } else { BACK_MS }));
             self.note_end(&worker);
             crashes.returning.push((place.expect("a place"), back));
             crashes.lingering.insert(id, (worker.info, listed));
