--- a/components/entry/src/reign/duties.rs
+++ b/components/entry/src/reign/duties.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use events::emit;
-use sched::{Ended, Engine};
+use sched::{Ended, Engine, Passing};
 use work::Evidence;
 
 use crate::election::RENEWALS;
@@ -20,8 +20,7 @@
 const PAUSE_PER_PASS: u32 = 2;
 /// The list of workers is read this often: a leaving one must get nothing new after two seconds.
 const LIST: Duration = Duration::from_millis(450);
-/// For each worker in the list the pause between two reads is at least this long: a read of thousands costs the leader some
-/// 40 ms.
+/// For each worker in the list the pause between two reads is at least this long: a read of thousands takes the leader's processor.
 const LIST_PAUSE_A_WORKER: Duration = Duration::from_micros(450);
 /// Longest pause: with it a leaving worker is known in time, too, also from a slow store.
 const LONGEST_LIST: Duration = Duration::from_millis(1400);
@@ -71,6 +70,12 @@
 fn report_loss(reign: &Reign, ended: &Ended) {
     let metrics = &reign.host.metrics;
     metrics.worker_ends.get_or_create(&metrics::Outcome { outcome: ended.passing.name() }).inc();
+    if ended.next.is_some() || ended.passing == Passing::Restarted {
+        emit!(reign.host.log, events::WORKER_RESTARTED, "worker" => &ended.worker,
+            "next" => ended.next.as_ref().unwrap_or(&ended.worker), "learnt" => ended.passing.name(),
+            "silent_ms" => ended.silent.as_millis() as u64, "runs" => ended.runs.len(), "term" => reign.term);
+        metrics.worker_restarts.inc();
+    }
     let new = ended.runs.iter().filter(|lost| !lost.shown).count();
     for lost in &ended.runs {
         let outcome = if lost.shown { "shown" } else { "new" };
--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -106,6 +106,8 @@
     WORKER_REPLACED = 411, Info, "another life is at the worker's address";
     /// A run was on a worker whose life is over.
     RUN_LOST = 412, Warning, "a run went with its worker";
+    /// Another life of a worker has its name, or the worker's lists show that it has started again.
+    WORKER_RESTARTED = 413, Info, "worker is back under its former id";
     /// A partition is owned.
     PARTITION_OWNED = 501, Info, "partition owned";
     /// A partition was given up.
--- a/components/events/src/gate.rs
+++ b/components/events/src/gate.rs
@@ -6,7 +6,7 @@
 
 use crate::ALL;
 
-/// Most lines of one kind in a second: four times the starts of a leader of 350 workers at its peak.
+/// Most lines of one kind in a second: several times the starts of a busy leader.
 pub const LINES_A_SECOND: u32 = 2500;
 
 /// What becomes of a line.
--- a/components/metrics/src/jobs.rs
+++ b/components/metrics/src/jobs.rs
@@ -51,6 +51,8 @@
     pub ends: Family<Outcome, Counter>,
     /// Workers whose life is over, by how that was learnt.
     pub worker_ends: Family<Outcome, Counter>,
+    /// Workers that were back under their former ids.
+    pub worker_restarts: Counter,
     /// Runs that went with their workers: `new` if the worker had never listed them, else `shown`.
     pub lost_runs: Family<Outcome, Counter>,
     /// Tasks that were given up since their workers went down.
@@ -92,6 +94,7 @@
             starts: Family::default(),
             ends: Family::default(),
             worker_ends: Family::default(),
+            worker_restarts: Counter::default(),
             lost_runs: Family::default(),
             tasks_given_up: Counter::default(),
             job_seconds: seconds(),
@@ -118,6 +121,11 @@
         registry.register("job_starts", "Orders to start by outcome", self.starts.clone());
         registry.register("job_ends", "Ends of runs by how", self.ends.clone());
         registry.register("worker_ends", "Workers whose life is over by how it was learnt", self.worker_ends.clone());
+        registry.register(
+            "worker_restarts",
+            "Workers that were back under their former ids",
+            self.worker_restarts.clone(),
+        );
         registry.register("lost_runs", "Runs that went with their workers, new or shown", self.lost_runs.clone());
         registry.register(
             "tasks_given_up",
