--- a/components/entry/src/election.rs
+++ b/components/entry/src/election.rs
@@ -302,8 +302,8 @@
         Before::Unknown => host.settings.claim_delay,
     };
     tokio::time::sleep(spread + delay).await;
-    // A leader came and went meanwhile: its successor is waited for anew. Else a host behind 10 Mbit/s, whose wait had begun with
-    // the leader before, won the claim and read the log for 4.4 s, in which nothing was accepted.
+    // A leader came and went meanwhile: its successor is waited for anew. Else a host behind a slow link, whose wait had begun with the
+    // leader before, wins the claim, and nothing is accepted while it reads the log.
     if before == Before::Unknown && followed(host) > known {
         return;
     }
@@ -319,8 +319,7 @@
 }
 
 /// The newest term as a weak host begins to wait: if it rises meanwhile, the wait begins anew. The host may be too busy waiting to
-/// follow that leader. Three hosts behind 10 Mbit/s led one after the other for 13 s in all, each of them reading the log for most of
-/// its time, when two strong leaders had been stopped 0.3 s apart.
+/// follow that leader. Else weak hosts lead one after the other, each of them reading the log for most of its time.
 async fn term_before(host: &Host, before: Before) -> Option<Term> {
     if before == Before::Ended || host.settings.claim_delay.is_zero() {
         return None;
@@ -335,7 +334,7 @@
     let lease = async { store.lease(host.settings.lease_ttl).await.context("creating a lease") };
     let counter = async { store.get(TERM_KEY).await.context("reading the counter of terms") };
     let last = async { store.get(LAST_KEY).await.context("reading who led last") };
-    // At once: a slow store takes 0.2 s for each.
+    // At once: a slow store takes its time for each.
     let (lease, counter, last) = tokio::try_join!(lease, counter, last)?;
     let (revision, old): (u64, Term) = match &counter.item {
         None => (0, 0),
--- a/components/entry/src/follow.rs
+++ b/components/entry/src/follow.rs
@@ -17,8 +17,7 @@
 const WATCH: Duration = Duration::from_millis(1500);
 /// Pause after a failed read.
 const PAUSE: Duration = Duration::from_millis(100);
-/// How long a host may take over a configuration that is passed on: one of 1,400 queues has 87 KB (example `routes` of `work`), for which
-/// a link of 10 Mbit/s takes 0.07 s.
+/// How long a host may take over a configuration that is passed on, also a large one over a slow link.
 const PASS_ON: Duration = Duration::from_millis(800);
 /// Nobody is refused for a key or a path that this host doesn't know unless its configuration was known as the newest so lately.
 /// Watches are renewed every 1.5 s, and operators' changes are to be in force after 2 s.
--- a/components/entry/src/reign.rs
+++ b/components/entry/src/reign.rs
@@ -177,8 +177,8 @@
     }
 
     /// Looks for the leader before among the followers. A process at its address that follows this reign is either its own,
-    /// which leads no more, or a later life. What ran on workers that are gone then starts anew up to 7 s earlier: with leases
-    /// of 10 s, 10.3 s after a takeover instead of 17.3 s.
+    /// which leads no more, or a later life. What ran on workers that are gone then starts anew earlier, by the time for which that
+    /// leader could have gone on.
     pub(crate) fn look_for_predecessor(&self) {
         if self.predecessor_ended() {
             return;
--- a/components/entry/src/reign/accept.rs
+++ b/components/entry/src/reign/accept.rs
@@ -10,8 +10,7 @@
 use crate::message::Answer;
 use crate::reign::Reign;
 
-/// A job whose record isn't written after this time is refused, if that is still possible: the store usually takes
-/// 4 ms, and on slow days up to 300 ms.
+/// A job whose record isn't written after this time is refused, if that is still possible: longer than a slow store takes.
 const WRITE_PATIENCE: Duration = Duration::from_millis(700);
 /// Once a transaction has been without an outcome for so long, new jobs are refused at once.
 const STORE_AWAY: Duration = Duration::from_millis(700);
--- a/components/entry/src/reign/agent.rs
+++ b/components/entry/src/reign/agent.rs
@@ -31,8 +31,7 @@
 }
 
 /// Orders under way to one worker at once. With the renewal they need as many connections as stay open without a call, so that
-/// a burst of starts opens none anew: on 27 days a leader opened 570 connections to workers on average, 3,400 without the
-/// bound, and mean worth gained 0.0082 (standard error 0.0025).
+/// a burst of starts opens none anew.
 const ORDERS: usize = 3;
 
 impl Agent {
--- a/components/entry/src/reign/ask.rs
+++ b/components/entry/src/reign/ask.rs
@@ -16,8 +16,7 @@
 
 /// A question that takes longer must leave hosts free for short ones.
 const LONG: Duration = Duration::from_millis(100);
-/// Of so many hosts that can ask, one is left for short questions: at 17 ms each, one answers some 60 a second, and urgent jobs
-/// come at up to one a second for each host.
+/// Of so many hosts that can ask, one is left for short questions: it gets through those of the urgent jobs of all of them.
 const HOSTS_A_SHORT_ASKER: usize = 8;
 /// How much longer than expected an answer may take.
 const SLACK: Duration = Duration::from_millis(800);
--- a/components/entry/src/reign/commit.rs
+++ b/components/entry/src/reign/commit.rs
@@ -24,7 +24,7 @@
 /// Shortest time between two transactions, besides the time that one takes: each has a price, and a group costs no more than
 /// one record.
 const PACE: Duration = Duration::from_millis(12);
-/// Most parts on their way at once: so many that a job of a store that takes 0.4 s waits 50 ms at most for the next one.
+/// Most parts on their way at once: so many that a job waits only a moment for the next one, also while the store is slow.
 const MOST_UNDER_WAY: u32 = 8;
 /// Most bytes of one part, about: far below the store's largest value of 1 MiB.
 const MOST_BYTES: usize = 256 * 1024;
@@ -90,8 +90,8 @@
     }
 }
 
-/// How many parts may be on their way, and how far apart they are sent, where the store usually takes so long: with 0.4 s a
-/// transaction, one at a time let a job wait up to 1.4 s for its acceptance.
+/// How many parts may be on their way, and how far apart they are sent, where the store usually takes so long. One at a time would let
+/// a job wait for the one before its own.
 fn pace(usual: Duration) -> (u32, Duration) {
     let most = (usual.as_secs_f64() / PACE.as_secs_f64()) as u32;
     let most = most.clamp(1, MOST_UNDER_WAY);
@@ -241,8 +241,7 @@
 }
 
 /// Waits for a repeated transaction, but not much longer once the store answers other calls again: what was sent while it was
-/// away gets no answer. With the shorter first wait it ends an outage of 4.2 s 0.7 s earlier; on 27 days of trouble callers were
-/// refused for good 265 times instead of 331.
+/// away gets no answer, and callers would be refused for longer than the outage lasts.
 async fn unless_heard(
     reign: &Reign,
     sent: Duration,
--- a/components/entry/src/reign/orders.rs
+++ b/components/entry/src/reign/orders.rs
@@ -12,8 +12,7 @@
 use crate::reign::agent::Agent;
 
 /// A start without an answer is given up after the time in which answers came so far, but not before this: some tens of
-/// usual answers. Its task then runs elsewhere once a stop is answered. On 27 days of which some lose orders, a wait of 0.2 s
-/// instead of 0.9 s gained 0.0023 of mean worth (standard error 0.0010); one of 0.15 s nothing.
+/// usual answers. Its task then runs elsewhere once a stop is answered.
 const LEAST_PATIENCE: Duration = Duration::from_millis(200);
 /// ... and at the latest after this time.
 const MOST_PATIENCE: Duration = Duration::from_millis(900);
--- a/components/jobs/src/failure.rs
+++ b/components/jobs/src/failure.rs
@@ -76,8 +76,8 @@
         self.failed(worker, "its worker went down", false, workers, now)
     }
 
-    /// Pauses, twice as long as the last time. Failures during a pause are of tasks that ran at once and say nothing more: six of them on
-    /// one worker that fails everything made a pause of 32 s, and a batch of 0.1 s tasks took 33 s instead of 1.3 s.
+    /// Pauses, twice as long as the last time. Failures during a pause are of tasks that ran at once and say nothing more: on a worker that
+    /// fails everything a few of them would make the longest pause.
     fn pause(&mut self, now: Instant) {
         if self.not_before.is_some_and(|until| until > now) {
             return;
--- a/components/sched/src/assemble.rs
+++ b/components/sched/src/assemble.rs
@@ -1,8 +1,7 @@
 //! Puts room together for a whole gang, of what is free and of what less urgent tasks give back that go on from a checkpoint.
 //!
-//! A gang needs all its places at once, on workers that the adviser allows. On a cell that is full to 84%, where three workers of ten
-//! may run a gang of 20 tasks with 9 of 32 cores each, that much room comes together by itself only now and then: half of the gangs
-//! waited for 2.4 s, one in twenty for over 20 s, while patient tasks that save their progress had seconds to spare.
+//! A gang needs all its places at once, on workers that the adviser allows. On a full cell where few workers may run it, that much room
+//! comes together by itself only now and then, while patient tasks that save their progress have seconds to spare.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -16,9 +15,7 @@
 use crate::room::{Place, Room};
 use crate::worker::{Doubt, Phase, Worker};
 
-/// On larger fleets the processor of the leader's host is what binds: with 1,100 workers on half a core, stops and the starts that they
-/// lead to took mean worth of five days from 0.67 to 0.47, though without processor time it rose from 0.74 to 0.79 on four of them. With
-/// 350 workers there is processor to spare.
+/// On larger fleets the processor of the leader's host is what binds, and stops and the starts that they lead to cost more than they gain.
 const MOST_WORKERS: usize = 600;
 /// Room for a gang is put together anew after this time: about as often as room changes, like questions to the adviser.
 const LOOK_AGAIN: Duration = Duration::from_millis(50);
@@ -93,8 +90,7 @@
         self.workers.len() <= MOST_WORKERS
     }
 
-    /// Whether room is put together for a unit: a gang that is in time after a stop. For late ones, too, mean worth of eight days fell
-    /// from 0.679 to 0.656: what is stopped for them makes others late.
+    /// Whether room is put together for a unit: a gang that is in time after a stop. What would be stopped for late ones makes others late.
     pub(crate) fn assembles(&self, clock: Clock, unit: Unit, step: &Step) -> bool {
         step.gang && self.spares_processor() && self.can_wait(clock, unit, LONGEST_STOP)
     }
--- a/components/sched/src/blame.rs
+++ b/components/sched/src/blame.rs
@@ -1,14 +1,9 @@
 //! Tasks that take their workers down: what the end of a worker says against the tasks that were there, and when one is given up.
 //!
 //! A worker that goes down reports nothing, so its end is itself the failed attempt of whatever took it down. It is held against the
-//! tasks that were there, and kept in the log. What had just begun is suspected: a task that takes its workers down does so within
-//! 10 ms and is never listed as running, while of 223 runs on workers that went down for reasons of their own 205 had been. A suspect is
-//! tried where nothing else has just begun, and nothing else begins there meanwhile, so that the next end tells it from those that
-//! merely stood beside it.
-//!
-//! In 300 worlds of the model, where one job in six has a task that takes workers down and four workers go down once a second, that takes
-//! 3.6 workers a task and gives up 20 of 21,211 jobs that merely stood beside it. With suspects beside others it gives up 53; by the number
-//! of ends alone it takes 4.3 workers.
+//! tasks that were there, and kept in the log. What had just begun is suspected: a task that takes its workers down does so at once and is
+//! never listed as running, while most runs on workers that go down for reasons of their own had been. A suspect is tried where nothing
+//! else has just begun, and nothing else begins there meanwhile, so that the next end tells it from those that merely stood beside it.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -19,17 +14,15 @@
 use crate::entry::{Phase, TaskState, UnitState};
 use crate::loss::{Ended, Lost, Passing};
 
-/// A task is given up once it alone can have taken so many workers down. The platform would let two do, which takes 2.7 workers a task: but
-/// a start that a worker had just answered when it went down for a reason of its own looks the same, and with two the model found such
-/// jobs given up within 60 worlds of each kind, with three in none of 300.
+/// A task is given up once it alone can have taken so many workers down. The platform would let two do: but a start that a worker had just
+/// answered when it went down for a reason of its own looks the same, and twice is no rare chance.
 const CONCLUSIVE: usize = 3;
 /// ... or once so many workers have ended under it: the most that the platform lets a task cause.
 const MOST_ENDS: usize = 5;
 /// A lasting task that has served for so long isn't what took its worker down, and what was held against it before is forgotten: else
 /// ends of workers for their own reasons would add up over its days.
 const SERVED: Duration = Duration::from_secs(30);
-/// A suspect waits this long for a place where nothing has just begun: on a busy pool of few workers there may be none. Waiting 5 s gains
-/// nothing more.
+/// A suspect waits this long for a place where nothing has just begun: on a busy pool of few workers there may be none.
 const APART: Duration = Duration::from_secs(2);
 
 /// The end of a worker, held against a task.
--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -85,10 +85,9 @@
     pub objective: Duration,
 }
 
-/// Renewals of idle workers in a second, all together: at 0.15 to 0.25 ms each, a fifth of half a core.
+/// Renewals of idle workers in a second, all together: a small part of a leader's processor.
 const IDLE_RENEWALS_A_SECOND: f64 = 500.0;
-/// Renewals of busy workers in a second, all together, besides those that an end brings about: at the same cost, a fifth of half
-/// a core.
+/// Renewals of busy workers in a second, all together, besides those that an end brings about.
 const BUSY_RENEWALS_A_SECOND: f64 = 500.0;
 /// Longest time between two renewals of a busy worker: a lease of 7 s then outlasts a cut of 5 s, and no worker keeps an answer
 /// waiting for longer.
--- a/components/sched/src/headroom.rs
+++ b/components/sched/src/headroom.rs
@@ -11,9 +11,8 @@
 use crate::engine::{Clock, Engine};
 use crate::room::Room;
 
-/// Share of all cores that a unit with time to spare leaves free, where more urgent queues use the same workers. On a cell that is full to
-/// 84%, with room put together for gangs, checks earned 0.84 of their worth instead of 0.79, patient units 0.96 instead of 0.94, and
-/// mean worth of eight days rose from 0.660 to 0.683.
+/// Share of all cores that a unit with time to spare leaves free, where more urgent queues use the same workers: on a full cell both kinds
+/// come off better.
 const HEADROOM: f64 = 0.08;
 /// A unit that must start within this time leaves nothing free.
 const SPARE: Duration = Duration::from_secs(2);
--- a/components/sched/src/limits.rs
+++ b/components/sched/src/limits.rs
@@ -14,8 +14,7 @@
 }
 
 /// Leases are at most this long. They outlast cuts of some 6 s, and what ran on a worker that is gone starts again as soon
-/// as they are over: with leases of 10 s lasting tasks stayed away for 11 s, longer than is allowed, on 2 days of 27; with
-/// 7 s on none, and callers are served as well (mean worth 0.0005 higher, standard error 0.0010).
+/// as they are over: with longer ones lasting tasks stay away for longer than is allowed.
 const LEASE: Duration = Duration::from_secs(7);
 
 /// The leases that are given where workers take at most `max_lease`.
@@ -59,8 +58,8 @@
 
     /// The longest lease that the leader before may have given: ours, if it is known to be of this version.
     ///
-    /// Always reckoning with the longest that workers take, a lasting task on a worker that was gone 2 s after a takeover came
-    /// back after 9.8 s, 0.3 s too late; it could after 8.5 s.
+    /// Always reckoning with the longest that workers take, a lasting task on a worker that is gone after a takeover would come back
+    /// too late.
     pub fn inherited(&self, predecessor_known: bool) -> Duration {
         if predecessor_known { self.lease } else { self.max_lease }
     }
--- a/components/sched/src/list.rs
+++ b/components/sched/src/list.rs
@@ -79,7 +79,7 @@
         let replaced = self.replaced(&present);
         for (id, info) in present {
             let Some(info) = info else { continue };
-            // The entry of a dead worker stays until three signs of life are missed: it was recorded and found gone up to ten times.
+            // The entry of a dead worker stays until three signs of life are missed: it would be recorded and found gone with each read.
             let follows = self.namesake(&id).is_some();
             if !self.superseded.contains(&id) && (follows || self.has_pool(&info.pool)) {
                 self.enlist(clock, id, info);
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -19,8 +19,8 @@
 const ASK_AGAIN: Duration = Duration::from_millis(50);
 /// Up to so many waiting units are looked at in each pass.
 const FEW: usize = 16;
-/// Where more wait, a unit for which there was no place is looked at again after this time, unless it learns of workers: a pass
-/// comes every 2 ms, and with 1,100 workers a look takes some 0.1 ms.
+/// Where more wait, a unit for which there was no place is looked at again after this time, unless it learns of workers: looks at all
+/// workers for all units in each pass would take the leader's time.
 const LOOK_AGAIN: Duration = Duration::from_millis(20);
 /// Rounds of one job that are taken up in one pass.
 const OPEN_ROUNDS: u32 = 16;
@@ -111,8 +111,8 @@
         self.workers.iter().filter(move |(_, worker)| worker.usable(clock.now, durable, pauses))
     }
 
-    /// By when a start that is decided now reaches its worker. On the busy leader of 1,100 workers its record and the order took so
-    /// long that 1,632 of 87,472 starts came with a ticket that had run out, each of which broke a gang.
+    /// By when a start that is decided now reaches its worker. A busy leader takes long over its record and the order: a ticket that has
+    /// run out by then breaks a gang.
     pub(crate) fn reached(&self, clock: Clock) -> Duration {
         let usual = self.start_latency.patience(TICKET_MARGIN, MOST_TICKET_MARGIN);
         clock.now + if self.start_latency.usual().is_some() { usual } else { TICKET_MARGIN }
--- a/components/sched/src/preempt.rs
+++ b/components/sched/src/preempt.rs
@@ -1,9 +1,7 @@
 //! Makes room for a large urgent task that fits nowhere, by stopping less urgent ones that go on from a checkpoint.
 //!
-//! A task that needs all accelerators of a worker, and may run on three workers of ten, waited up to 30 s: one of these always
-//! had a small task. On 27 days 177 of 2,281 jobs with such tasks were late instead of 261, mean worth gained 0.0043 (standard
-//! error 0.0032), and 50 core-seconds more a day were thrown away. Room made for small tasks, too, made 36 patient jobs late and
-//! gained 0.0020 (0.0029).
+//! A task that needs all accelerators of a worker, and may run on a few workers only, would wait for long: one of its accelerators always
+//! has a small task. For small tasks no room is made: that gains little and makes patient jobs late.
 
 use std::time::Duration;
 
--- a/components/sched/src/questions.rs
+++ b/components/sched/src/questions.rs
@@ -1,10 +1,8 @@
 //! What to ask the adviser next about a unit: whom to name, and in how many questions.
 //!
 //! The adviser works on one question of each calling host at a time, and a long question takes long. So what a unit needs is
-//! asked in several short questions at once where hosts are free, and its tickets come, and hold, together. One question at a
-//! time, tickets of the first answers had run out before the last came: a gang of 240 tasks on 1,100 workers of which three in
-//! ten may run it hadn't begun after 60 s. Mean worth of five days with 147 hosts rose from 0.604 to 0.751, and 95 of 100
-//! jobs began within 1.3 to 2.3 s instead of 1.9 to 2.8 s.
+//! asked in several short questions at once where hosts are free, and its tickets come, and hold, together. With one question at a
+//! time the tickets of the first answers have run out before the last comes, and a wide gang never begins.
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -48,8 +46,7 @@
 /// Fewest workers named in a question that isn't only about known ones.
 const FEWEST_NAMED: usize = 6;
 /// As many are named as leave this chance that none of them may run the unit: another question costs a lasting task half a
-/// second of the ten in which it is to be back. With leases reckoned as the leader before gave them, mean worth of 27 days gained
-/// 0.0031 (standard error 0.0016).
+/// second of the ten in which it is to be back.
 const NONE_ALLOWED: f64 = 0.02;
 /// Most workers that a question may name: a bound of the adviser.
 const MOST_NAMED: usize = 100;
@@ -57,9 +54,8 @@
 const ROOM_LATER: f64 = 0.3;
 /// A question isn't split further once naming its workers takes less than this share of what any question takes.
 const LEAST_NAMING: f64 = 0.5;
-/// A unit takes at most this share of the hosts that are free to ask, so that others that come at the same time find some, too. With
-/// fewer than 16 free it puts one question at a time: with twice the share on 9 hosts, questions took them 30 of 100 longer, and wide
-/// gangs came late (0.744 and 0.597 of their worth on one day).
+/// A unit takes at most this share of the hosts that are free to ask, so that others that come at the same time find some, too. Where few
+/// are free it puts one question at a time.
 const SHARE_OF_ASKERS: f64 = 0.125;
 /// While answers are outstanding, further questions must be expected to bring this share of what the unit needs: else each
 /// worker on which room comes free is asked about by itself.
--- a/components/sched/src/quota.rs
+++ b/components/sched/src/quota.rs
@@ -187,8 +187,7 @@
         self.quota.inherited = inherited;
     }
 
-    /// Counts anew what each workspace uses, rather than with each of the six changes that runs go through: 2,000 runs on 350 workers
-    /// take less than 73 µs, 6,400 on 1,100 less than 214 µs (measured with a summary of 500 and 1,600 jobs beside it).
+    /// Counts anew what each workspace uses, which costs little, rather than with each of the six changes that runs go through.
     pub(crate) fn recount_quota(&mut self) {
         if self.quota.accounts.is_empty() {
             return;
--- a/components/sched/src/room.rs
+++ b/components/sched/src/room.rs
@@ -102,8 +102,7 @@
     }
 
     /// Waiting tasks of a unit that could start here at the moment, by room and by what its step allows. Without the
-    /// step's limit a worker, the adviser was asked for ever about workers that hold as many as they may, and nobody else:
-    /// of 26 lasting tasks on 252 workers one never ran again.
+    /// step's limit a worker, the adviser would be asked for ever about workers that hold as many as they may, and about nobody else.
     pub(crate) fn tasks(&self, state: &UnitState, step: &Step) -> usize {
         self.tasks_in(&self.free, state, step)
     }
@@ -396,8 +395,8 @@
     state.tasks.iter().filter(there).count() as u32
 }
 
-/// Near its data first; then the fullest worker that has room, so that large tasks find whole ones. Accelerators count
-/// before cores: mean worth of 27 days with tasks of 1 to 8 accelerators +0.008 (standard error 0.003).
+/// Near its data first; then the fullest worker that has room, so that large tasks find whole ones. Accelerators, which are scarcer, count
+/// before cores.
 fn cost(place: &Place, step: &Step, need: &Resources) -> Cost {
     let left = place.free.saturating_sub(need);
     Cost {
--- a/components/web/src/client.rs
+++ b/components/web/src/client.rs
@@ -21,7 +21,7 @@
 /// Probes without an answer after which a connection is closed: a silent one is gone after 3 s.
 const PROBES: u32 = 2;
 /// Most connections to one address that stay open without a call. Fewer cost a new connection for each burst of starts, more
-/// cost memory and descriptors: with none closed, a leader of 3,000 workers had 7,200 of its 8,192 in use.
+/// cost memory and descriptors, of which a leader of thousands of workers has few to spare.
 const IDLE_CONNECTIONS: usize = 4;
 
 /// Why a call brought no answer that can be used.
--- a/components/work/src/queue.rs
+++ b/components/work/src/queue.rs
@@ -79,8 +79,7 @@
     pub max_body: usize,
     /// All workspaces.
     pub workspaces: Vec<Workspace>,
-    /// Where queues stand, by host in lower case and by prefix. Among 1,400 queues one is found in 0.15 µs; looking through all took
-    /// 14 µs (example `routes`).
+    /// Where queues stand, by host in lower case and by prefix: looking through all of them would cost each request.
     prefixes: HashMap<String, HashMap<String, usize>>,
     /// Lengths of the prefixes of each host, the longest first.
     lengths: HashMap<String, Vec<usize>>,
