Replaced workers are found with one look at the list; a next life that isn't listed yet is kept; a host's test with births

Read once more: with thousands of workers, a few hundred of them missing, each list was looked through for each of them; a next life that is known from its own answer and not yet listed was dropped as one of an earlier reign. The host test fails a task under whose workers five lives end at most.

--- a/components/entry/tests/restart.rs
+++ b/components/entry/tests/restart.rs
@@ -10,9 +10,13 @@
 mod support;
 
 use entry::Answer;
-use support::{cell, ends, hosts, info, submit, until};
+use fakes::cell::{Cell, Conduct};
+use sched::How;
+use support::{PATIENCE, cell, ends, hosts, info, submit, until};
 use work::Outcome;
 
+/// A task may be started so often under which each worker ends: a bound of the platform.
+const MOST_STARTS: usize = 5;
 /// Jobs before the workers start again, and after.
 const JOBS: u64 = 6;
 
@@ -33,3 +37,33 @@
     }
     assert_eq!(cell.starts().len() as u64, 2 * JOBS, "each task is done once");
 }
+
+/// Where the platform tells when a worker was born, a run that went with its worker is held against its task, and one that the next life may
+/// have is waited for there.
+#[tokio::test]
+async fn a_worker_that_is_born_again_is_another_one() {
+    let cell = cell();
+    (0..2).for_each(|number| bear(&cell, number, 1000));
+    let hosts = hosts(&cell, 1).await;
+    cell.conduct(Conduct { takes: PATIENCE, how: How::Done });
+    assert_eq!(submit(&hosts[0], 7, 1).await, Answer::Accepted);
+    let bearing = async {
+        for starts in 1..=MOST_STARTS {
+            until("it is started", || cell.starts().len() == starts).await;
+            (0..2).for_each(|number| bear(&cell, number, 1000 + starts as u64));
+        }
+    };
+    let outcome = tokio::select! {
+        outcome = ends(&hosts[0], 7) => outcome,
+        () = async { bearing.await; std::future::pending().await } => unreachable!("it waits for ever"),
+    };
+    assert_eq!(outcome, Outcome::Failed, "workers have ended under it");
+    assert!(cell.starts().len() <= MOST_STARTS);
+}
+
+/// Worker `number` is born, or born again.
+fn bear(cell: &Cell, number: usize, birth: u64) {
+    let name = format!("w{number}");
+    cell.add_worker(&name, info(number));
+    cell.worker(&name, |worker| worker.born = Some(birth));
+}
--- a/components/sched/src/handover.rs
+++ b/components/sched/src/handover.rs
@@ -23,14 +23,14 @@
     /// Runs whose orders may still be on their way to a worker.
     pub(crate) fn unsettled(&self, id: &str) -> Vec<Unsettled> {
         let Some(worker) = self.workers.get(id) else { return Vec::new() };
-        let sent = worker.runs.iter().filter(|((task, attempt), _)| !self.is_unsent(id, *task, *attempt));
+        let unlisted = worker.runs.iter().filter(|(_, run)| !run.listed);
         let unsettled = |((task, attempt), run): (&(Task, Attempt), &Run)| Unsettled {
             task: *task,
             attempt: *attempt,
             run: run.clone(),
             held: self.holds(*task, id, *attempt),
         };
-        sent.filter(|(_, run)| !run.listed).map(unsettled).collect()
+        unlisted.filter(|((task, attempt), _)| !self.is_unsent(id, *task, *attempt)).map(unsettled).collect()
     }
 
     /// Whether a start was decided and not given out yet.
--- a/components/sched/src/list.rs
+++ b/components/sched/src/list.rs
@@ -3,7 +3,7 @@
 //! A worker that starts again may keep its name, and its entry may be late: the next life may be known from its own answer before the list
 //! shows it, and the list may show a former one for a while. Orders name the worker, not its life.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use work::{Life, Record, WorkerId};
@@ -90,14 +90,18 @@
 
     /// Lives whose name, or whose address, is another one's now.
     fn replaced(&self, present: &BTreeMap<WorkerId, Option<Info>>) -> Vec<WorkerId> {
-        let follows = |id: &str, worker: &Worker, other: &str, info: &Info| {
-            info.address == worker.info.address || Life::of(other).name == Life::of(id).name
-        };
+        let missing: Vec<(&WorkerId, &Worker)> =
+            self.workers.iter().filter(|(id, _)| !present.contains_key(*id)).collect();
+        if missing.is_empty() {
+            return Vec::new();
+        }
+        let shown = || present.iter().filter_map(|(id, info)| Some((id, info.as_ref()?)));
+        let names: BTreeSet<&str> = shown().map(|(id, _)| Life::of(id).name).collect();
+        let addresses: BTreeSet<&str> = shown().map(|(_, info)| info.address.as_str()).collect();
         let replaced = |(id, worker): &(&WorkerId, &Worker)| {
-            let mut others = present.iter().filter_map(|(other, info)| Some((other, info.as_ref()?)));
-            !present.contains_key(*id) && others.any(|(other, info)| follows(id, worker, other, info))
+            names.contains(Life::of(id).name) || addresses.contains(worker.info.address.as_str())
         };
-        self.workers.iter().filter(replaced).map(|(id, _)| id.clone()).collect()
+        missing.into_iter().filter(replaced).map(|(id, _)| id.clone()).collect()
     }
 
     /// Whether a queue uses a pool. Anybody may write into the list: a worker of a pool that nobody names isn't even called.
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -65,9 +65,11 @@
         self.settled = clock.now.saturating_sub(self.reign) > waits;
     }
 
-    /// Workers of earlier reigns that nobody lists any more, and whose leases have run out.
+    /// Workers that have never answered and that nobody lists any more, and whose leases have run out: those of earlier reigns have, by now.
     fn drop_unseen(&mut self, clock: Clock) {
-        let unseen = |worker: &Worker| worker.contact == Contact::Unknown && worker.missing.is_some();
+        let longest = self.limits.longest_lease();
+        let over = |worker: &Worker| !worker.follows || clock.now.saturating_sub(worker.heard) > longest;
+        let unseen = |worker: &Worker| worker.contact == Contact::Unknown && worker.missing.is_some() && over(worker);
         let ids: Vec<WorkerId> =
             self.workers.iter().filter(|(_, worker)| unseen(worker)).map(|(id, _)| id.clone()).collect();
         ids.iter().for_each(|id| self.gone(clock, id, Passing::Unseen));
