--- a/components/jobs/tests/book.rs
+++ b/components/jobs/tests/book.rs
@@ -273,3 +273,23 @@
     }
     assert!(!book.claimants(now).is_empty());
 }
+
+/// A worker that is back under its name reports that the task went with its earlier life, and goes on: it was ordered again for ever.
+#[test]
+fn a_workload_whose_workers_are_back_each_time_is_parked() {
+    let mut now = Instant::now();
+    let mut book = book(now, Kind::Batch, 1);
+    let mut ordered = 0;
+    for life in 0..20 {
+        now += Duration::from_secs(400);
+        if book.claimants(now).is_empty() {
+            break;
+        }
+        let worker = format!("w{}", life % 3);
+        let started = start(&mut book, 0, &worker, now);
+        ordered += 1;
+        see(&mut book, &started, &worker, TaskState::Ended(End::Lost), now + Duration::from_secs(1));
+    }
+    assert!(ordered <= 6, "ordered {ordered} times");
+    assert!(book.take_notes().iter().any(|note| matches!(note, Note::Parked(..))));
+}
