--- a/components/fakes/src/worker.rs
+++ b/components/fakes/src/worker.rs
@@ -103,7 +103,7 @@
     pub fn restart_empty(&self) {
         let mut state = self.state.lock();
         for running in state.tasks.values_mut().filter(|running| !ended(running)) {
-            finish(running, End::Lost);
+            finish(running, End::Restarted);
         }
         state.tasks.clear();
         state.incarnation += 1;
--- a/components/jobs/src/book.rs
+++ b/components/jobs/src/book.rs
@@ -194,8 +194,8 @@
             job.found(index, order.attempt, Phase::Starting { worker: order.worker.clone() }, now);
         }
         // It went with an earlier life of its worker, which is back: it may be what took that one down.
-        let lost = *end == End::Lost && job.worker_lost(index, &order.worker, now, self.workers);
-        let parked = job.ended(index, end, on_probation, self.workers, now) || lost;
+        let restarted = *end == End::Restarted && job.worker_lost(index, &order.worker, now, self.workers);
+        let parked = job.ended(index, end, on_probation, self.workers, now) || restarted;
         if parked {
             self.notes.push(Note::Parked(order.task.workload.clone(), job.reason(index, now)));
         }
--- a/components/jobs/src/job.rs
+++ b/components/jobs/src/job.rs
@@ -208,7 +208,7 @@
                 parked = self.failures.failed(worker, message, on_probation, workers, now);
                 self.set(index, Phase::Waiting, now);
             }
-            End::Finished | End::Stopped | End::Lost => self.set(index, Phase::Waiting, now),
+            End::Finished | End::Stopped | End::Lost | End::Restarted => self.set(index, Phase::Waiting, now),
         }
         if matches!(end, End::Stopped)
             && let Some(task) = self.tasks.get_mut(&index)
--- a/components/jobs/tests/book.rs
+++ b/components/jobs/tests/book.rs
@@ -288,7 +288,7 @@
         let worker = format!("w{}", life % 3);
         let started = start(&mut book, 0, &worker, now);
         ordered += 1;
-        see(&mut book, &started, &worker, TaskState::Ended(End::Lost), now + Duration::from_secs(1));
+        see(&mut book, &started, &worker, TaskState::Ended(End::Restarted), now + Duration::from_secs(1));
     }
     assert!(ordered <= 6, "ordered {ordered} times");
     assert!(book.take_notes().iter().any(|note| matches!(note, Note::Parked(..))));
--- a/components/ledger/src/book.rs
+++ b/components/ledger/src/book.rs
@@ -315,8 +315,8 @@
             if found.contains_key(key) || entry.ended() || unsent {
                 continue;
             }
-            entry.state = TaskState::Ended(End::Lost);
-            ended.push(Ended { task: key.0.clone(), attempt: key.1, end: End::Lost });
+            entry.state = TaskState::Ended(End::Restarted);
+            ended.push(Ended { task: key.0.clone(), attempt: key.1, end: End::Restarted });
         }
         ended
     }
@@ -360,7 +360,7 @@
                 End::Failed { .. } => {
                     self.trust.failed(&one.task.workload, now);
                 }
-                End::Stopped | End::Lost => {}
+                End::Stopped | End::Lost | End::Restarted => {}
             }
         }
     }
--- a/components/ledger/tests/ledger.rs
+++ b/components/ledger/tests/ledger.rs
@@ -146,7 +146,7 @@
     let mut ledger = open(vec![found("a", 0, 1, 4, running())], now);
     let restarted = Report { incarnation: 2, ..report(Vec::new()) };
     let ended = ledger.batch_answered(&[], restarted, now);
-    assert_eq!(ended[0].end, End::Lost);
+    assert_eq!(ended[0].end, End::Restarted);
 }
 
 #[test]
--- a/components/model/src/task.rs
+++ b/components/model/src/task.rs
@@ -84,6 +84,8 @@
     },
     /// It was stopped on command.
     Stopped,
-    /// Its lease lapsed, or its worker was restarted.
+    /// Its lease lapsed.
     Lost,
+    /// Its worker was restarted: it went with the worker's earlier life.
+    Restarted,
 }
--- a/components/wire/src/seal.rs
+++ b/components/wire/src/seal.rs
@@ -6,7 +6,7 @@
 
 /// Version of the protocol. Hosts of two versions don't talk; a rolling upgrade changes it only together
 /// with a release that reads both.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 const SEAL: usize = blake3::OUT_LEN;
 const HEAD: usize = 1 + SEAL;
 /// Domain separation for the key derivation.
