--- a/components/fakes/src/cell.rs
+++ b/components/fakes/src/cell.rs
@@ -11,8 +11,7 @@
 
 use async_trait::async_trait;
 use entry::{
-    Change, Commit, Edges, Fault, Held, Item, LeaseId, Order, Read, Refusal, Renewal, Reply, Settings, Target,
-    Transaction,
+    Change, Commit, Edges, Fault, Held, Item, LeaseId, Order, Read, Renewal, Reply, Settings, Target, Transaction,
 };
 use parking_lot::Mutex;
 use sched::{How, Info, Limits};
@@ -22,7 +21,7 @@
 use work::{Attempt, Config, Life, Task, Term, Unit, WorkerId};
 
 use crate::runner::{self, Run, Runner};
-use calls::{Answering, Waiting};
+use calls::{Answering, Waiting, reply};
 
 /// How a run goes.
 #[derive(Clone, Copy, Debug)]
@@ -440,16 +439,6 @@
     }
 }
 
-fn reply(outcome: Reply<runner::Reply>) -> Reply<()> {
-    match outcome {
-        Reply::Done(runner::Reply::Done) => Reply::Done(()),
-        Reply::Done(runner::Reply::Fenced) | Reply::Fenced => Reply::Fenced,
-        Reply::Done(runner::Reply::Refused) => Reply::Refused(Refusal::Other),
-        Reply::OtherLife => Reply::OtherLife,
-        Reply::Refused(refusal) => Reply::Refused(refusal),
-    }
-}
-
 #[async_trait]
 impl entry::Workers for View {
     async fn renew(&self, target: &Target, renewal: &Renewal) -> Result<Reply<Held>, Fault> {
--- a/components/fakes/src/cell/calls.rs
+++ b/components/fakes/src/cell/calls.rs
@@ -1,6 +1,9 @@
-//! Transactions under way to the stand-in's store, counted while they last.
+//! Transactions under way to the stand-in's store, counted while they last, and workers' answers.
+
+use entry::{Refusal, Reply};
 
 use super::Cell;
+use crate::runner;
 
 /// A transaction that gets no answer. Dropped before the end of its time, it was abandoned.
 pub(super) struct Waiting<'a>(pub(super) &'a Cell);
@@ -28,3 +31,14 @@
         self.0.state.lock().answering -= 1;
     }
 }
+
+/// What a worker answers to an order.
+pub(super) fn reply(outcome: Reply<runner::Reply>) -> Reply<()> {
+    match outcome {
+        Reply::Done(runner::Reply::Done) => Reply::Done(()),
+        Reply::Done(runner::Reply::Fenced) | Reply::Fenced => Reply::Fenced,
+        Reply::Done(runner::Reply::Refused) => Reply::Refused(Refusal::Other),
+        Reply::OtherLife => Reply::OtherLife,
+        Reply::Refused(refusal) => Reply::Refused(refusal),
+    }
+}
