--- a/components/entry/tests/access.rs
+++ b/components/entry/tests/access.rs
@@ -207,3 +207,32 @@
     assert_eq!(state_as(&hosts[1], &rail, 7).await, Answer::State(None));
     assert_eq!(submit_as(&hosts[1], &rail, 8, 3).await, Answer::Accepted, "single tasks run in waves");
 }
+
+/// What callers saw: 401 for a job that ran. Its leader went after the job was written and before it could say so; the host that had taken the
+/// call sent it to the next leader, which by then knew that the key had been taken away, and passed that leader's answer on.
+#[tokio::test]
+async fn a_job_that_an_earlier_leader_may_have_taken_is_not_denied_by_the_next() {
+    let cell = cell();
+    cell.configure(keyed(2, &[("rail", &["one", "two"])]));
+    let hosts = hosts(&cell, 2).await;
+    until("the configuration", || hosts[1].config().version == 2).await;
+    let old = caller(&hosts[1], "one").await;
+    let before = cell.commits();
+    cell.commit_takes(Duration::from_secs(2));
+    let submitted = tokio::spawn({
+        let (host, caller) = (hosts[1].clone(), old.clone());
+        async move { submit_as(&host, &caller, 7, 1).await }
+    });
+    until("it is written", || cell.commits() > before).await;
+    cell.configure(keyed(3, &[("rail", &["two"])]));
+    until("both know", || hosts.iter().all(|host| host.config().version == 3)).await;
+    hosts[0].stop().await;
+    cell.commit_takes(Duration::ZERO);
+    let answer = submitted.await.expect("an answer");
+    assert!(!matches!(answer, Answer::NotAdmitted(_)), "{answer:?}, and it runs");
+    let done = Answer::State(Some(State::Ended(work::Outcome::Completed)));
+    let end = Instant::now() + PATIENCE;
+    while state_as(&hosts[1], &Caller::Operator, 7).await != done {
+        assert!(Instant::now() < end, "it was written, so it runs");
+    }
+}
