Mend: what an earlier leader may have taken is in doubt, not denied

Callers saw 401 for a job that ran: their key was taken away while the leader that had written the job went before it could answer, and the next leader judged the key first.

Cause: the host that takes a call passes it on to the next leader, and passed that one's denial on although an earlier try had no answer. A refusal must be true; this one is not known to be.

Change: a denied submission is answered as in doubt (504) if an earlier leader may have taken it. Other refusals of the next leader are true: it has read the log, and the one before can write no more.

--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -330,6 +330,8 @@
                 None | Some(Answer::NotLeader) => {}
                 // A leader that was replaced can't tell; the next one can.
                 Some(Answer::Unknown) => sent = true,
+                // It judges the key as it is now, before it looks for the job, which an earlier leader may have taken.
+                Some(Answer::NotAdmitted(_)) if sent && matches!(call, Call::Submit { .. }) => return Answer::Unknown,
                 Some(answer) => return answer,
             }
             let left = until.saturating_duration_since(Instant::now());
