--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -317,6 +317,7 @@
             if left.is_zero() || hopeless {
                 return if sent { Answer::Unknown } else { Answer::NotLeader };
             }
+            let in_doubt = sent;
             let answer = match role {
                 Role::Nobody => None,
                 Role::Leading(reign) => Some(reign.answer(call.clone()).await),
@@ -331,7 +332,9 @@
                 // A leader that was replaced can't tell; the next one can.
                 Some(Answer::Unknown) => sent = true,
                 // It judges the key as it is now, before it looks for the job, which an earlier leader may have taken.
-                Some(Answer::NotAdmitted(_)) if sent && matches!(call, Call::Submit { .. }) => return Answer::Unknown,
+                Some(Answer::NotAdmitted(_)) if in_doubt && matches!(call, Call::Submit { .. }) => {
+                    return Answer::Unknown;
+                }
                 Some(answer) => return answer,
             }
             let left = until.saturating_duration_since(Instant::now());
