--- a/components/fakes/src/cell.rs
+++ b/components/fakes/src/cell.rs
@@ -142,11 +142,15 @@
         self.state.lock().most_under_way
     }
 
-    /// Adds a worker, or another life of one that keeps its name.
-    pub fn add_worker(&self, id: &str, info: Info) {
-        let mut runner = Runner::new(info.address.clone(), info.capacity);
-        runner.info = info;
-        self.state.lock().workers.insert(id.to_owned(), runner);
+    /// Adds a worker, or another life of one that keeps its name, whose birth isn't told.
+    pub fn add_worker(&self, name: &str, info: Info) {
+        self.add_life(name, info, None);
+    }
+
+    /// The same with its birth.
+    pub fn add_life(&self, name: &str, info: Info, born: Option<u64>) {
+        let runner = Runner { born, info: info.clone(), ..Runner::new(info.address, info.capacity) };
+        self.state.lock().workers.insert(name.to_owned(), runner);
     }
 
     /// Changes a worker.
