--- a/components/sched/src/blame.rs
+++ b/components/sched/src/blame.rs
@@ -94,9 +94,8 @@
 /// What the end of a worker says against a run that went with it; `None` where nothing.
 ///
 /// Only another life at its address, or a run that its lists lack, shows for certain that a worker went down: one that is cut off for long
-/// is taken for gone, too. One
-/// that had announced its end took along what it ran. Where a suspect was tried, that explains what happened to runs that had begun
-/// before.
+/// is taken for gone, too. One that had announced its end took along what it ran. Where a suspect was tried, that explains what happened to
+/// runs that had begun before.
 fn evidence(ended: &Ended, lost: &Lost) -> Option<Evidence> {
     if lost.lasting && lost.shown && lost.age >= SERVED {
         return Some(Evidence::Cleared);
@@ -115,18 +114,18 @@
 impl Engine {
     /// Takes note that a worker is silent under which these runs may have taken it down: not those that it had listed for a moment.
     pub(crate) fn doubt(&mut self, left: &[Lost]) {
-        for lost in left.iter().filter(|lost| lost.may_have_begun_last()) {
-            if let Some(state) = self.task_mut(lost.task) {
-                state.silent += 1;
-            }
-        }
+        self.count_silent(left, |silent| silent + 1);
     }
 
     /// Takes that back: the worker has answered, or is known to have ended.
     pub(crate) fn undoubt(&mut self, left: &[Lost]) {
+        self.count_silent(left, |silent| silent.saturating_sub(1));
+    }
+
+    fn count_silent(&mut self, left: &[Lost], change: impl Fn(usize) -> usize) {
         for lost in left.iter().filter(|lost| lost.may_have_begun_last()) {
             if let Some(state) = self.task_mut(lost.task) {
-                state.silent = state.silent.saturating_sub(1);
+                state.silent = change(state.silent);
             }
         }
     }
