Sight: jobs that have nothing running although there is room, as event 621 and a metric

What the second symptom of the incident leaves is its end only: room is free and nothing starts. A job that the leader believes to be running somewhere can't be told from one that it holds back.

--- a/components/entry/src/reign/duties.rs
+++ b/components/entry/src/reign/duties.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use events::emit;
-use sched::{Ended, Engine, Passing};
+use sched::{Ended, Engine, Passing, Stall};
 use work::Evidence;
 
 use crate::election::RENEWALS;
@@ -26,10 +26,13 @@
 const LONGEST_LIST: Duration = Duration::from_millis(1400);
 /// Ended jobs are looked through this often.
 const FORGET: Duration = Duration::from_secs(5);
+/// Jobs that have nothing running are looked for this often.
+const LOOK_FOR_STALLS: Duration = Duration::from_secs(1);
 
 /// Decides whenever something has happened.
 pub(crate) async fn plan(reign: Arc<Reign>) {
     let mut forgotten = Duration::ZERO;
+    let mut looked = Duration::ZERO;
     loop {
         // Either wakes the loop.
         let _ = tokio::time::timeout(TICK, reign.plan.notified()).await;
@@ -39,7 +42,7 @@
         reign.look_for_predecessor();
         let clock = reign.host.clock();
         let askers = ask::free(&reign);
-        let (actions, made_room, ended_workers) = {
+        let (actions, made_room, ended_workers, stalls) = {
             let mut engine = reign.engine.lock();
             engine.set_askers(askers);
             engine.plan(clock);
@@ -47,15 +50,21 @@
                 forgotten = clock.now;
                 engine.forget(clock.now);
             }
+            let mut stalls = Vec::new();
+            if clock.now.saturating_sub(looked) > LOOK_FOR_STALLS {
+                looked = clock.now;
+                stalls = engine.stalls(clock);
+            }
             reign.set_busy_pause(engine.busy_pause());
             measure(&reign, &engine);
-            (engine.take_actions(), engine.take_made_room(), engine.take_ended_workers())
+            (engine.take_actions(), engine.take_made_room(), engine.take_ended_workers(), stalls)
         };
         for made in made_room {
             emit!(reign.host.log, events::ROOM_MADE, "unit" => made.unit.to_string(), "worker" => made.worker,
                 "stopped" => made.stopped, "term" => reign.term);
         }
         ended_workers.iter().for_each(|ended| report_loss(&reign, ended));
+        stalls.iter().for_each(|stall| report_stall(&reign, stall));
         actions.into_iter().for_each(|action| orders::carry_out(&reign, action));
         if reign.engine.lock().owes() {
             reign.write.notify_one();
@@ -90,12 +99,20 @@
     }
 }
 
+/// Says what keeps a job from going on.
+fn report_stall(reign: &Reign, stall: &Stall) {
+    emit!(reign.host.log, events::JOB_STALLED, "unit" => stall.unit.to_string(),
+        "lasted_ms" => stall.lasted.as_millis() as u64, "waiting" => stall.waiting,
+        "unlisted" => stall.unlisted.join(", "), "why" => &stall.why, "term" => reign.term);
+}
+
 /// Brings the metrics of the reign up to date.
 fn measure(reign: &Reign, engine: &Engine) {
     let (jobs, workers) = engine.sizes();
     let metrics = &reign.host.metrics;
     metrics.live_jobs.set(jobs as i64);
     metrics.workers.set(workers as i64);
+    metrics.stalled_jobs.set(engine.stalled() as i64);
     metrics.questions.set(reign.desk.waiting() as i64);
     metrics.unconfirmed_ms.set(reign.unconfirmed_for().as_millis() as i64);
 }
--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -146,6 +146,8 @@
     ROOM_MADE = 619, Info, "runs stopped to make room for an urgent task";
     /// A caller's request isn't let in.
     CALL_NOT_ADMITTED = 620, Info, "caller's request not let in; nothing was done";
+    /// A job could go on and doesn't.
+    JOB_STALLED = 621, Warning, "a job has nothing running although there is room";
     /// An operator's command was carried out.
     COMMAND_DONE = 701, Info, "command done";
     /// An operator's command was refused.
--- a/components/metrics/src/jobs.rs
+++ b/components/metrics/src/jobs.rs
@@ -57,6 +57,8 @@
     pub lost_runs: Family<Outcome, Counter>,
     /// Tasks that were given up since their workers went down.
     pub tasks_given_up: Counter,
+    /// Jobs that have had nothing running for a while although there is room.
+    pub stalled_jobs: Gauge,
     /// Seconds from a job's acceptance to its end.
     pub job_seconds: Histogram,
     /// Seconds that a question to the adviser took, the wait for a free host not counted.
@@ -97,6 +99,7 @@
             worker_restarts: Counter::default(),
             lost_runs: Family::default(),
             tasks_given_up: Counter::default(),
+            stalled_jobs: Gauge::default(),
             job_seconds: seconds(),
             advice_seconds: seconds(),
             questions: Gauge::default(),
@@ -132,6 +135,11 @@
             "Tasks given up since their workers went down",
             self.tasks_given_up.clone(),
         );
+        registry.register(
+            "stalled_jobs",
+            "Jobs with nothing running although there is room",
+            self.stalled_jobs.clone(),
+        );
         registry.register("job_seconds", "From a job's acceptance to its end", self.job_seconds.clone());
         registry.register("advice_seconds", "One question to the adviser", self.advice_seconds.clone());
         registry.register("advice_waiting", "Questions that wait for a host", self.questions.clone());
--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -19,6 +19,7 @@
 use crate::quota::Quota;
 use crate::rank::objective;
 use crate::room::Room;
+use crate::stall::Idle;
 use crate::worker::{Contact, Pauses, Worker};
 
 /// The time of an event.
@@ -137,6 +138,8 @@
     pub(crate) actions: Vec<Action>,
     /// Room that was made and isn't logged yet.
     pub(crate) made_room: Vec<MadeRoom>,
+    /// Jobs of which nothing runs; see [`crate::stall`].
+    pub(crate) idle_since: BTreeMap<JobId, Idle>,
     /// Workers whose end isn't logged yet.
     pub(crate) ended_workers: Vec<loss::Ended>,
     /// Starts whose records aren't durable yet, by position.
@@ -179,6 +182,7 @@
             room: Room::default(),
             actions: Vec::new(),
             made_room: Vec::new(),
+            idle_since: BTreeMap::new(),
             ended_workers: Vec::new(),
             decided: VecDeque::new(),
             records: VecDeque::new(),
--- a/components/sched/src/explain.rs
+++ b/components/sched/src/explain.rs
@@ -89,7 +89,7 @@
     }
 
     /// Why the waiting tasks of a step wait: the first thing that keeps them from a start.
-    fn reason(&self, clock: Clock, entry: &Entry, name: Unit, unit: &UnitState) -> String {
+    pub(crate) fn reason(&self, clock: Clock, entry: &Entry, name: Unit, unit: &UnitState) -> String {
         if entry.outcome.is_some() {
             return "the job has ended".to_owned();
         }
--- a/components/sched/src/lib.rs
+++ b/components/sched/src/lib.rs
@@ -29,6 +29,7 @@
 mod restart;
 mod restore;
 mod room;
+mod stall;
 mod worker;
 
 pub use advice::Ticket;
@@ -42,4 +43,5 @@
 pub use preempt::MadeRoom;
 pub use questions::Question;
 pub use quota::{Excess, Workspace};
+pub use stall::Stall;
 pub use worker::{End, How, Info, Report, Running};
--- /dev/null
+++ b/components/sched/src/stall.rs
@@ -0,0 +1,103 @@
+//! Jobs that have nothing running although there is room: what keeps them from going on.
+//!
+//! A job that is held back by a belief that never resolves leaves no trace but its wait, and `job why` answers only while the leader that
+//! holds the belief still leads.
+
+use std::time::Duration;
+
+use work::{JobId, Unit};
+
+use crate::engine::{Clock, Engine};
+use crate::entry::{Entry, Phase};
+
+/// A job may have nothing running for this long, between two steps or while a question is asked, before it is reported.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// Most jobs that one look explains: explaining one takes a look at all workers.
+const MOST_EXPLAINED: usize = 8;
+
+/// A job that has nothing running although there is room.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Stall {
+    /// The first of its units that isn't done and waits for no other.
+    pub unit: Unit,
+    /// For how long nothing of the job has run.
+    pub lasted: Duration,
+    /// Tasks of the unit that wait for a place.
+    pub waiting: usize,
+    /// Runs of the unit that were ordered and that no worker lists.
+    pub unlisted: Vec<String>,
+    /// Why tasks wait; empty where none does.
+    pub why: String,
+}
+
+impl Engine {
+    /// Jobs that have had nothing running for a while although a task of theirs could find room, each reported once until it runs again. A
+    /// job whose tasks are placed but not listed by their workers counts, too.
+    pub fn stalls(&mut self, clock: Clock) -> Vec<Stall> {
+        let idle: Vec<JobId> = self.live.iter().copied().filter(|id| self.is_idle(*id)).collect();
+        self.idle_since.retain(|id, _| idle.binary_search(id).is_ok());
+        let mut due = Vec::new();
+        for id in idle {
+            let idle = self.idle_since.entry(id).or_insert(Idle { since: clock.now, reported: false });
+            let lasted = clock.now.saturating_sub(idle.since);
+            if lasted >= PATIENCE && !idle.reported && due.len() < MOST_EXPLAINED {
+                due.push((id, lasted));
+            }
+        }
+        due.into_iter().filter_map(|(id, lasted)| self.report_stall(clock, id, lasted)).collect()
+    }
+
+    /// Whether a job could go on and no worker lists a run of it.
+    fn is_idle(&self, id: JobId) -> bool {
+        let Some(entry) = self.jobs.get(&id).filter(|entry| entry.accepted.position <= self.durable) else {
+            return false;
+        };
+        let listed = entry.units.iter().any(|((round, step), unit)| {
+            let name = Unit { job: id, round: *round, step: *step };
+            unit.placements(name).any(|placed| {
+                let worker = self.workers.get(&placed.worker);
+                worker.and_then(|worker| worker.runs.get(&(placed.task, placed.attempt))).is_some_and(|run| run.listed)
+            })
+        });
+        !listed && first_open(id, entry).is_some()
+    }
+
+    fn report_stall(&mut self, clock: Clock, id: JobId, lasted: Duration) -> Option<Stall> {
+        let entry = self.jobs.get(&id)?;
+        let unit = first_open(id, entry)?;
+        let state = entry.units.get(&(unit.round, unit.step))?;
+        let need = crate::ends::taken_room(entry.step(unit.step)?);
+        let unlisted: Vec<String> =
+            state.placements(unit).map(|run| format!("{} on {}", run.task, run.worker)).collect();
+        if unlisted.is_empty() && !self.room.may_fit(&need) {
+            return None;
+        }
+        let why = if state.pending == 0 { String::new() } else { self.reason(clock, entry, unit, state) };
+        let stall = Stall { unit, lasted, waiting: state.pending, unlisted, why };
+        if let Some(idle) = self.idle_since.get_mut(&id) {
+            idle.reported = true;
+        }
+        Some(stall)
+    }
+
+    /// Jobs that were reported and still have nothing running.
+    pub fn stalled(&self) -> usize {
+        self.idle_since.values().filter(|idle| idle.reported).count()
+    }
+}
+
+/// Since when nothing of a job has run.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Idle {
+    since: Duration,
+    reported: bool,
+}
+
+/// The first unit of a job that isn't done and waits for no other.
+fn first_open(id: JobId, entry: &Entry) -> Option<Unit> {
+    let open = entry.units.iter().find(|((round, step), unit)| {
+        let begun = unit.tasks.iter().any(|task| task.phase != Phase::Done);
+        begun && entry.unblocked(*round, *step)
+    });
+    open.map(|((round, step), _)| Unit { job: id, round: *round, step: *step })
+}
--- a/components/sched/tests/decisions/main.rs
+++ b/components/sched/tests/decisions/main.rs
@@ -10,6 +10,7 @@
 mod preempt;
 mod quota;
 mod restart;
+mod stall;
 mod wide;
 mod workers;
 
