--- a/components/sched/src/stall.rs
+++ b/components/sched/src/stall.rs
@@ -11,7 +11,7 @@
 use crate::entry::{Entry, Phase};
 
 /// A job may have nothing running for this long, between two steps or while a question is asked, before it is reported.
-const PATIENCE: Duration = Duration::from_secs(2);
+const PATIENCE: Duration = Duration::from_secs(3);
 /// Most jobs that one look explains: explaining one takes a look at all workers.
 const MOST_EXPLAINED: usize = 8;
 
