Test: tasks done on workers that are back under their ids stay done, and what waits for them starts

Cause: numbers of ends begin again with each life of a worker, and those up to the former life's highest were passed over and acknowledged unseen.

--- a/components/sched/tests/decisions/main.rs
+++ b/components/sched/tests/decisions/main.rs
@@ -4,6 +4,7 @@
 mod assemble;
 mod cell;
 mod crash;
+mod done;
 mod doubt;
 mod lives;
 mod packing;
