--- a/components/sched/tests/decisions/main.rs
+++ b/components/sched/tests/decisions/main.rs
@@ -6,6 +6,7 @@
 mod crash;
 mod done;
 mod doubt;
+mod hints;
 mod lives;
 mod packing;
 mod preempt;
