Mend: an entry in the list ends no worker whose address hasn't answered as another life

Cause: a life without an entry was taken for over once any entry showed its address. Entries may be missing, late, or of a former life; a next leader even took that one in anew. Now a list ends a life only by a later birth under its name or at its address; else the address shows by its next answer which life is there, and a silent one is over once its leases have run out. An entry of a life that is known to be over isn't taken in while another life is held at its address.

Ruled out: ending only silent workers by the list, which still ends one that is cut off and runs on.

--- a/components/sched/src/blame.rs
+++ b/components/sched/src/blame.rs
@@ -104,9 +104,11 @@
         return (!ended.draining && !lost.explained).then_some(Evidence::Weak);
     }
     match ended.passing {
-        Passing::Replaced | Passing::Restarted if ended.draining => Some(Evidence::Weak),
-        Passing::Replaced | Passing::Restarted if lost.sole && lost.confirmed => Some(Evidence::Sole),
-        Passing::Replaced | Passing::Restarted => Some(Evidence::Shared),
+        Passing::Replaced | Passing::Followed | Passing::Restarted if ended.draining => Some(Evidence::Weak),
+        Passing::Replaced | Passing::Followed | Passing::Restarted if lost.sole && lost.confirmed => {
+            Some(Evidence::Sole)
+        }
+        Passing::Replaced | Passing::Followed | Passing::Restarted => Some(Evidence::Shared),
         Passing::Unlisted | Passing::Unseen => Some(Evidence::Weak),
     }
 }
--- a/components/sched/src/list.rs
+++ b/components/sched/src/list.rs
@@ -3,7 +3,7 @@
 //! A worker that starts again may keep its name, and its entry may be late: the next life may be known from its own answer before the list
 //! shows it, and the list may show a former one for a while. Orders name the worker, not its life.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use work::{Life, Record, WorkerId};
@@ -76,32 +76,48 @@
                 }
             }
         }
-        let replaced = self.replaced(&present);
+        let followed = self.followed(&present);
+        let held = self.workers.iter().map(|(id, worker)| (worker.info.address.clone(), id.clone())).collect();
         for (id, info) in present {
-            let Some(info) = info else { continue };
+            let Some(info) = info.filter(|info| !self.is_former(&id, info, &held)) else { continue };
             // The entry of a dead worker stays until three signs of life are missed: it would be recorded and found gone with each read.
             let follows = self.namesake(&id).is_some();
             if !self.superseded.contains(&id) && (follows || self.has_pool(&info.pool)) {
                 self.enlist(clock, id, info);
             }
         }
-        replaced.iter().for_each(|id| self.gone(clock, id, Passing::Replaced));
+        followed.iter().for_each(|id| self.gone(clock, id, Passing::Followed));
     }
 
-    /// Lives whose name, or whose address, is another one's now.
-    fn replaced(&self, present: &BTreeMap<WorkerId, Option<Info>>) -> Vec<WorkerId> {
+    /// Lives without an entry that a later life under their name, or at their address, has followed.
+    ///
+    /// An entry may be missing, late or of a former life while its worker goes on: only births, which one machine's clock tells, prove which
+    /// life came first. Where none is told the address itself shows by its next answer which life is there.
+    fn followed(&self, present: &BTreeMap<WorkerId, Option<Info>>) -> Vec<WorkerId> {
         let missing: Vec<(&WorkerId, &Worker)> =
             self.workers.iter().filter(|(id, _)| !present.contains_key(*id)).collect();
         if missing.is_empty() {
             return Vec::new();
         }
-        let shown = || present.iter().filter_map(|(id, info)| Some((id, info.as_ref()?)));
-        let names: BTreeSet<&str> = shown().map(|(id, _)| Life::of(id).name).collect();
-        let addresses: BTreeSet<&str> = shown().map(|(_, info)| info.address.as_str()).collect();
-        let replaced = |(id, worker): &(&WorkerId, &Worker)| {
-            names.contains(Life::of(id).name) || addresses.contains(worker.info.address.as_str())
+        let mut latest: BTreeMap<&str, u64> = BTreeMap::new();
+        for (id, info) in present.iter().filter_map(|(id, info)| Some((id, info.as_ref()?))) {
+            let Some(born) = Life::of(id).born else { continue };
+            for place in [Life::of(id).name, info.address.as_str()] {
+                let known = latest.entry(place).or_insert(born);
+                *known = born.max(*known);
+            }
+        }
+        let followed = |(id, worker): &(&WorkerId, &Worker)| {
+            let Life { name, born } = Life::of(id);
+            let later = |place: &str| latest.get(place).is_some_and(|latest| born.is_some_and(|born| *latest > born));
+            later(name) || later(&worker.info.address)
         };
-        missing.into_iter().filter(replaced).map(|(id, _)| id.clone()).collect()
+        missing.into_iter().filter(followed).map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Whether an entry is that of a life that was known to be over before another one was found at its address.
+    fn is_former(&self, id: &str, info: &Info, held: &BTreeMap<String, WorkerId>) -> bool {
+        self.departed.contains(id) && held.get(&info.address).is_some_and(|other| other != id)
     }
 
     /// Whether a queue uses a pool. Anybody may write into the list: a worker of a pool that nobody names isn't even called.
--- a/components/sched/src/loss.rs
+++ b/components/sched/src/loss.rs
@@ -11,8 +11,10 @@
 /// How a worker's life was learnt to be over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Passing {
-    /// Another life is at its address.
+    /// Another life has answered at its address.
     Replaced,
+    /// The platform's list shows a life that was born later, under its name or at its address.
+    Followed,
     /// It has left the platform's list and its leases have run out.
     Unlisted,
     /// An earlier leader knew it; nobody lists it any more and it never answered this one.
@@ -26,6 +28,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Passing::Replaced => "replaced",
+            Passing::Followed => "followed",
             Passing::Unlisted => "unlisted",
             Passing::Unseen => "unseen",
             Passing::Restarted => "restarted",
--- a/components/sched/tests/decisions/crash.rs
+++ b/components/sched/tests/decisions/crash.rs
@@ -29,9 +29,13 @@
     cell.infos.insert(format!("{worker}-again"), info);
 }
 
-/// The leader learns who is listed, and hears from all.
+/// The leader learns who is listed, and hears from all: also at the addresses of workers that were there before.
 fn look(cell: &mut Cell) {
     cell.engine.list(cell.clock(), cell.infos.clone());
+    let former: Vec<String> = cell.engine.addresses().into_iter().map(|(id, _)| id).collect();
+    for id in former.iter().filter(|id| !cell.infos.contains_key(*id)) {
+        cell.engine.superseded(cell.clock(), id, None);
+    }
     cell.write();
     let ids: Vec<String> = cell.infos.keys().cloned().collect();
     ids.iter().for_each(|id| cell.report(id, &[], &[]));
@@ -135,6 +139,7 @@
     cell.submit(2, "urgent", vec![step(1, 1)]);
     let (beside, _) = start_of(&mut cell, 2).expect("it starts");
     cell.engine.list(cell.clock(), cell.infos.clone());
+    cell.engine.superseded(cell.clock(), &worker, None);
     cell.write();
     cell.report(&format!("{worker}-again"), &[], &[]);
     let (tried, start) = start_of(&mut cell, 1).expect("it starts again");
--- a/components/sched/tests/decisions/workers.rs
+++ b/components/sched/tests/decisions/workers.rs
@@ -13,8 +13,9 @@
     assert!(cell.starts().iter().all(|(worker, _)| worker == "w1"));
 }
 
+/// An entry at its address doesn't: it may be older than the worker that is there.
 #[test]
-fn another_life_at_an_address_ends_the_earlier_one() {
+fn another_life_that_answers_at_an_address_ends_the_earlier_one() {
     let mut cell = Cell::new(1).ready();
     cell.submit(1, "urgent", vec![step(1, 1)]);
     assert_eq!(cell.starts().len(), 1);
@@ -23,6 +24,8 @@
     cell.engine.list(cell.clock(), cell.infos.clone());
     cell.write();
     cell.report("w0-again", &[], &[]);
+    assert!(cell.starts().is_empty(), "the task may still run there");
+    cell.engine.superseded(cell.clock(), "w0", None);
     let starts = cell.starts();
     assert_eq!(starts.len(), 1);
     assert_eq!(starts[0].0, "w0-again");
