Mend: every silent worker that a task was on counts after a takeover, and after the log was written anew

What callers saw (in the model): a task that takes its workers down is started a sixth time after five went down. By reading, a takeover also kept the last of several placements only. Now all placements are inherited but those whose runs failed, and a job that is written anew names those on workers whose end isn't known.

--- a/components/sched/src/entry.rs
+++ b/components/sched/src/entry.rs
@@ -39,10 +39,12 @@
     pub silent: usize,
     /// Where an earlier leader placed it last: it may run there until the opposite is known.
     pub inherited: Option<Inherited>,
+    /// Where earlier leaders placed it before that, while the log is read.
+    pub placed_before: Vec<Inherited>,
 }
 
 /// A run that an earlier leader ordered.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Inherited {
     pub worker: WorkerId,
     /// 0 where an earlier format didn't tell.
@@ -94,6 +96,7 @@
             crashes: Vec::new(),
             silent: 0,
             inherited: None,
+            placed_before: Vec::new(),
         };
         UnitState {
             tasks: vec![task; count],
--- a/components/sched/src/restore.rs
+++ b/components/sched/src/restore.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use work::{JobId, Outcome, Record, Task, Unit, WorkspaceName};
+use work::{JobId, Outcome, Record, Task, Unit, WorkerId, WorkspaceName};
 
 use crate::blame::Crash;
 use crate::engine::{Clock, Engine, Owner};
@@ -50,9 +50,10 @@
         self.inherit_runs();
     }
 
-    /// What the leader before has placed on a worker counts against its task if the worker turns out to have ended.
+    /// What earlier leaders have placed on a worker counts against its task if the worker turns out to have ended: not the last placement
+    /// only, since a task may have been on several workers that are still silent.
     fn inherit_runs(&mut self) {
-        for (task, run) in self.inherited_runs() {
+        for (task, run) in self.inherited_runs().into_iter().chain(self.take_placed_before()) {
             let Some(worker) = self.workers.get_mut(&run.worker) else { continue };
             let lost = Lost::inherited(task, run.attempt);
             worker.left.push(lost.clone());
@@ -60,6 +61,24 @@
         }
     }
 
+    /// Placements before the last one, but for those whose runs have failed.
+    fn take_placed_before(&mut self) -> Vec<(Task, Inherited)> {
+        let mut found = Vec::new();
+        for id in self.live.iter().copied() {
+            let Some(entry) = self.jobs.get_mut(&id) else { continue };
+            for ((round, step), unit) in &mut entry.units {
+                let name = Unit { job: id, round: *round, step: *step };
+                for (task, index) in unit.tasks.iter_mut().zip(0..) {
+                    let settled =
+                        |run: &Inherited| task.failed.contains(&run.attempt) || unit.failed.contains(&run.attempt);
+                    let runs = std::mem::take(&mut task.placed_before).into_iter().filter(|run| !settled(run));
+                    found.extend(runs.map(|run| (Task { unit: name, index }, run)));
+                }
+            }
+        }
+        found
+    }
+
     /// Tasks of open jobs that an earlier leader placed, each with its run.
     pub(crate) fn inherited_runs(&self) -> Vec<(Task, Inherited)> {
         let mut found = Vec::new();
@@ -129,7 +148,8 @@
         if let Some(state) = unit.tasks.get_mut(task.index as usize)
             && state.phase == Phase::Pending
         {
-            state.inherited = Some(run);
+            let before = state.inherited.replace(run.clone()).filter(|before| *before != run);
+            state.placed_before.extend(before);
         }
     }
 
@@ -185,6 +205,7 @@
             at: entry.accepted.wall,
             job: (*entry.job).clone(),
         }];
+        records.extend(self.left_behind(id));
         for ((round, step), unit) in &entry.units {
             let name = Unit { job: id, round: *round, step: *step };
             records.extend(unit_records(name, unit));
@@ -192,6 +213,19 @@
         records.into_iter().for_each(|record| self.rewritten(record));
     }
 
+    /// Placements of a job's tasks on workers whose leases have run out and whose end isn't known yet: it would count against no task once
+    /// these records were gone.
+    fn left_behind(&self, job: JobId) -> Vec<Record> {
+        let left = self.workers.iter().flat_map(|(id, worker)| worker.left.iter().map(move |lost| (id, lost)));
+        let of_job = left.filter(|(_, lost)| lost.task.unit.job == job);
+        let placed = |(id, lost): (&WorkerId, &Lost)| Record::Placed {
+            task: lost.task,
+            attempt: lost.attempt,
+            worker: id.clone(),
+        };
+        of_job.map(placed).collect()
+    }
+
     fn rewritten(&mut self, record: Record) {
         self.record(Record::Rewritten(Box::new(record)));
     }
--- a/components/sched/tests/decisions/crash.rs
+++ b/components/sched/tests/decisions/crash.rs
@@ -229,3 +229,47 @@
     cell.end(&silent[0], &first.expect("it started"), How::Lapsed);
     assert_eq!(cell.starts().len(), 1, "one less may have ended");
 }
+
+/// A cell of seven workers, five of which have fallen silent one after the other under the task of job 1: the bound of starts is reached.
+fn five_silent() -> Cell {
+    let mut cell = Cell::new(7).ready();
+    cell.submit(1, "urgent", vec![step(1, 1)]);
+    for _ in 0..MOST_STARTS {
+        let (worker, _) = start_of(&mut cell, 1).expect("it starts");
+        cell.now += Duration::from_secs(7);
+        cell.engine.lapsed(cell.clock(), &worker);
+        let others: Vec<String> = cell.infos.keys().filter(|id| **id != worker).cloned().collect();
+        others.iter().for_each(|id| cell.report(id, &[], &[]));
+        cell.infos.remove(&worker);
+    }
+    assert!(cell.starts().is_empty(), "it waits for what became of them");
+    cell
+}
+
+/// Whether the task of job 1 starts under a leader that finds this log, once nothing that earlier leaders started can run any more.
+fn starts_after_a_takeover(log: &[work::Record]) -> bool {
+    let mut next = Cell::after(7, 2, log);
+    next.engine.list(next.clock(), next.infos.clone());
+    next.write();
+    next.now += Duration::from_secs(30);
+    ["w5", "w6"].iter().for_each(|id| next.report(id, &[], &[]));
+    !next.starts().is_empty()
+}
+
+/// A next leader remembered the last of the silent workers that a task was on, and started it a sixth time.
+#[test]
+fn a_next_leader_waits_for_every_silent_worker_that_a_task_was_on() {
+    let cell = five_silent();
+    assert!(!starts_after_a_takeover(&cell.log));
+}
+
+/// What is written anew when a part of the log is removed has to tell of them, too.
+#[test]
+fn a_log_that_is_written_anew_still_names_the_silent_workers_that_a_task_was_on() {
+    let mut cell = five_silent();
+    let before = cell.log.len();
+    cell.engine.rewrite(1);
+    cell.engine.rewrite_workers();
+    cell.write();
+    assert!(!starts_after_a_takeover(&cell.log[before..]));
+}
