--- a/components/sched/tests/model.rs
+++ b/components/sched/tests/model.rs
@@ -75,6 +75,24 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { cases: cases(), ..ProptestConfig::default() })]
+
+    #[test]
+    fn promises_hold_while_the_list_lies(seed: u64) {
+        play(World::new(seed).with_lies(), CALM)?;
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: cases(), ..ProptestConfig::default() })]
+
+    #[test]
+    fn promises_hold_while_the_list_lies_about_births(seed: u64) {
+        play(World::new(seed).with_births().with_lies(), CALM)?;
+    }
+}
+
 /// Plays some trouble, then calm; what is promised must hold at the end.
 fn play(mut world: World, calm: usize) -> Result<(), TestCaseError> {
     (0..TROUBLE).for_each(|_| world.step(true));
--- a/components/sched/tests/world/crashes.rs
+++ b/components/sched/tests/world/crashes.rs
@@ -113,7 +113,8 @@
 
     /// Whether a worker of another name answers at a worker's address.
     pub(super) fn replaced(&self, id: &str, address: &str) -> bool {
-        let gone = self.crashes.is_some() && !self.births && !self.workers.contains_key(id);
+        let told = self.crashes.is_some() || self.lies.is_some();
+        let gone = told && !self.births && !self.workers.contains_key(id);
         gone && self.workers.values().any(|worker| worker.reachable && worker.info.address == address)
     }
 
--- a/components/sched/tests/world/mod.rs
+++ b/components/sched/tests/world/mod.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod jobs;
 mod leader;
+mod lies;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -18,6 +19,7 @@
 use crashes::Crashes;
 use fakes::runner::{Reply, Run, Runner};
 use leader::Leader;
+use lies::Lies;
 
 const STEP: Duration = Duration::from_millis(20);
 const MAX_LEASE: Duration = Duration::from_secs(6);
@@ -70,6 +72,8 @@
     crashes: Option<Crashes>,
     /// Whether a machine's worker keeps its name, and only its birth tells its lives apart.
     births: bool,
+    /// How the list lies, where it does.
+    lies: Option<Lies>,
 }
 
 impl World {
@@ -104,6 +108,7 @@
             newest: 1,
             crashes: None,
             births: false,
+            lies: None,
         };
         for place in 0..4 {
             world.boot(place);
@@ -234,7 +239,8 @@
         if current && self.store_up {
             leader.confirmed = self.now;
             self.commit(&mut leader);
-            leader.engine.list(clock, self.listed());
+            let shown = self.shown(trouble);
+            leader.engine.list(clock, shown);
         }
         if !leader.authorized(self.now) {
             return current.then_some(leader);
