--- a/components/sched/tests/decisions/crash.rs
+++ b/components/sched/tests/decisions/crash.rs
@@ -92,6 +92,26 @@
     assert_eq!(cell.engine.state(1), Some(State::Ended(Outcome::Failed)));
 }
 
+/// The leader goes down with each worker that it has just given the task: no leader ever hears of its start.
+#[test]
+fn a_task_that_takes_its_worker_down_with_the_leader_is_given_up() {
+    let mut cell = Cell::new(4).ready();
+    cell.submit(1, "urgent", vec![step(1, 1)]);
+    let mut starts = 0;
+    while let Some((worker, _)) = cell.starts().into_iter().next() {
+        starts += 1;
+        assert!(starts <= MOST_STARTS, "started {starts} times, each worker went down");
+        crash(&mut cell, &worker);
+        let mut next = Cell::after(4, 1 + starts as u64, &cell.log);
+        next.engine.predecessor_ended(Duration::ZERO);
+        next.infos = cell.infos;
+        cell = next;
+        look(&mut cell);
+    }
+    cell.write();
+    assert_eq!(cell.engine.state(1), Some(State::Ended(Outcome::Failed)));
+}
+
 /// A dead worker's entry stays in the list until three signs of life are missed. It was recorded, asked and found gone anew with each
 /// look at the list: up to ten times, with two records each.
 #[test]
--- a/components/sched/tests/decisions/workers.rs
+++ b/components/sched/tests/decisions/workers.rs
@@ -71,3 +71,36 @@
     cell.engine.list(cell.clock(), cell.infos.clone());
     assert_eq!(cell.starts().len(), 1, "it has grown by one of them");
 }
+
+/// What users would see: a worker that doesn't guard its room has more running than it offers. A start is decided, and before its record is
+/// written the list shows that the worker's room has shrunk.
+#[test]
+fn a_start_that_does_not_fit_any_more_is_not_sent() {
+    let mut cell = Cell::new(1).ready();
+    cell.submit(1, "urgent", vec![step(1, 6)]);
+    let (worker, start) = cell.starts().remove(0);
+    cell.started(&worker, &start);
+    cell.submit(2, "urgent", vec![step(1, 6)]);
+    cell.engine.plan(cell.clock());
+    let room = |cores| model::Resources::new(cores, 64_000, 0);
+    cell.infos.get_mut("w0").expect("listed").capacity = room(8);
+    cell.engine.list(cell.clock(), cell.infos.clone());
+    cell.write();
+    assert!(cell.engine.take_actions().is_empty(), "12 cores of 8");
+    assert!(cell.starts().is_empty());
+    cell.infos.get_mut("w0").expect("listed").capacity = room(16);
+    cell.engine.list(cell.clock(), cell.infos.clone());
+    assert_eq!(cell.starts().len(), 1);
+}
+
+/// The same while a start waits for its turn among the orders to its worker.
+#[test]
+fn a_start_that_waits_to_be_sent_is_dropped_when_it_does_not_fit_any_more() {
+    let mut cell = Cell::new(1).ready();
+    cell.submit(1, "urgent", vec![step(1, 12)]);
+    let (worker, start) = cell.starts().remove(0);
+    assert!(cell.engine.starting(&worker, start.task, start.attempt));
+    cell.infos.get_mut("w0").expect("listed").capacity = model::Resources::new(8, 64_000, 0);
+    cell.engine.list(cell.clock(), cell.infos.clone());
+    assert!(!cell.engine.starting(&worker, start.task, start.attempt));
+}
