Mend: a start isn't sent to a worker whose room has shrunk below what it would run

A worker that doesn't guard its room would run more than it offers. Cause: room was looked at when a start was decided only; its record and the orders before it take up to some hundred milliseconds, in which the list may show less room. The start waits for a place again.

--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -322,18 +322,18 @@
         }
     }
 
-    /// Whether a start that was given out and not sent yet is still to be sent: neither was a stop decided, nor does its worker
-    /// leave.
+    /// Whether a start that was given out and not sent yet is still to be sent: neither was a stop decided, nor does its worker leave, nor
+    /// has its room shrunk below what it would run.
     pub fn starting(&self, worker: &str, task: Task, attempt: Attempt) -> bool {
         let Some(worker) = self.workers.get(worker) else { return false };
         let run = worker.runs.get(&(task, attempt));
-        worker.info.is_open() && run.is_some_and(|run| run.phase == worker::Phase::Starting)
+        let starting = run.is_some_and(|run| run.phase == worker::Phase::Starting);
+        starting && worker.info.is_open() && !worker.is_overcommitted()
     }
 
     fn still_wanted(&self, clock: Clock, worker: &str, start: &Start) -> bool {
         let unit = start.task.unit;
-        let run = self.workers.get(worker).and_then(|worker| worker.runs.get(&(start.task, start.attempt)));
-        let starting = run.is_some_and(|run| run.phase == worker::Phase::Starting);
+        let starting = self.starting(worker, start.task, start.attempt);
         let allowed = start.ticket.is_none()
             || self.unit(unit).is_some_and(|state| state.known.allows(worker, clock.now + TICKET_MARGIN));
         starting && allowed && self.live.contains(&unit.job)
--- a/components/sched/src/worker.rs
+++ b/components/sched/src/worker.rs
@@ -337,6 +337,12 @@
         self.free = self.runs.values().fold(self.info.capacity, |free, run| free.saturating_sub(&run.need));
     }
 
+    /// Whether its runs take more than it offers now: its room may shrink while they go on.
+    pub(crate) fn is_overcommitted(&self) -> bool {
+        let taken = self.runs.values().fold(Resources::ZERO, |sum, run| sum.saturating_add(&run.need));
+        !taken.fits_in(&self.info.capacity)
+    }
+
     /// Raises what may be acknowledged to what is durable.
     pub(crate) fn acknowledge(&mut self, durable: u64) {
         while let Some((number, position)) = self.pending.front().copied() {
