--- a/components/sched/tests/decisions/crash.rs
+++ b/components/sched/tests/decisions/crash.rs
@@ -70,17 +70,28 @@
     assert_eq!(told.matches("(sole)").count(), 3, "an operator sees why: {told}");
 }
 
-/// The leader goes down with each second worker, before it has learnt of that worker's end.
-#[test]
-fn a_task_that_takes_workers_down_is_given_up_across_takeovers() {
+/// What the leader that is replaced has heard of the start on the worker that goes down.
+#[derive(Clone, Copy)]
+enum Heard {
+    /// Its answer.
+    Answer,
+    /// Nothing.
+    Nothing,
+}
+
+/// The leader goes down with each `every`th worker, before it has learnt of that worker's end.
+fn take_workers_down_across_takeovers(every: usize, heard: Heard) {
     let mut cell = Cell::new(4).ready();
     cell.submit(1, "urgent", vec![step(1, 1)]);
     let mut starts = 0;
-    while let Some((worker, _)) = start_of(&mut cell, 1) {
+    while let Some((worker, start)) = cell.starts().into_iter().next() {
         starts += 1;
         assert!(starts <= MOST_STARTS, "started {starts} times, each worker went down");
+        if let Heard::Answer = heard {
+            cell.started(&worker, &start);
+        }
         crash(&mut cell, &worker);
-        if starts % 2 == 0 {
+        if starts % every == 0 {
             let mut next = Cell::after(4, 1 + starts as u64, &cell.log);
             next.engine.predecessor_ended(Duration::ZERO);
             next.infos = cell.infos;
@@ -92,24 +103,15 @@
     assert_eq!(cell.engine.state(1), Some(State::Ended(Outcome::Failed)));
 }
 
-/// The leader goes down with each worker that it has just given the task: no leader ever hears of its start.
+#[test]
+fn a_task_that_takes_workers_down_is_given_up_across_takeovers() {
+    take_workers_down_across_takeovers(2, Heard::Answer);
+}
+
+/// No leader ever hears of a start.
 #[test]
 fn a_task_that_takes_its_worker_down_with_the_leader_is_given_up() {
-    let mut cell = Cell::new(4).ready();
-    cell.submit(1, "urgent", vec![step(1, 1)]);
-    let mut starts = 0;
-    while let Some((worker, _)) = cell.starts().into_iter().next() {
-        starts += 1;
-        assert!(starts <= MOST_STARTS, "started {starts} times, each worker went down");
-        crash(&mut cell, &worker);
-        let mut next = Cell::after(4, 1 + starts as u64, &cell.log);
-        next.engine.predecessor_ended(Duration::ZERO);
-        next.infos = cell.infos;
-        cell = next;
-        look(&mut cell);
-    }
-    cell.write();
-    assert_eq!(cell.engine.state(1), Some(State::Ended(Outcome::Failed)));
+    take_workers_down_across_takeovers(1, Heard::Nothing);
 }
 
 /// A dead worker's entry stays in the list until three signs of life are missed. It was recorded, asked and found gone anew with each
