--- a/components/entry/src/reign/parts.rs
+++ b/components/entry/src/reign/parts.rs
@@ -152,7 +152,7 @@
         if part.rewritten.is_some() {
             continue;
         }
-        std::mem::take(&mut part.jobs).into_iter().for_each(|id| engine.rewrite(id));
+        engine.rewrite(std::mem::take(&mut part.jobs));
         if std::mem::take(&mut part.workers) {
             engine.rewrite_workers();
         }
--- a/components/sched/src/restore.rs
+++ b/components/sched/src/restore.rs
@@ -1,9 +1,10 @@
 //! Rebuilds the book from the log, and writes a job anew when its part of the log is removed.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use work::{JobId, Outcome, Record, Task, Unit, WorkerId, WorkspaceName};
+use work::{JobId, Outcome, Record, Task, Unit, WorkspaceName};
 
 use crate::blame::Crash;
 use crate::engine::{Clock, Engine, Owner};
@@ -189,9 +190,14 @@
         self.live.remove(&id);
     }
 
-    /// Everything that must be kept of a job, as new records: of an ended one, only how it ended. Nothing for a job that
-    /// is no longer kept.
-    pub fn rewrite(&mut self, id: JobId) {
+    /// Everything that must be kept of jobs, as new records: of an ended one, only how it ended. Nothing for a job that is no longer kept.
+    pub fn rewrite(&mut self, ids: impl IntoIterator<Item = JobId>) {
+        let mut left = self.left_behind();
+        ids.into_iter().for_each(|id| self.rewrite_job(id, left.remove(&id).unwrap_or_default()));
+    }
+
+    /// The same for one job, of which these placements are on workers whose end isn't known.
+    fn rewrite_job(&mut self, id: JobId, left: Vec<Record>) {
         let workspace = self.workspace(id).cloned();
         let Some(entry) = self.jobs.get(&id) else { return };
         if let Some(ended) = entry.outcome {
@@ -205,7 +211,7 @@
             at: entry.accepted.wall,
             job: (*entry.job).clone(),
         }];
-        records.extend(self.left_behind(id));
+        records.extend(left);
         for ((round, step), unit) in &entry.units {
             let name = Unit { job: id, round: *round, step: *step };
             records.extend(unit_records(name, unit));
@@ -213,17 +219,17 @@
         records.into_iter().for_each(|record| self.rewritten(record));
     }
 
-    /// Placements of a job's tasks on workers whose leases have run out and whose end isn't known yet: it would count against no task once
-    /// these records were gone.
-    fn left_behind(&self, job: JobId) -> Vec<Record> {
-        let left = self.workers.iter().flat_map(|(id, worker)| worker.left.iter().map(move |lost| (id, lost)));
-        let of_job = left.filter(|(_, lost)| lost.task.unit.job == job);
-        let placed = |(id, lost): (&WorkerId, &Lost)| Record::Placed {
-            task: lost.task,
-            attempt: lost.attempt,
-            worker: id.clone(),
-        };
-        of_job.map(placed).collect()
+    /// Placements on workers whose leases have run out and whose end isn't known yet, by job: it would count against no task once these
+    /// records were gone.
+    fn left_behind(&self) -> HashMap<JobId, Vec<Record>> {
+        let mut found: HashMap<JobId, Vec<Record>> = HashMap::new();
+        for (id, worker) in &self.workers {
+            for lost in &worker.left {
+                let placed = Record::Placed { task: lost.task, attempt: lost.attempt, worker: id.clone() };
+                found.entry(lost.task.unit.job).or_default().push(placed);
+            }
+        }
+        found
     }
 
     fn rewritten(&mut self, record: Record) {
--- a/components/sched/src/stall.rs
+++ b/components/sched/src/stall.rs
@@ -7,8 +7,9 @@
 
 use work::{JobId, Unit};
 
+use crate::ends::taken_room;
 use crate::engine::{Clock, Engine};
-use crate::entry::{Entry, Phase};
+use crate::entry::Entry;
 
 /// A job may have nothing running for this long, between two steps or while a question is asked, before it is reported.
 const PATIENCE: Duration = Duration::from_secs(3);
@@ -66,7 +67,7 @@
         let entry = self.jobs.get(&id)?;
         let unit = first_open(id, entry)?;
         let state = entry.units.get(&(unit.round, unit.step))?;
-        let need = crate::ends::taken_room(entry.step(unit.step)?);
+        let need = taken_room(entry.step(unit.step)?);
         let unlisted: Vec<String> =
             state.placements(unit).map(|run| format!("{} on {}", run.task, run.worker)).collect();
         if unlisted.is_empty() && !self.room.may_fit(&need) {
@@ -95,9 +96,6 @@
 
 /// The first unit of a job that isn't done and waits for no other.
 fn first_open(id: JobId, entry: &Entry) -> Option<Unit> {
-    let open = entry.units.iter().find(|((round, step), unit)| {
-        let begun = unit.tasks.iter().any(|task| task.phase != Phase::Done);
-        begun && entry.unblocked(*round, *step)
-    });
+    let open = entry.units.iter().find(|((round, step), unit)| !unit.complete() && entry.unblocked(*round, *step));
     open.map(|((round, step), _)| Unit { job: id, round: *round, step: *step })
 }
--- a/components/sched/tests/decisions/main.rs
+++ b/components/sched/tests/decisions/main.rs
@@ -232,8 +232,8 @@
     let starts = cell.starts();
     cell.started(&starts[0].0, &starts[0].1);
     cell.log.clear();
-    cell.engine.rewrite(1);
-    cell.engine.rewrite(2);
+    cell.engine.rewrite([1]);
+    cell.engine.rewrite([2]);
     cell.engine.rewrite_workers();
     cell.write();
     let kept = |record: &Record| match record {
@@ -256,7 +256,7 @@
     let (worker, start) = old.starts().remove(0);
     old.engine.cancel(old.clock(), 1);
     old.log.clear();
-    old.engine.rewrite(1);
+    old.engine.rewrite([1]);
     old.engine.rewrite_workers();
     old.write();
 
--- a/components/sched/tests/world/mod.rs
+++ b/components/sched/tests/world/mod.rs
@@ -310,7 +310,7 @@
         let newer = self.log.split_off(self.log.len() / 2);
         for record in std::mem::replace(&mut self.log, newer) {
             if let Some(id) = record.job() {
-                leader.engine.rewrite(id);
+                leader.engine.rewrite([id]);
             }
         }
         leader.engine.rewrite_workers();
