--- a/components/sched/tests/model.rs
+++ b/components/sched/tests/model.rs
@@ -159,8 +159,7 @@
     }
 }
 
-/// Orders without an answer were carried out on workers that are cut off, and their jobs ended elsewhere: a leader that took over since
-/// counts none of what they still run there, and the platform's overage covers one task only.
+/// What is left of ended jobs runs beside new starts of the same workspace, beyond the platform's overage.
 #[test]
 fn a_workspace_stays_within_its_limit_beside_leftovers_of_several_orders() {
     let seed = 12718162359962573890;
