--- a/components/entry/src/reign/duties.rs
+++ b/components/entry/src/reign/duties.rs
@@ -107,7 +107,7 @@
 fn report_stall(reign: &Reign, stall: &Stall) {
     emit!(reign.host.log, events::JOB_STALLED, "unit" => stall.unit.to_string(),
         "lasted_ms" => stall.lasted.as_millis() as u64, "waiting" => stall.waiting,
-        "unlisted" => stall.unlisted.join(", "), "why" => &stall.why, "term" => reign.term);
+        "unlisted" => stall.unlisted, "runs" => stall.named.join(", "), "why" => &stall.why, "term" => reign.term);
 }
 
 /// Brings the metrics of the reign up to date.
--- a/components/sched/src/stall.rs
+++ b/components/sched/src/stall.rs
@@ -16,6 +16,9 @@
 /// Most jobs that one look explains: explaining one takes a look at all workers.
 const MOST_EXPLAINED: usize = 8;
 
+/// Most runs that a report names: a step may have hundreds.
+const MOST_NAMED: usize = 5;
+
 /// A job that has nothing running although there is room.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Stall {
@@ -26,7 +29,9 @@
     /// Tasks of the unit that wait for a place.
     pub waiting: usize,
     /// Runs of the unit that were ordered and that no worker lists.
-    pub unlisted: Vec<String>,
+    pub unlisted: usize,
+    /// The first few of them, as `TASK on WORKER`.
+    pub named: Vec<String>,
     /// Why tasks wait; empty where none does.
     pub why: String,
 }
@@ -68,13 +73,13 @@
         let unit = first_open(id, entry)?;
         let state = entry.units.get(&(unit.round, unit.step))?;
         let need = taken_room(entry.step(unit.step)?);
-        let unlisted: Vec<String> =
-            state.placements(unit).map(|run| format!("{} on {}", run.task, run.worker)).collect();
-        if unlisted.is_empty() && !self.room.may_fit(&need) {
+        let unlisted = state.placements(unit).count();
+        if unlisted == 0 && !self.room.may_fit(&need) {
             return None;
         }
+        let named = state.placements(unit).take(MOST_NAMED).map(|run| format!("{} on {}", run.task, run.worker));
         let why = if state.pending == 0 { String::new() } else { self.reason(clock, entry, unit, state) };
-        let stall = Stall { unit, lasted, waiting: state.pending, unlisted, why };
+        let stall = Stall { unit, lasted, waiting: state.pending, unlisted, named: named.collect(), why };
         if let Some(idle) = self.idle_since.get_mut(&id) {
             idle.reported = true;
         }
