Former lives are looked for among the listed ones that are over; stalled jobs are counted once a second

Each read of the list copied the names and addresses of all workers for the few entries of lives that are over, and each planning pass counted stalled jobs though they change once a second. No change of behaviour.

--- a/components/entry/src/reign/duties.rs
+++ b/components/entry/src/reign/duties.rs
@@ -54,6 +54,7 @@
             if clock.now.saturating_sub(looked) > LOOK_FOR_STALLS {
                 looked = clock.now;
                 stalls = engine.stalls(clock);
+                reign.host.metrics.stalled_jobs.set(engine.stalled() as i64);
             }
             reign.set_busy_pause(engine.busy_pause());
             measure(&reign, &engine);
@@ -116,7 +117,6 @@
     let metrics = &reign.host.metrics;
     metrics.live_jobs.set(jobs as i64);
     metrics.workers.set(workers as i64);
-    metrics.stalled_jobs.set(engine.stalled() as i64);
     metrics.questions.set(reign.desk.waiting() as i64);
     metrics.unconfirmed_ms.set(reign.unconfirmed_for().as_millis() as i64);
 }
--- a/components/sched/src/list.rs
+++ b/components/sched/src/list.rs
@@ -3,7 +3,7 @@
 //! A worker that starts again may keep its name, and its entry may be late: the next life may be known from its own answer before the list
 //! shows it, and the list may show a former one for a while. Orders name the worker, not its life.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use work::{Life, Record, WorkerId};
@@ -77,9 +77,13 @@
             }
         }
         let followed = self.followed(&present);
-        let held = self.workers.iter().map(|(id, worker)| (worker.info.address.clone(), id.clone())).collect();
+        let former: BTreeSet<WorkerId> = present
+            .iter()
+            .filter(|(id, info)| info.as_ref().is_some_and(|info| self.is_former(id, info)))
+            .map(|(id, _)| id.clone())
+            .collect();
         for (id, info) in present {
-            let Some(info) = info.filter(|info| !self.is_former(&id, info, &held)) else { continue };
+            let Some(info) = info.filter(|_| !former.contains(&id)) else { continue };
             // The entry of a dead worker stays until three signs of life are missed: it would be recorded and found gone with each read.
             let follows = self.namesake(&id).is_some();
             if !self.superseded.contains(&id) && (follows || self.has_pool(&info.pool)) {
@@ -116,8 +120,9 @@
     }
 
     /// Whether an entry is that of a life that was known to be over before another one was found at its address.
-    fn is_former(&self, id: &str, info: &Info, held: &BTreeMap<String, WorkerId>) -> bool {
-        self.departed.contains(id) && held.get(&info.address).is_some_and(|other| other != id)
+    fn is_former(&self, id: &str, info: &Info) -> bool {
+        let held = || self.workers.iter().rev().find(|(_, worker)| worker.info.address == info.address);
+        self.departed.contains(id) && held().is_some_and(|(other, _)| other != id)
     }
 
     /// Whether a queue uses a pool. Anybody may write into the list: a worker of a pool that nobody names isn't even called.
