A run that may go on without its task counts against its workspace's limit across takeovers

Change: the log keeps a record of such a run while it is in the book (Record::Leftover, format 5; formats 2 to 4 are still read), and every placement in the log counts until its end is in the log or its worker has answered, not the last one of each task only.

--- a/components/entry/src/reign/commit.rs
+++ b/components/entry/src/reign/commit.rs
@@ -326,6 +326,7 @@
         | Record::Done { .. }
         | Record::Failed { .. }
         | Record::Crashed { .. }
-        | Record::RunLost { .. } => {}
+        | Record::RunLost { .. }
+        | Record::Leftover { .. } => {}
     }
 }
--- a/components/entry/src/reign/parts.rs
+++ b/components/entry/src/reign/parts.rs
@@ -16,10 +16,10 @@
 const LOG_PREFIX: &str = "walkhook/log/";
 /// What a part's value begins with: a zero, and the number of the format of what follows. Parts without a format, of versions before
 /// workspaces were known, begin with a number of at least 1.
-const FORMAT: [u8; 2] = [0, 4];
+const FORMAT: [u8; 2] = [0, 5];
 /// The formats before, which lack records only: they are read, so that hosts can be replaced one after the other. A host of such a version
 /// doesn't lead any more once this one has.
-const FORMER: [[u8; 2]; 2] = [[0, 2], [0, 3]];
+const FORMER: [[u8; 2]; 3] = [[0, 2], [0, 3], [0, 4]];
 /// Most parts removed by one transaction: the store takes 32 entries.
 const MOST_REMOVED: usize = 24;
 /// Parts are removed after this time: most of their jobs have ended by then, and of these only the outcome is written
--- a/components/sched/src/quota.rs
+++ b/components/sched/src/quota.rs
@@ -10,7 +10,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
-use work::{Config, Job, Step, WorkerId, WorkspaceName};
+use work::{Attempt, Config, Job, Record, Step, Task, WorkerId, WorkspaceName};
 
 use crate::engine::Engine;
 use crate::entry::Entry;
@@ -42,8 +42,18 @@
 pub(crate) struct Quota {
     numbers: HashMap<WorkspaceName, Number>,
     accounts: Vec<Account>,
-    /// What the leader before has placed, by worker.
-    inherited: HashMap<WorkerId, Vec<Charge>>,
+    /// What earlier leaders have placed and what may run on, by worker.
+    inherited: HashMap<WorkerId, Vec<Earlier>>,
+    /// The same by task, while the log is read.
+    replayed: HashMap<Task, Vec<(WorkerId, Earlier)>>,
+}
+
+/// A run that an earlier leader has ordered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Earlier {
+    task: Task,
+    attempt: Attempt,
+    charge: Charge,
 }
 
 /// Why a job can never run within its workspace's limit.
@@ -155,10 +165,55 @@
         job.steps.iter().enumerate().find_map(excess)
     }
 
+    /// The log tells of a run.
+    pub(crate) fn replay_run(&mut self, task: Task, attempt: Attempt, worker: &str, charge: Charge) {
+        let runs = self.replayed.entry(task).or_default();
+        let run = (worker.to_owned(), Earlier { task, attempt, charge });
+        if !runs.contains(&run) {
+            runs.push(run);
+        }
+    }
+
+    /// The log tells that a task is done: by its newest run, as far as is known.
+    pub(crate) fn replay_done(&mut self, task: Task) {
+        if let Some(runs) = self.replayed.get_mut(&task) {
+            let newest = runs.iter().map(|(_, run)| run.attempt).max();
+            runs.retain(|(_, run)| Some(run.attempt) != newest);
+        }
+    }
+
+    /// The log tells that a run has failed.
+    pub(crate) fn replay_failed(&mut self, task: Task, attempt: Attempt) {
+        if let Some(runs) = self.replayed.get_mut(&task) {
+            runs.retain(|(_, run)| run.attempt != attempt);
+        }
+    }
+
+    /// The log has been read: what it tells of counts until its workers have answered.
+    pub(crate) fn replayed(&mut self) {
+        for (worker, run) in std::mem::take(&mut self.replayed).into_values().flatten() {
+            self.inherited.entry(worker).or_default().push(run);
+        }
+    }
+
+    /// Records of what earlier leaders have placed, for the next one.
+    pub(crate) fn leftovers(&self) -> impl Iterator<Item = Record> {
+        let of_worker = |(worker, runs): (&WorkerId, &Vec<Earlier>)| {
+            runs.iter().filter_map(|run| self.leftover(worker, run.task, run.attempt, run.charge)).collect::<Vec<_>>()
+        };
+        self.inherited.iter().flat_map(of_worker)
+    }
+
+    /// The record of a run that may go on without its task waiting for it.
+    pub(crate) fn leftover(&self, worker: &str, task: Task, attempt: Attempt, charge: Charge) -> Option<Record> {
+        let workspace = self.name(charge.workspace)?.clone();
+        Some(Record::Leftover { task, attempt, worker: worker.to_owned(), workspace, need: charge.need })
+    }
+
     /// What an earlier leader placed on one life of a worker may run on the next one.
     pub(crate) fn hand_over(&mut self, id: &str, next: &str) {
-        if let Some(charges) = self.inherited.remove(id) {
-            self.inherited.entry(next.to_owned()).or_default().extend(charges);
+        if let Some(runs) = self.inherited.remove(id) {
+            self.inherited.entry(next.to_owned()).or_default().extend(runs);
         }
     }
 
@@ -167,26 +222,13 @@
         self.inherited.retain(|worker, _| open(worker));
         self.accounts.iter_mut().for_each(|account| account.used = Resources::ZERO);
         let runs = workers.values().flat_map(|worker| worker.runs.values().filter_map(|run| run.charge));
-        let charges: Vec<Charge> = runs.chain(self.inherited.values().flatten().copied()).collect();
+        let earlier = self.inherited.values().flatten().map(|run| run.charge);
+        let charges: Vec<Charge> = runs.chain(earlier).collect();
         charges.into_iter().for_each(|charge| self.take(Some(charge.workspace), &charge.need, 1));
     }
 }
 
 impl Engine {
-    /// Takes note of what the leader before has placed and that may still run, also of jobs that have ended since.
-    pub(crate) fn inherit_charges(&mut self) {
-        let mut inherited: HashMap<WorkerId, Vec<Charge>> = HashMap::new();
-        for entry in self.jobs.values() {
-            for ((_, step), unit) in &entry.units {
-                let Some(charge) = entry.charge(*step) else { continue };
-                for run in unit.tasks.iter().filter_map(|task| task.inherited.as_ref()) {
-                    inherited.entry(run.worker.clone()).or_default().push(charge);
-                }
-            }
-        }
-        self.quota.inherited = inherited;
-    }
-
     /// Counts anew what each workspace uses, which costs little, rather than with each of the six changes that runs go through.
     pub(crate) fn recount_quota(&mut self) {
         if self.quota.accounts.is_empty() {
--- a/components/sched/src/restore.rs
+++ b/components/sched/src/restore.rs
@@ -4,12 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use work::{JobId, Outcome, Record, Task, Unit, WorkspaceName};
+use work::{Attempt, JobId, Outcome, Record, Task, Unit, WorkspaceName};
 
 use crate::blame::Crash;
 use crate::engine::{Clock, Engine, Owner};
 use crate::entry::{Accepted, Ended, Inherited, Phase, TaskState, UnitState};
 use crate::loss::Lost;
+use crate::quota::Charge;
 use crate::worker::{Info, Worker};
 
 impl Engine {
@@ -39,6 +40,10 @@
                 self.workers.remove(&id);
                 self.departed.insert(id);
             }
+            Record::Leftover { task, attempt, worker, workspace, need } => {
+                let workspace = self.quota.number(&workspace);
+                self.quota.replay_run(task, attempt, &worker, Charge { workspace, need });
+            }
         }
     }
 
@@ -47,7 +52,7 @@
         self.fail_spent(clock);
         let ids: Vec<JobId> = self.live.iter().copied().collect();
         ids.into_iter().for_each(|id| self.finish(clock, id));
-        self.inherit_charges();
+        self.quota.replayed();
         self.inherit_runs();
     }
 
@@ -145,6 +150,9 @@
     }
 
     fn replay_placed(&mut self, task: Task, run: Inherited) {
+        if let Some(charge) = self.jobs.get(&task.unit.job).and_then(|entry| entry.charge(task.unit.step)) {
+            self.quota.replay_run(task, run.attempt, &run.worker, charge);
+        }
         let Some(unit) = self.replay_unit(task.unit) else { return };
         if let Some(state) = unit.tasks.get_mut(task.index as usize)
             && state.phase == Phase::Pending
@@ -157,10 +165,13 @@
     fn replay_done(&mut self, task: Task) {
         let gang = self.step(task).is_some_and(|step| step.gang);
         let Some(unit) = self.replay_unit(task.unit) else { return };
-        unit.done_with(task.index, gang).for_each(|index| unit.set(index, Phase::Done));
+        let done = unit.done_with(task.index, gang);
+        done.clone().for_each(|index| unit.set(index, Phase::Done));
+        done.for_each(|index| self.quota.replay_done(Task { index: index as u32, ..task }));
     }
 
     fn replay_failed(&mut self, task: Task, attempt: u64) {
+        self.quota.replay_failed(task, attempt);
         let gang = self.step(task).is_some_and(|step| step.gang);
         let Some(unit) = self.replay_unit(task.unit) else { return };
         let Some(failed) = unit.failures_mut(task.index, gang) else { return };
@@ -202,6 +213,8 @@
         let Some(entry) = self.jobs.get(&id) else { return };
         if let Some(ended) = entry.outcome {
             self.rewritten(Record::Ended { id, outcome: ended.outcome, workspace });
+            let leftover = |record: &Record| matches!(record, Record::Leftover { .. });
+            left.into_iter().filter(leftover).for_each(|record| self.rewritten(record));
             return;
         }
         let mut records = vec![Record::Accepted {
@@ -219,8 +232,8 @@
         records.into_iter().for_each(|record| self.rewritten(record));
     }
 
-    /// Placements on workers whose leases have run out and whose end isn't known yet, by job: it would count against no task once these
-    /// records were gone.
+    /// What may be on workers besides the runs that tasks wait for, by job. Placements on workers whose leases have run out and whose end
+    /// isn't known yet would count against no task once these records were gone, and leftovers against no limit.
     fn left_behind(&self) -> HashMap<JobId, Vec<Record>> {
         let mut found: HashMap<JobId, Vec<Record>> = HashMap::new();
         for (id, worker) in &self.workers {
@@ -228,10 +241,26 @@
                 let placed = Record::Placed { task: lost.task, attempt: lost.attempt, worker: id.clone() };
                 found.entry(lost.task.unit.job).or_default().push(placed);
             }
+            for ((task, attempt), run) in &worker.runs {
+                let Some(charge) = run.charge.filter(|_| !self.is_held(*task, id, *attempt)) else { continue };
+                let leftover = self.quota.leftover(id, *task, *attempt, charge);
+                found.entry(task.unit.job).or_default().extend(leftover);
+            }
+        }
+        for leftover in self.quota.leftovers() {
+            let Record::Leftover { task, .. } = &leftover else { continue };
+            found.entry(task.unit.job).or_default().push(leftover);
         }
         found
     }
 
+    /// Whether a task of a job that goes on waits for this run.
+    fn is_held(&self, task: Task, worker: &str, attempt: Attempt) -> bool {
+        let live = self.live.contains(&task.unit.job);
+        let state = self.unit(task.unit).and_then(|unit| unit.tasks.get(task.index as usize));
+        live && state.is_some_and(|state| state.phase == Phase::Held(worker.to_owned(), attempt))
+    }
+
     fn rewritten(&mut self, record: Record) {
         self.record(Record::Rewritten(Box::new(record)));
     }
--- a/components/sched/tests/decisions/quota.rs
+++ b/components/sched/tests/decisions/quota.rs
@@ -98,13 +98,30 @@
 
 #[test]
 fn what_may_run_of_a_cancelled_job_counts_after_a_takeover() {
+    what_may_run_counts_after_a_takeover(|_| 0);
+}
+
+#[test]
+fn it_counts_also_once_its_part_of_the_log_is_removed() {
+    what_may_run_counts_after_a_takeover(|before| {
+        let written = before.log.len();
+        before.engine.rewrite([1]);
+        before.engine.rewrite_workers();
+        before.write();
+        written
+    });
+}
+
+/// `clean` may write the log anew, and tells how much of it is removed.
+fn what_may_run_counts_after_a_takeover(clean: impl FnOnce(&mut Cell) -> usize) {
     let mut before = Cell::shared(2).ready();
     before.submit_for(SMALL, 1, "urgent", vec![step(1, 8)]);
     let (worker, start) = before.starts().remove(0);
     before.engine.cancel(before.clock(), 1);
     before.write();
+    let removed = clean(&mut before);
 
-    let mut cell = Cell::shared_after(2, 2, &before.log);
+    let mut cell = Cell::shared_after(2, 2, &before.log[removed..]);
     cell.engine.list(cell.clock(), cell.infos.clone());
     cell.write();
     let others: Vec<String> = cell.infos.keys().filter(|id| **id != worker).cloned().collect();
--- a/components/work/src/record.rs
+++ b/components/work/src/record.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use model::Resources;
 use serde::{Deserialize, Serialize};
 
 use crate::{Attempt, Job, JobId, QueueName, Task, WorkerId, WorkspaceName};
@@ -174,4 +175,17 @@
         /// What its end says against the task.
         evidence: Evidence,
     },
+    /// A run that its task doesn't wait for may go on on a silent worker. It counts against its workspace's limit.
+    Leftover {
+        /// The task.
+        task: Task,
+        /// The run.
+        attempt: Attempt,
+        /// The worker.
+        worker: WorkerId,
+        /// Whose it is.
+        workspace: WorkspaceName,
+        /// What it takes.
+        need: Resources,
+    },
 }
