A new leader reads the list of workers beside the log

Cause: nothing starts before the list is known, 30 pages one after the other behind the log's reading. Change: its first read begins with the log's.

--- a/components/entry/src/reign.rs
+++ b/components/entry/src/reign.rs
@@ -19,7 +19,7 @@
 use parking_lot::Mutex;
 use sched::{Engine, Latency};
 use tokio::sync::{Notify, Semaphore, watch};
-use tokio::task::{AbortHandle, JoinSet};
+use tokio::task::{AbortHandle, JoinHandle, JoinSet};
 use work::log::PartId;
 use work::{JobId, State, Term, WorkerId};
 
@@ -30,6 +30,7 @@
 use crate::latest::Latest;
 use crate::message::{Answer, Call, Leader};
 use ask::Desk;
+use duties::Listing;
 use flight::Flights;
 use parts::Stored;
 
@@ -99,6 +100,8 @@
 impl Reign {
     /// Begins to lead: rebuilds the book from the log.
     pub(crate) async fn begin(host: Arc<Host>, seat: Seat, before: Before) -> anyhow::Result<Arc<Reign>> {
+        // A list of thousands takes as long to read as the log, and nothing starts without it.
+        let list = duties::read_list(&host);
         let found = parts::load(&host, &seat).await?;
         let clock = host.clock();
         let mut engine = Engine::new(host.settings.limits, seat.term, host.config(), clock.now);
@@ -143,16 +146,16 @@
             loops: Mutex::new(Vec::new()),
             host,
         });
-        reign.clone().start();
+        reign.clone().start(list);
         Ok(reign)
     }
 
-    fn start(self: Arc<Reign>) {
+    fn start(self: Arc<Reign>, list: JoinHandle<Listing>) {
         let mut loops = JoinSet::new();
         let handles = vec![
             loops.spawn(commit::run(self.clone())),
             loops.spawn(duties::plan(self.clone())),
-            loops.spawn(duties::list(self.clone())),
+            loops.spawn(duties::list(self.clone(), list)),
             loops.spawn(duties::lease(self.clone())),
             loops.spawn(duties::config(self.clone())),
             loops.spawn(yielding::run(self.clone())),
--- a/components/entry/src/reign/agent.rs
+++ b/components/entry/src/reign/agent.rs
@@ -5,8 +5,8 @@
 
 use events::emit;
 use parking_lot::Mutex;
-use sched::{Lease, Report, USUAL_PAUSE};
 use rand::Rng;
+use sched::{Lease, Report, USUAL_PAUSE};
 use tokio::sync::{Notify, Semaphore, SemaphorePermit};
 use tokio::task::AbortHandle;
 use work::Life;
--- a/components/entry/src/reign/duties.rs
+++ b/components/entry/src/reign/duties.rs
@@ -1,13 +1,17 @@
 //! What a leader does all the time: decides, renews its lease, reads the list of workers.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use events::emit;
-use sched::{Ended, Engine, Passing, Stall};
-use work::Evidence;
+use sched::{Ended, Engine, Info, Passing, Stall};
+use tokio::task::JoinHandle;
+use work::{Evidence, WorkerId};
 
+use crate::edge::Fault;
 use crate::election::RENEWALS;
+use crate::host::Host;
 use crate::outage::Outage;
 use crate::reign::{Reign, agent, ask, orders};
 
@@ -121,28 +125,45 @@
     metrics.unconfirmed_ms.set(reign.unconfirmed_for().as_millis() as i64);
 }
 
-/// Reads the list of workers.
-pub(crate) async fn list(reign: Arc<Reign>) {
+/// What a read of the list of workers has brought.
+pub(crate) type Listing = Result<BTreeMap<WorkerId, Info>, Fault>;
+
+/// Begins to read the list of workers.
+pub(crate) fn read_list(host: &Host) -> JoinHandle<Listing> {
+    let directory = host.edges.directory.clone();
+    tokio::spawn(async move { directory.workers().await })
+}
+
+/// Reads the list of workers; `first` has begun before the reign.
+pub(crate) async fn list(reign: Arc<Reign>, first: JoinHandle<Listing>) {
     let mut outage = Outage::new("list of workers");
+    // One that fails ends this loop, too.
+    let mut listing = first.await.unwrap_or_else(|fault| std::panic::resume_unwind(fault.into_panic()));
     loop {
-        let pause = match reign.host.edges.directory.workers().await {
-            Ok(workers) => {
-                let pause = LIST_PAUSE_A_WORKER * workers.len() as u32;
-                outage.succeeded(&reign.host.log);
-                reign.hear();
-                reign.engine.lock().list(reign.host.clock(), workers);
-                agent::follow(&reign);
-                reign.write.notify_one();
-                reign.plan.notify_one();
-                pause.clamp(LIST, LONGEST_LIST)
-            }
-            Err(fault) => {
-                outage.failed(&reign.host.log, &fault);
-                agent::follow(&reign);
-                LIST
-            }
-        };
+        let pause = take_list(&reign, listing, &mut outage);
         tokio::time::sleep(pause).await;
+        listing = reign.host.edges.directory.workers().await;
+    }
+}
+
+/// Takes in what a read of the list has brought. The pause until the next one.
+fn take_list(reign: &Arc<Reign>, listing: Listing, outage: &mut Outage) -> Duration {
+    match listing {
+        Ok(workers) => {
+            let pause = LIST_PAUSE_A_WORKER * workers.len() as u32;
+            outage.succeeded(&reign.host.log);
+            reign.hear();
+            reign.engine.lock().list(reign.host.clock(), workers);
+            agent::follow(reign);
+            reign.write.notify_one();
+            reign.plan.notify_one();
+            pause.clamp(LIST, LONGEST_LIST)
+        }
+        Err(fault) => {
+            outage.failed(&reign.host.log, &fault);
+            agent::follow(reign);
+            LIST
+        }
     }
 }
 
