A leader that the store leaves alone tries it beside eight followers; claims look first whether the place is taken

Cause: 0.9 s from a store that resets the leader to its yielding; every probe asked all followers (588 calls and as many reads of the store); after a takeover some 400 claims failed, each of four calls. Change: after 0.3 s without an answer the leader reads by itself and asks eight of the strongest followers; it yields when one of them is answered and its own read isn't, within 0.4 s. A host that has waited to claim reads the leader's record first.

--- a/components/entry/src/election.rs
+++ b/components/entry/src/election.rs
@@ -307,6 +307,10 @@
     if before == Before::Unknown && followed(host) > known {
         return;
     }
+    // Of hundreds of hosts that see the leader gone all but the first few find its successor's record by one read.
+    if before == Before::Unknown && !still_free(host, record).await {
+        return;
+    }
     // One claim at a time: the record's follower and the old leader may both ask for it.
     let _claiming = host.claiming.lock().await;
     if host.seated.load(Ordering::Acquire) != 0 {
@@ -318,6 +322,12 @@
     }
 }
 
+/// Whether the leader's record is still that of this revision, 0 for none.
+async fn still_free(host: &Host, record: u64) -> bool {
+    let found = leader_item(host).await;
+    found.is_ok_and(|found| found.item.map_or(0, |item| item.revision) == record)
+}
+
 /// The newest term as a weak host begins to wait: if it rises meanwhile, the wait begins anew. The host may be too busy waiting to
 /// follow that leader. Else weak hosts lead one after the other, each of them reading the log for most of its time.
 async fn term_before(host: &Host, before: Before) -> Option<Term> {
--- a/components/entry/src/reign/yielding.rs
+++ b/components/entry/src/reign/yielding.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use events::emit;
+use rand::seq::SliceRandom;
 use tokio::task::JoinSet;
 
 use crate::election::LEADER_KEY;
@@ -15,9 +16,12 @@
 
 /// How often the leader looks at its own luck with the store.
 const LOOK: Duration = Duration::from_millis(100);
-/// Without an answer of the store for so long, followers are asked: the lease is renewed every 250 ms, and a slow store
-/// takes up to 300 ms.
-const UNANSWERED: Duration = Duration::from_millis(800);
+/// Without an answer of the store for so long the leader tries whether others get one: its lease is renewed every 250 ms.
+const UNANSWERED: Duration = Duration::from_millis(300);
+/// How long the store may take to answer the leader's own try: a slow one takes up to 300 ms.
+const OWN_TRY: Duration = Duration::from_millis(400);
+/// Followers that are asked at once, however many there are.
+const ASKED: usize = 8;
 /// How long a follower may take to find out.
 const PROBE: Duration = Duration::from_millis(400);
 /// Pause after followers were asked in vain.
@@ -51,13 +55,16 @@
         tokio::time::sleep(LOOK).await;
         let now = reign.host.started.elapsed();
         if reign.unheard_for() >= UNANSWERED {
-            if !yield_to(&reign, live(&reign, None), Cause::Outage).await {
-                tokio::time::sleep(PAUSE).await;
+            match served_instead(&reign).await {
+                Some(follower) => give(&reign, &follower, Cause::Outage).await,
+                None => tokio::time::sleep(PAUSE).await,
             }
         } else if now - looked >= GIVE_WAY {
             looked = now;
-            let stronger = live(&reign, Some(reign.host.settings.claim_delay));
-            yield_to(&reign, stronger, Cause::Weakness).await;
+            let stronger = some(&reign, Some(reign.host.settings.claim_delay));
+            if let Some(follower) = served(stronger).await {
+                give(&reign, &follower, Cause::Weakness).await;
+            }
         }
         if reign.is_over() {
             return;
@@ -65,19 +72,25 @@
     }
 }
 
-/// Followers that can be asked; with `below`, only those that wait less than this before they claim.
-fn live(reign: &Reign, below: Option<Duration>) -> Vec<Follower> {
-    let followers = reign.host.live_followers().into_iter();
-    followers.filter(|follower| below.is_none_or(|below| follower.claim_delay < below)).collect()
+/// Some of the strongest followers that can be asked now; with `below`, only those that wait less than this before they claim.
+fn some(reign: &Reign, below: Option<Duration>) -> Vec<Follower> {
+    let mut followers = reign.host.live_followers();
+    followers.retain(|follower| below.is_none_or(|below| follower.claim_delay < below));
+    followers.shuffle(&mut rand::rng());
+    followers.sort_by_key(|follower| follower.claim_delay);
+    followers.truncate(ASKED);
+    followers
 }
 
-/// Gives the place to one of `followers`. Whether it took note.
-async fn yield_to(reign: &Arc<Reign>, followers: Vec<Follower>, cause: Cause) -> bool {
-    let Some(follower) = served(followers).await else { return false };
-    if cause == Cause::Outage && reign.unheard_for() < UNANSWERED {
-        return false;
+/// A follower whom the store answers while it doesn't answer this host.
+async fn served_instead(reign: &Reign) -> Option<Follower> {
+    let own = tokio::time::timeout(OWN_TRY, reign.host.edges.store.get(LEADER_KEY));
+    let (own, follower) = tokio::join!(own, served(some(reign, None)));
+    if matches!(own, Ok(Ok(_))) {
+        reign.hear();
+        return None;
     }
-    give(reign, &follower, cause).await
+    follower
 }
 
 /// Of the followers whom the store answers, one of the strongest.
@@ -103,8 +116,8 @@
     found
 }
 
-/// Ends the reign in a follower's favour. Whether it took note.
-async fn give(reign: &Arc<Reign>, follower: &Follower, cause: Cause) -> bool {
+/// Ends the reign in a follower's favour. One that takes no note of it will see that the record goes.
+async fn give(reign: &Reign, follower: &Follower, cause: Cause) {
     if cause == Cause::Weakness {
         reign.flush().await;
     }
@@ -116,5 +129,7 @@
     let link = follower.link.clone();
     let asked = tokio::spawn(async move { link.call(Call::TakeOver(record), PROBE).await });
     reign.depose(cause.text());
-    matches!(asked.await, Ok(Ok(Answer::Done)))
+    if !matches!(asked.await, Ok(Ok(Answer::Done))) {
+        emit!(reign.host.log, events::YIELD_UNANSWERED, "to" => &follower.host, "term" => reign.term);
+    }
 }
--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -84,6 +84,8 @@
     CONFIG_FAULT = 324, Warning, "a part of the configuration makes no sense and is left out";
     /// One of the leader's loops has panicked.
     LOOP_FAILED = 325, Error, "a loop of the leader failed; its reign ends";
+    /// A follower that is to replace the leader takes no note of it.
+    YIELD_UNANSWERED = 326, Warning, "the host that was asked to lead doesn't answer";
     /// A worker is held.
     WORKER_HELD = 401, Info, "worker held";
     /// Another host holds the worker.
