Followers ask the store nothing while the leader tells them that it leads and which configuration is the newest

And 588 hosts read a new configuration of some 50 KB in the same moment, which keeps the store's link busy for 0.25 s. Change: signs of life tell how long ago the leader was certain to lead, and how many follow. A planned stop ends the links of followers, who look at once.

--- a/components/entry/src/election.rs
+++ b/components/entry/src/election.rs
@@ -20,6 +20,7 @@
 use crate::message::{Alive, Answer, Call, Leader};
 use crate::peers::handle;
 use crate::reign::{Reign, Seat};
+use crate::signs;
 
 /// Key of the leader's record.
 pub(crate) const LEADER_KEY: &str = "walkhook/leader";
@@ -61,6 +62,7 @@
 /// Follows the leader's record, and claims leadership when there is none.
 pub(crate) async fn run(host: Arc<Host>) {
     loop {
+        signs::leads(&host).await;
         let Ok(found) = leader_item(&host).await else {
             tokio::time::sleep(PAUSE).await;
             continue;
@@ -90,8 +92,9 @@
         match change {
             Ok(Change::Some) => return,
             Ok(Change::Nothing(_)) if record == 0 => return,
-            // A host without a leader has nobody who tells it: it looks again.
+            // A host without a leader has nobody who tells it: it looks again. One that is told needn't look.
             Ok(Change::Nothing(_)) if matches!(host.role(), Role::Nobody) => return,
+            Ok(Change::Nothing(_)) if !signs::leads_for(host).is_zero() => return,
             Ok(Change::Nothing(seen)) => revision = seen,
             Err(_) => return tokio::time::sleep(PAUSE).await,
         }
@@ -229,9 +232,10 @@
             }
             Ok(answer) => {
                 (missed, pause) = (0, PING);
-                if let Answer::Alive(Alive { config, config_age, .. }) = answer {
-                    follow::compare(&host, &link, config, config_age, sent, differed).await;
-                    differed = config != host.config().version;
+                if let Answer::Alive(alive) = answer {
+                    host.signs.take(&alive, sent);
+                    follow::compare(&host, &link, alive.config, alive.config_age, sent, differed).await;
+                    differed = alive.config != host.config().version;
                 }
             }
             // The next is sent at once: this one has waited for an answer as long.
@@ -382,14 +386,20 @@
 async fn keep_lease(host: Arc<Host>, lease: LeaseId) {
     loop {
         tokio::time::sleep(host.settings.lease_ttl / RENEWALS).await;
-        if let Err(fault) = host.edges.store.keep(lease).await {
-            emit!(host.log, events::PLATFORM_FAILED, "call" => "renewal of the lease", "fault" => fault.to_string());
+        let sent = host.started.elapsed();
+        match host.edges.store.keep(lease).await {
+            Ok(kept) if kept => host.claim_kept.note(sent),
+            // The reign finds out, and writes the record anew.
+            Ok(_) => {}
+            Err(fault) => emit!(host.log, events::PLATFORM_FAILED, "call" => "renewal of the lease",
+                "fault" => fault.to_string()),
         }
     }
 }
 
 /// Begins the reign that a claim has won. When the log can't be read, the host may claim again.
 async fn lead(host: &Arc<Host>, seat: Seat, before: Before) -> anyhow::Result<()> {
+    host.claim_kept.note(seat.confirmed);
     host.seated.store(seat.term, Ordering::Release);
     // A long log over a slow link takes longer to read than the lease lasts.
     let keeper = tokio::spawn(keep_lease(host.clone(), seat.lease)).abort_handle();
--- a/components/entry/src/follow.rs
+++ b/components/entry/src/follow.rs
@@ -9,12 +9,15 @@
 
 use crate::access::{self, Client, Refusal};
 use crate::edge::Change;
-use crate::host::{Host, Link};
+use crate::host::{Host, Link, Role};
 use crate::message::{Answer, Call};
 use crate::outage::Outage;
+use crate::signs;
 
 /// A watch that brought nothing is renewed after this time: only its answer shows that nothing has changed.
 const WATCH: Duration = Duration::from_millis(1500);
+/// That of the leader, which tells all others.
+const LEADERS_WATCH: Duration = Duration::from_millis(500);
 /// Pause after a failed read.
 const PAUSE: Duration = Duration::from_millis(100);
 /// How long a host may take over a configuration that is passed on, also a large one over a slow link.
@@ -62,7 +65,11 @@
 
 /// Waits for a change. The revision to go on from when there was none; `None` when the configuration is to be read.
 async fn unchanged(host: &Host, revision: u64) -> Option<u64> {
-    match host.edges.directory.config_changed(revision, WATCH).await {
+    if signs::newer_config(host).await {
+        return None;
+    }
+    let wait = if matches!(host.role(), Role::Leading(_)) { LEADERS_WATCH } else { WATCH };
+    match host.edges.directory.config_changed(revision, wait).await {
         Ok(Change::Nothing(seen)) => {
             host.config_known(host.started.elapsed());
             Some(seen)
--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -16,6 +16,7 @@
 use crate::latest::Latest;
 use crate::message::{Answer, Call, Leader};
 use crate::reign::Reign;
+use crate::signs::{self, Signs};
 
 /// A link between entry hosts.
 pub type Link = link::Link<Call, Answer>;
@@ -83,7 +84,11 @@
     pub(crate) followers: Mutex<Vec<Follower>>,
     /// Term of this host's latest claim that was done; its reign begins once the log is read.
     pub(crate) seated: AtomicU64,
-    /// When the store last answered the loops that follow it.
+    /// When the lease of that claim was last prolonged, until the reign does so.
+    pub(crate) claim_kept: Latest,
+    /// What the leader has told this host.
+    pub(crate) signs: Signs,
+    /// When the store last answered the loop that follows the leader's record, or that loop last began to ask.
     store_heard: Latest,
     /// Held while a claim is under way.
     pub(crate) claiming: tokio::sync::Mutex<()>,
@@ -138,6 +143,8 @@
             role: watch::Sender::new(Role::Nobody),
             followers: Mutex::new(Vec::new()),
             seated: AtomicU64::new(0),
+            claim_kept: Latest::new(Duration::ZERO),
+            signs: Signs::new(),
             store_heard: Latest::new(Duration::ZERO),
             claiming: tokio::sync::Mutex::new(()),
             stopping: watch::Sender::new(false),
@@ -242,6 +249,9 @@
             Role::Following(leader, _) => emit!(self.log, events::LEADER_KNOWN, "leader" => &leader.host,
                 "term" => leader.term),
         }
+        if !signs::leads_for(self).is_zero() {
+            self.ask_store();
+        }
         self.role.send_replace(role);
     }
 
@@ -256,6 +266,11 @@
         }
     }
 
+    /// Takes note that the store is asked from now on: its silence counts from here.
+    pub(crate) fn ask_store(&self) {
+        self.store_heard.note(self.started.elapsed());
+    }
+
     /// Whether the store has left this host without an answer for a while.
     fn store_silent(&self) -> bool {
         self.store_heard.ago(self.started.elapsed()) > STORE_SILENCE
@@ -288,6 +303,11 @@
         followers.iter().filter(|follower| follower.is_live()).cloned().collect()
     }
 
+    /// Ends the links of followers, since this host leads no more: they look for who does.
+    pub(crate) fn release_followers(&self) {
+        self.followers.lock().drain(..).for_each(|follower| follower.link.close());
+    }
+
     /// How many followers can be asked now.
     pub(crate) fn count_followers(&self) -> usize {
         self.followers.lock().iter().filter(|follower| follower.is_live()).count()
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod outage;
 mod peers;
 mod reign;
+mod signs;
 
 use std::sync::Arc;
 
--- a/components/entry/src/message.rs
+++ b/components/entry/src/message.rs
@@ -30,6 +30,10 @@
     pub config: u64,
     /// How long ago that was known to be the newest.
     pub config_age: Duration,
+    /// How long ago it was certain that this host leads; `None` when it doesn't.
+    pub certain: Option<Duration>,
+    /// Hosts that follow it.
+    pub followers: u32,
 }
 
 /// A call from one entry host to another.
--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -63,7 +63,22 @@
 }
 
 fn alive(host: &Host) -> Alive {
-    Alive { leader: host.leader(), config: host.config().version, config_age: host.config_age() }
+    Alive {
+        leader: host.leader(),
+        config: host.config().version,
+        config_age: host.config_age(),
+        certain: certain(host),
+        followers: host.followers.lock().len() as u32,
+    }
+}
+
+/// How long ago it was certain that this host leads, or that its claim holds while it reads the log.
+fn certain(host: &Host) -> Option<Duration> {
+    match host.role() {
+        Role::Leading(reign) => Some(reign.unconfirmed_for()),
+        _ if host.seated.load(Ordering::Acquire) != 0 => Some(host.claim_kept.ago(host.started.elapsed())),
+        _ => None,
+    }
 }
 
 /// Whether the store answers this host.
--- a/components/entry/src/reign.rs
+++ b/components/entry/src/reign.rs
@@ -295,6 +295,7 @@
         if let Err(fault) = self.host.edges.store.end(lease).await {
             emit!(self.host.log, events::PLATFORM_FAILED, "call" => "end of the lease", "fault" => fault.to_string());
         }
+        self.host.release_followers();
     }
 
     /// Writes the leader's record anew: it has vanished while this host leads.
