Only the workers that a removed part of the log names are named anew

Cause: each part that names any worker had all workers written anew when it was removed. Parts that name workers don't become fewer, so the log held all workers once for each of them: with k such parts and n workers k*n records every 12 s, and above some 6,500 workers, where all names no longer fit into one part of 256 KiB, twice as many each time. A new leader reads them all. Test: six workers that came one by one are named 36 times in the log without the change, at most 12 times (while a part is replaced) with it. The tests of decisions and the model name the workers of what they remove.

--- a/components/entry/src/reign/parts.rs
+++ b/components/entry/src/reign/parts.rs
@@ -5,7 +5,7 @@
 use anyhow::bail;
 use events::emit;
 use work::log::{Part, PartId};
-use work::{JobId, Record};
+use work::{JobId, Record, WorkerId};
 
 use crate::edge::{Commit, Fault, Item, Transaction};
 use crate::election::TERM_KEY;
@@ -36,8 +36,8 @@
     written: Duration,
     /// Jobs that were accepted or have ended in it.
     jobs: Vec<JobId>,
-    /// Whether it names workers.
-    workers: bool,
+    /// Workers that it names.
+    workers: Vec<WorkerId>,
     /// Position at which all that is still needed of it was written anew.
     rewritten: Option<u64>,
     /// Whether a transaction that removes it is on its way.
@@ -51,7 +51,7 @@
             id,
             written,
             jobs: records.iter().filter_map(Record::job).collect(),
-            workers: records.iter().any(Record::names_worker),
+            workers: records.iter().filter_map(Record::worker).cloned().collect(),
             rewritten: None,
             leaving: false,
         }
@@ -153,9 +153,7 @@
             continue;
         }
         engine.rewrite(std::mem::take(&mut part.jobs));
-        if std::mem::take(&mut part.workers) {
-            engine.rewrite_workers();
-        }
+        engine.rewrite_workers(std::mem::take(&mut part.workers));
         part.rewritten = Some(engine.position());
     }
 }
--- a/components/entry/src/signs.rs
+++ b/components/entry/src/signs.rs
@@ -30,11 +30,7 @@
 
 impl Signs {
     pub(crate) fn new() -> Signs {
-        Signs {
-            certain: watch::Sender::new(None),
-            version: watch::Sender::new(0),
-            followers: AtomicU32::new(0),
-        }
+        Signs { certain: watch::Sender::new(None), version: watch::Sender::new(0), followers: AtomicU32::new(0) }
     }
 
     /// Takes a sign of life that was asked for at `sent`.
--- a/components/fakes/src/cell/tampering.rs
+++ b/components/fakes/src/cell/tampering.rs
@@ -16,6 +16,13 @@
         state.items.iter_mut().filter(|(key, _)| key.starts_with(prefix)).for_each(|(_, kept)| change(&mut kept.value));
     }
 
+    /// All values below a prefix, in the order of their keys.
+    pub fn values(&self, prefix: &str) -> Vec<Vec<u8>> {
+        let state = self.state.lock();
+        let below = state.items.iter().filter(|(key, _)| key.starts_with(prefix));
+        below.map(|(_, kept)| kept.value.clone()).collect()
+    }
+
     /// Whoever reads the list of workers next panics.
     pub fn break_list(&self) {
         self.state.lock().broken_list = true;
--- a/components/sched/src/restore.rs
+++ b/components/sched/src/restore.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use work::{Attempt, JobId, Outcome, Record, Task, Unit, WorkspaceName};
+use work::{Attempt, JobId, Outcome, Record, Task, Unit, WorkerId, WorkspaceName};
 
 use crate::blame::Crash;
 use crate::engine::{Clock, Engine, Owner};
@@ -265,14 +265,13 @@
         self.record(Record::Rewritten(Box::new(record)));
     }
 
-    /// Names all workers anew in the log.
-    pub fn rewrite_workers(&mut self) {
-        let named: Vec<Record> = self
-            .workers
-            .iter()
-            .map(|(id, worker)| Record::Worker { id: id.clone(), address: worker.info.address.clone() })
-            .collect();
-        named.into_iter().for_each(|record| self.rewritten(record));
+    /// Names these workers anew in the log, but for those that are gone.
+    pub fn rewrite_workers(&mut self, ids: impl IntoIterator<Item = WorkerId>) {
+        for id in ids {
+            let Some(worker) = self.workers.get(&id) else { continue };
+            let address = worker.info.address.clone();
+            self.rewritten(Record::Worker { id, address });
+        }
     }
 }
 
--- a/components/sched/tests/decisions/cell/mod.rs
+++ b/components/sched/tests/decisions/cell/mod.rs
@@ -78,6 +78,12 @@
         }
     }
 
+    /// Writes all workers anew, as if the parts of the log that name them were removed.
+    pub fn rewrite_workers(&mut self) {
+        let ids: Vec<WorkerId> = self.engine.addresses().into_iter().map(|(id, _)| id).collect();
+        self.engine.rewrite_workers(ids);
+    }
+
     pub fn report(&mut self, id: &str, running: &[Running], ended: &[End]) {
         let mark = self.engine.mark();
         let report = Report { mark, running: running.to_vec(), ended: ended.to_vec() };
--- a/components/sched/tests/decisions/crash.rs
+++ b/components/sched/tests/decisions/crash.rs
@@ -291,7 +291,7 @@
     let mut cell = five_silent();
     let before = cell.log.len();
     cell.engine.rewrite([1]);
-    cell.engine.rewrite_workers();
+    cell.rewrite_workers();
     cell.write();
     assert!(!starts_after_a_takeover(&cell.log[before..]));
 }
--- a/components/sched/tests/decisions/main.rs
+++ b/components/sched/tests/decisions/main.rs
@@ -234,7 +234,7 @@
     cell.log.clear();
     cell.engine.rewrite([1]);
     cell.engine.rewrite([2]);
-    cell.engine.rewrite_workers();
+    cell.rewrite_workers();
     cell.write();
     let kept = |record: &Record| match record {
         Record::Rewritten(record) => matches!(**record, Record::Accepted { id: 1, .. }),
@@ -257,7 +257,7 @@
     old.engine.cancel(old.clock(), 1);
     old.log.clear();
     old.engine.rewrite([1]);
-    old.engine.rewrite_workers();
+    old.rewrite_workers();
     old.write();
 
     let mut new = Cell::after(1, 2, &old.log);
@@ -306,7 +306,7 @@
     let mut old = Cell::new(1).ready();
     old.submit(1, "urgent", vec![step(1, 1)]);
     assert_eq!(old.starts().len(), 1);
-    let log: Vec<Record> = old.log.into_iter().filter(|record| !record.names_worker()).collect();
+    let log: Vec<Record> = old.log.into_iter().filter(|record| record.worker().is_none()).collect();
 
     let mut new = Cell::after(1, 2, &log);
     let other = new.infos.remove("w0").expect("listed");
@@ -325,7 +325,7 @@
 #[test]
 fn a_record_that_was_written_anew_still_names_its_worker() {
     let record = Record::Worker { id: "w1".to_owned(), address: "10.0.0.1:80".to_owned() };
-    assert!(Record::Rewritten(Box::new(record)).names_worker());
+    assert!(Record::Rewritten(Box::new(record)).worker().is_some());
 }
 
 #[test]
--- a/components/sched/tests/decisions/quota.rs
+++ b/components/sched/tests/decisions/quota.rs
@@ -106,7 +106,7 @@
     what_may_run_counts_after_a_takeover(|before| {
         let written = before.log.len();
         before.engine.rewrite([1]);
-        before.engine.rewrite_workers();
+        before.rewrite_workers();
         before.write();
         written
     });
--- a/components/sched/tests/world/mod.rs
+++ b/components/sched/tests/world/mod.rs
@@ -312,8 +312,8 @@
             if let Some(id) = record.job() {
                 leader.engine.rewrite([id]);
             }
+            leader.engine.rewrite_workers(record.worker().cloned());
         }
-        leader.engine.rewrite_workers();
         let (records, upto) = leader.engine.take_records(10_000_000);
         self.log.extend(records);
         leader.engine.written(self.clock(), upto);
--- a/components/work/src/record.rs
+++ b/components/work/src/record.rs
@@ -67,12 +67,12 @@
         }
     }
 
-    /// Whether it names a worker that may get orders.
-    pub fn names_worker(&self) -> bool {
+    /// The worker that needs this record to be known.
+    pub fn worker(&self) -> Option<&WorkerId> {
         match self {
-            Record::Worker { .. } => true,
-            Record::Rewritten(record) => record.names_worker(),
-            _ => false,
+            Record::Worker { id, .. } => Some(id),
+            Record::Rewritten(record) => record.worker(),
+            _ => None,
         }
     }
 
