Hosts that see a new configuration by themselves read it over a time, too

Cause: after a takeover nobody tells yet, and 588 hosts read a new configuration at once beside the new leader's log; a leader that has just begun knows few followers. Change: the pause goes by the most followers that were told of, and holds for a host's own watch as well.

--- a/components/entry/src/follow.rs
+++ b/components/entry/src/follow.rs
@@ -68,13 +68,20 @@
     if signs::newer_config(host).await {
         return None;
     }
-    let wait = if matches!(host.role(), Role::Leading(_)) { LEADERS_WATCH } else { WATCH };
+    let leads = matches!(host.role(), Role::Leading(_));
+    let wait = if leads { LEADERS_WATCH } else { WATCH };
     match host.edges.directory.config_changed(revision, wait).await {
         Ok(Change::Nothing(seen)) => {
             host.config_known(host.started.elapsed());
             Some(seen)
         }
-        Ok(Change::Some) => None,
+        Ok(Change::Some) => {
+            // The leader tells the others, and judges by it.
+            if !leads {
+                tokio::time::sleep(host.signs.read_pause()).await;
+            }
+            None
+        }
         Err(_) => {
             tokio::time::sleep(PAUSE).await;
             None
--- a/components/entry/src/message.rs
+++ b/components/entry/src/message.rs
@@ -32,7 +32,7 @@
     pub config_age: Duration,
     /// How long ago it was certain that this host leads; `None` when it doesn't.
     pub certain: Option<Duration>,
-    /// Hosts that follow it.
+    /// The most hosts that are known to have followed a leader.
     pub followers: u32,
 }
 
--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -68,7 +68,7 @@
         config: host.config().version,
         config_age: host.config_age(),
         certain: certain(host),
-        followers: host.followers.lock().len() as u32,
+        followers: host.signs.count(host.followers.lock().len() as u32),
     }
 }
 
--- a/components/entry/src/signs.rs
+++ b/components/entry/src/signs.rs
@@ -24,7 +24,7 @@
     certain: watch::Sender<Option<Duration>>,
     /// The newest version of the configuration that was told of.
     version: watch::Sender<u64>,
-    /// Hosts that follow the leader.
+    /// The most hosts that are known to have followed a leader.
     followers: AtomicU32,
 }
 
@@ -36,7 +36,7 @@
     /// Takes a sign of life that was asked for at `sent`.
     pub(crate) fn take(&self, alive: &Alive, sent: Duration) {
         self.certain.send_replace(alive.certain.map(|age| sent.saturating_sub(age)));
-        self.followers.store(alive.followers, Ordering::Relaxed);
+        self.count(alive.followers);
         self.version.send_if_modified(|known| {
             let newer = alive.config > *known;
             *known = alive.config.max(*known);
@@ -44,8 +44,13 @@
         });
     }
 
-    /// How long a follower waits before it reads a new configuration.
-    fn read_pause(&self) -> Duration {
+    /// Takes note of how many hosts follow. A leader that has just begun has few followers, so that the most counts.
+    pub(crate) fn count(&self, followers: u32) -> u32 {
+        self.followers.fetch_max(followers, Ordering::Relaxed).max(followers)
+    }
+
+    /// How long a host that doesn't lead waits before it reads a new configuration.
+    pub(crate) fn read_pause(&self) -> Duration {
         let over = READ_PAUSE * self.followers.load(Ordering::Relaxed);
         rand::rng().random_range(Duration::ZERO..=over)
     }
--- a/components/entry/tests/log.rs
+++ b/components/entry/tests/log.rs
@@ -6,7 +6,6 @@
 
 use entry::Answer;
 use support::{cell, hosts, info, submit, until};
-use work::Record;
 use work::log::Part;
 
 const LOG: &str = "walkhook/log/";
