--- /dev/null
+++ b/components/entry/tests/takeover.rs
@@ -0,0 +1,106 @@
+//! A new leader and its workers: whom it calls first, and how many at once.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use entry::{Answer, Role};
+use fakes::cell::{Cell, Conduct};
+use model::Resources;
+use sched::{How, Info};
+use support::{ends, hosts, info, leads, submit, until};
+use work::{Outcome, WorkerId};
+
+/// Many more than are called at once.
+const WORKERS: usize = 600;
+/// So many that the calls take longer than the leader's lease lasts.
+const THOUSANDS: usize = 3000;
+/// How many first calls may be under way at once.
+const AT_ONCE: usize = 64;
+
+/// Only the last workers by name have room.
+fn room(number: usize, workers: usize) -> Resources {
+    if number < workers - 10 { Resources::ZERO } else { Resources::new(4, 4000, 0) }
+}
+
+/// A cell of many workers whose runs last until a new leader is there, and its two hosts.
+async fn before_takeover(workers: usize) -> (Arc<Cell>, Vec<Arc<entry::Host>>) {
+    let cell = Cell::new(support::config(1));
+    (0..workers).for_each(|number| {
+        cell.add_worker(&format!("w{number:04}"), Info { capacity: room(number, workers), ..info(number) })
+    });
+    let hosts = hosts(&cell, 2).await;
+    until("all workers are called", || cell.first_calls(1).len() == workers).await;
+    cell.conduct(Conduct { takes: Duration::from_secs(3), how: How::Done });
+    assert_eq!(submit(&hosts[1], 7, 20).await, Answer::Accepted);
+    until("all tasks run", || cell.starts().len() == 20).await;
+    (cell, hosts)
+}
+
+fn term(host: &entry::Host) -> work::Term {
+    match host.role() {
+        Role::Leading(reign) => reign.term,
+        Role::Nobody | Role::Following(..) => 0,
+    }
+}
+
+/// Tasks that ran on workers as the leader changed wait for what became of them.
+#[tokio::test]
+async fn workers_on_which_tasks_were_placed_are_called_first() {
+    let (cell, hosts) = before_takeover(WORKERS).await;
+    let mut placed: Vec<WorkerId> = cell.starts().into_iter().map(|(worker, _, _)| worker).collect();
+    placed.sort();
+    placed.dedup();
+    hosts[0].stop().await;
+    until("the next leads", || leads(&hosts[1])).await;
+    let next = term(&hosts[1]);
+    until("all workers are called", || cell.first_calls(next).len() >= WORKERS).await;
+    let mut first: Vec<WorkerId> = cell.first_calls(next).into_iter().take(placed.len()).collect();
+    first.sort();
+    assert_eq!(first, placed);
+    assert_eq!(ends(&hosts[1], 7).await, Outcome::Completed);
+    assert_eq!(cell.starts().len(), 20, "nothing ran twice");
+}
+
+/// All at once would keep the new leader's own record, its log and its followers waiting.
+#[tokio::test]
+async fn few_workers_are_called_at_once() {
+    let (cell, hosts) = before_takeover(WORKERS).await;
+    cell.first_call_takes(Duration::from_millis(5));
+    hosts[0].stop().await;
+    until("the next leads", || leads(&hosts[1])).await;
+    let next = term(&hosts[1]);
+    until("all workers are called", || cell.first_calls(next).len() >= WORKERS).await;
+    assert!(cell.most_first_calls_at_once() <= AT_ONCE, "{} at once", cell.most_first_calls_at_once());
+    assert_eq!(ends(&hosts[1], 7).await, Outcome::Completed);
+}
+
+/// A worker that doesn't answer its first call holds up the others for a moment only.
+#[tokio::test]
+async fn silent_workers_hold_up_no_others() {
+    let (cell, hosts) = before_takeover(WORKERS).await;
+    cell.first_call_takes(Duration::from_secs(600));
+    hosts[0].stop().await;
+    until("the next leads", || leads(&hosts[1])).await;
+    let next = term(&hosts[1]);
+    until("all workers are called", || cell.first_calls(next).len() >= WORKERS).await;
+    assert_eq!(submit(&hosts[1], 8, 1).await, Answer::Accepted, "it leads all the same");
+}
+
+/// A leader that calls thousands of workers, each of which takes some of its processor, goes on renewing its record and taking jobs.
+#[tokio::test]
+async fn a_new_leader_keeps_its_place_while_it_calls_its_workers() {
+    let (cell, hosts) = before_takeover(THOUSANDS).await;
+    cell.call_costs(Duration::from_micros(500));
+    hosts[0].stop().await;
+    until("the next leads", || leads(&hosts[1])).await;
+    let next = term(&hosts[1]);
+    let called = |count: usize| cell.first_calls(next).len() >= count;
+    assert_eq!(submit(&hosts[1], 8, 1).await, Answer::Accepted);
+    assert!(!called(THOUSANDS), "a job is taken before all workers have been called");
+    until("all workers are called", || called(THOUSANDS)).await;
+    cell.call_costs(Duration::ZERO);
+    assert_eq!(ends(&hosts[1], 8).await, Outcome::Completed);
+    assert_eq!(term(&hosts[1]), next, "nobody else has led");
+}
--- a/components/fakes/src/cell.rs
+++ b/components/fakes/src/cell.rs
@@ -4,24 +4,23 @@
 mod calls;
 mod suspension;
 mod tampering;
+mod workers;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
-use entry::{
-    Change, Commit, Edges, Fault, Held, Item, LeaseId, Order, Read, Renewal, Reply, Settings, Target, Transaction,
-};
+use entry::{Change, Commit, Edges, Fault, Item, LeaseId, Read, Settings, Transaction};
 use parking_lot::Mutex;
 use sched::{How, Info, Limits};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::Instant;
-use work::{Attempt, Config, Life, Task, Term, Unit, WorkerId};
+use work::{Attempt, Config, Life, Task, Unit, WorkerId};
 
-use crate::runner::{self, Run, Runner};
-use calls::{Answering, Waiting, reply};
+use crate::runner::Runner;
+use calls::{Answering, Calls, Waiting};
 
 /// How a run goes.
 #[derive(Clone, Copy, Debug)]
@@ -70,6 +69,7 @@
     /// By name.
     workers: BTreeMap<String, Runner>,
     starts: Vec<(WorkerId, Task, Attempt)>,
+    calls: Calls,
 }
 
 /// The outside of all hosts of a test.
@@ -318,21 +318,6 @@
 }
 
 impl View {
-    /// A start is on its way, as long as starts take.
-    async fn start_arrives(&self, worker: &str) {
-        {
-            let mut state = self.cell.state.lock();
-            let under_way = state.under_way.entry(worker.to_owned()).or_default();
-            *under_way += 1;
-            state.most_under_way = state.most_under_way.max(*state.under_way.get(worker).unwrap_or(&0));
-        }
-        let takes = *self.cell.start_takes.lock();
-        tokio::time::sleep(takes).await;
-        if let Some(under_way) = self.cell.state.lock().under_way.get_mut(worker) {
-            *under_way -= 1;
-        }
-    }
-
     /// Whether the next transaction is swallowed.
     fn swallows(&self) -> bool {
         let mut state = self.cell.state.lock();
@@ -430,62 +415,6 @@
     }
 }
 
-impl View {
-    fn at<T>(&self, target: &Target, order: impl FnOnce(&mut Runner, Duration) -> T) -> Result<Reply<T>, Fault> {
-        let now = self.cell.now();
-        let mut state = self.cell.state.lock();
-        let Some(runner) = state.workers.get_mut(Life::of(&target.id).name) else { return Ok(Reply::OtherLife) };
-        if !runner.reachable {
-            return Err(Fault::NotDone("unreachable".to_owned()));
-        }
-        runner.tick(now);
-        Ok(Reply::Done(order(runner, now)))
-    }
-}
-
-#[async_trait]
-impl entry::Workers for View {
-    async fn renew(&self, target: &Target, renewal: &Renewal) -> Result<Reply<Held>, Fault> {
-        // Waits a little for an end, as workers do.
-        tokio::time::sleep(renewal.wait.min(Duration::from_millis(20))).await;
-        let held = self.at(target, |runner, now| {
-            let born = runner.born;
-            runner.hold(renewal.term, renewal.until, renewal.acked).map(|(running, ended)| Held {
-                clock: now,
-                born,
-                running,
-                ended,
-            })
-        })?;
-        Ok(match held {
-            Reply::Done(Ok(held)) => Reply::Done(held),
-            Reply::Done(Err(_)) | Reply::Fenced => Reply::Fenced,
-            Reply::OtherLife => Reply::OtherLife,
-            Reply::Refused(refusal) => Reply::Refused(refusal),
-        })
-    }
-
-    async fn start(&self, target: &Target, order: &Order, _patience: Duration) -> Result<Reply<()>, Fault> {
-        let Order { term, until, start } = order;
-        self.start_arrives(&target.id).await;
-        let conduct = *self.cell.conduct.lock();
-        let step = &start.job.steps[usize::from(start.task.unit.step)];
-        let outcome = self.at(target, |runner, now| {
-            let run = Run { need: step.need, ends: now + conduct.takes, how: conduct.how };
-            runner.start(now, *term, *until, (start.task, start.attempt), run)
-        })?;
-        if matches!(outcome, Reply::Done(runner::Reply::Done)) {
-            self.cell.state.lock().starts.push((target.id.clone(), start.task, start.attempt));
-        }
-        Ok(reply(outcome))
-    }
-
-    async fn stop(&self, target: &Target, term: Term, task: Task, attempt: Attempt) -> Result<Reply<()>, Fault> {
-        let outcome = self.at(target, |runner, _| runner.stop(term, task, attempt))?;
-        Ok(reply(outcome))
-    }
-}
-
 #[async_trait]
 impl entry::Adviser for View {
     async fn advise(&self, _unit: Unit, workers: &[WorkerId]) -> Result<Vec<(WorkerId, String)>, Fault> {
