Tests of what followers are told and what they find out for themselves

Red where followers aren't told: they never stop asking the store. A watch of the leader's record lasts 1.5 s, as those of the configuration; the platform's client had cut it to that before.

--- a/components/entry/src/election.rs
+++ b/components/entry/src/election.rs
@@ -28,8 +28,6 @@
 pub(crate) const TERM_KEY: &str = "walkhook/chain";
 /// Key of the last leader that claimed: it outlasts the lease of the leader's record.
 const LAST_KEY: &str = "walkhook/last";
-/// A watch that brought nothing is renewed after this time.
-const WATCH: Duration = Duration::from_secs(20);
 /// While there is no leader's record it is looked for again after this time, whatever the watch says.
 const VACANT: Duration = Duration::from_millis(250);
 /// A connection to another host is given up after this time.
@@ -85,7 +83,7 @@
 
 /// Waits until the leader's record is to be read again.
 async fn wait_for_change(host: &Host, mut revision: u64, record: u64) {
-    let wait = if record == 0 { VACANT } else { WATCH };
+    let wait = if record == 0 { VACANT } else { follow::WATCH };
     loop {
         let change = host.edges.store.changed(LEADER_KEY, revision, wait).await;
         host.hear_store(&change);
--- a/components/entry/src/follow.rs
+++ b/components/entry/src/follow.rs
@@ -15,7 +15,7 @@
 use crate::signs;
 
 /// A watch that brought nothing is renewed after this time: only its answer shows that nothing has changed.
-const WATCH: Duration = Duration::from_millis(1500);
+pub(crate) const WATCH: Duration = Duration::from_millis(1500);
 /// That of the leader, which tells all others.
 const LEADERS_WATCH: Duration = Duration::from_millis(500);
 /// Pause after a failed read.
--- a/components/fakes/src/cell.rs
+++ b/components/fakes/src/cell.rs
@@ -66,6 +66,8 @@
     config: Option<Config>,
     /// How often the configuration was read, or waited for.
     config_calls: usize,
+    /// Calls of each host to the store; one that waits counts while it does.
+    store_calls: BTreeMap<String, usize>,
     /// By name.
     workers: BTreeMap<String, Runner>,
     starts: Vec<(WorkerId, Task, Attempt)>,
@@ -170,6 +172,11 @@
         self.state.lock().config_calls
     }
 
+    /// Calls of a host to the store. One that waits goes on being counted.
+    pub fn store_calls(&self, host: &str) -> usize {
+        self.state.lock().store_calls.get(host).copied().unwrap_or_default()
+    }
+
     /// The store answers this host no more, or again.
     pub fn turn_away(&self, host: &str, away: bool) {
         let mut state = self.state.lock();
@@ -295,6 +302,7 @@
 impl View {
     fn store<T>(&self, call: impl FnOnce(&mut State) -> T) -> Result<T, Fault> {
         let mut state = self.cell.state.lock();
+        *state.store_calls.entry(self.host.clone()).or_default() += 1;
         if state.turned_away.contains(&self.host) {
             return Err(Fault::NotDone("turned away".to_owned()));
         }
