--- a/components/sched/examples/flow.rs
+++ b/components/sched/examples/flow.rs
@@ -10,7 +10,7 @@
 use work::{Advice, Job, JobId, Queue, WorkerId};
 
 /// Workers of the cells that are measured.
-const CELLS: [usize; 3] = [300, 1000, 3000];
+const CELLS: [usize; 5] = [300, 1000, 3000, 6000, 12_000];
 /// Virtual time of a measurement.
 const SECONDS: u64 = 10;
 /// Time between two passes: the leader's shortest.
