--- a/components/entry/src/reign/parts.rs
+++ b/components/entry/src/reign/parts.rs
@@ -1,5 +1,6 @@
 //! The parts of the log that are in the store: reading them at the start of a reign, and removing old ones.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use anyhow::bail;
@@ -140,22 +141,23 @@
     }
 }
 
-/// Writes anew what is still needed of old parts, so that they can be removed.
+/// Writes anew what is still needed of old parts, so that they can be removed. All of them at once: each time all workers are looked at.
 pub(crate) fn clean(reign: &Reign) {
     let now = reign.host.started.elapsed();
     let mut parts = reign.parts.lock();
-    let mut engine = reign.engine.lock();
-    for part in parts.iter_mut().filter(|part| !part.leaving).take(MOST_REMOVED) {
-        if now.saturating_sub(part.written) < KEEP_PART {
-            break;
-        }
-        if part.rewritten.is_some() {
-            continue;
-        }
-        engine.rewrite(std::mem::take(&mut part.jobs));
-        engine.rewrite_workers(std::mem::take(&mut part.workers));
-        part.rewritten = Some(engine.position());
+    let standing = parts.iter_mut().filter(|part| !part.leaving).take(MOST_REMOVED);
+    let old = standing.take_while(|part| now.saturating_sub(part.written) >= KEEP_PART);
+    let mut due: Vec<&mut Stored> = old.filter(|part| part.rewritten.is_none()).collect();
+    if due.is_empty() {
+        return;
     }
+    let jobs: BTreeSet<JobId> = due.iter_mut().flat_map(|part| std::mem::take(&mut part.jobs)).collect();
+    let workers: BTreeSet<WorkerId> = due.iter_mut().flat_map(|part| std::mem::take(&mut part.workers)).collect();
+    let mut engine = reign.engine.lock();
+    engine.rewrite(jobs);
+    engine.rewrite_workers(workers);
+    let position = engine.position();
+    due.into_iter().for_each(|part| part.rewritten = Some(position));
 }
 
 /// Old parts whose contents are written anew; they are taken to be on their way out.
