--- a/components/entry/src/reign/agent.rs
+++ b/components/entry/src/reign/agent.rs
@@ -21,7 +21,7 @@
 
 /// First calls under way at once. A new leader calls thousands of workers: all at once they would keep its own record, its log and its
 /// followers waiting, and connections would be given up before it gets to them.
-const FIRST_CALLS: usize = 64;
+const FIRST_CALLS: usize = 32;
 /// A first call without an answer for so long, many times the usual, lets the next one go: silent workers hold up no others.
 const FIRST_CALL: Duration = Duration::from_millis(20);
 
