A leader yields only while the store has answered it nothing, also while it asked followers

Change: the leader's own read may take three times as long as the follower's, and 0.4 s at least; then nothing at all may have been answered for 0.3 s.

--- a/components/entry/src/reign/yielding.rs
+++ b/components/entry/src/reign/yielding.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use events::emit;
+use futures_util::FutureExt;
 use rand::seq::SliceRandom;
 use tokio::task::JoinSet;
 
@@ -18,8 +19,10 @@
 const LOOK: Duration = Duration::from_millis(100);
 /// Without an answer of the store for so long the leader tries whether others get one: its lease is renewed every 250 ms.
 const UNANSWERED: Duration = Duration::from_millis(300);
-/// How long the store may take to answer the leader's own try: a slow one takes up to 300 ms.
+/// How long the store may take to answer the leader's own try: at least this long ...
 const OWN_TRY: Duration = Duration::from_millis(400);
+/// ... and so many times as long as a follower waited for its answer. A slow store is slow for all, and the leader has more to ask.
+const OWN_TRIES: u32 = 3;
 /// Followers that are asked at once, however many there are.
 const ASKED: usize = 8;
 /// How long a follower may take to find out.
@@ -84,13 +87,25 @@
 
 /// A follower whom the store answers while it doesn't answer this host.
 async fn served_instead(reign: &Reign) -> Option<Follower> {
-    let own = tokio::time::timeout(OWN_TRY, reign.host.edges.store.get(LEADER_KEY));
-    let (own, follower) = tokio::join!(own, served(some(reign, None)));
-    if matches!(own, Ok(Ok(_))) {
-        reign.hear();
-        return None;
-    }
-    follower
+    let began = reign.host.started.elapsed();
+    let own = async {
+        let answered = reign.host.edges.store.get(LEADER_KEY).await.is_ok();
+        if answered {
+            reign.hear();
+        }
+        answered
+    };
+    let own = own.boxed().shared();
+    let follower = tokio::select! {
+        // Refused or reset, it is no answer: whether followers get one decides.
+        true = own.clone() => return None,
+        follower = served(some(reign, None)) => follower?,
+    };
+    let took = reign.host.started.elapsed() - began;
+    let left = OWN_TRY.max(took * OWN_TRIES).saturating_sub(took);
+    let answered = tokio::time::timeout(left, own).await == Ok(true);
+    // Any other call may have been answered meanwhile.
+    (!answered && reign.unheard_for() >= UNANSWERED).then_some(follower)
 }
 
 /// Of the followers whom the store answers, one of the strongest.
--- a/components/entry/tests/takeover.rs
+++ b/components/entry/tests/takeover.rs
@@ -9,7 +9,7 @@
 use fakes::cell::{Cell, Conduct};
 use model::Resources;
 use sched::{How, Info};
-use support::{ends, hosts, info, leads, submit, until};
+use support::{cell, ends, hosts, info, leads, submit, until};
 use work::{Outcome, WorkerId};
 
 /// Many more than are called at once.
@@ -104,3 +104,16 @@
     assert_eq!(ends(&hosts[1], 8).await, Outcome::Completed);
     assert_eq!(term(&hosts[1]), next, "nobody else has led");
 }
+
+/// It may be slower to answer the leader, which asks more, than those that do nothing else.
+#[tokio::test]
+async fn a_slow_store_moves_no_leader() {
+    let cell = cell();
+    let hosts = hosts(&cell, 3).await;
+    (1..3).for_each(|number| cell.answers_take(&format!("host-{number}"), Duration::from_millis(350)));
+    cell.answers_take("host-0", Duration::from_millis(500));
+    // Several times as long as a leader that the store leaves alone takes to yield.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    assert_eq!(term(&hosts[0]), 1);
+    assert_eq!(submit(&hosts[1], 7, 1).await, Answer::Accepted);
+}
--- a/components/fakes/src/cell.rs
+++ b/components/fakes/src/cell.rs
@@ -68,6 +68,8 @@
     config_calls: usize,
     /// Calls of each host to the store; one that waits counts while it does.
     store_calls: BTreeMap<String, usize>,
+    /// How long the store takes to answer a host's reads and renewals.
+    answers_take: BTreeMap<String, Duration>,
     /// By name.
     workers: BTreeMap<String, Runner>,
     starts: Vec<(WorkerId, Task, Attempt)>,
@@ -177,6 +179,11 @@
         self.state.lock().store_calls.get(host).copied().unwrap_or_default()
     }
 
+    /// How long the store takes from now on to answer a host's reads of a key and renewals of leases.
+    pub fn answers_take(&self, host: &str, time: Duration) {
+        self.state.lock().answers_take.insert(host.to_owned(), time);
+    }
+
     /// The store answers this host no more, or again.
     pub fn turn_away(&self, host: &str, away: bool) {
         let mut state = self.state.lock();
@@ -310,6 +317,12 @@
         Ok(call(&mut state))
     }
 
+    /// An answer is on its way, as long as answers to this host take.
+    async fn answer(&self) {
+        let takes = self.cell.state.lock().answers_take.get(&self.host).copied().unwrap_or_default();
+        tokio::time::sleep(takes).await;
+    }
+
     async fn wait(&self, revision: u64, wait: Duration) -> Result<Change, Fault> {
         let mut changed = self.cell.changed.subscribe();
         // Leases run out without a call: the wait looks for that, too.
@@ -338,6 +351,7 @@
 #[async_trait]
 impl entry::Store for View {
     async fn get(&self, key: &str) -> Result<Read, Fault> {
+        self.answer().await;
         self.store(|state| Read { item: item(state, key), revision: state.revision })
     }
 
@@ -385,13 +399,15 @@
     }
 
     async fn keep(&self, lease: LeaseId) -> Result<bool, Fault> {
-        self.store(|state| match state.leases.get_mut(&lease) {
+        let kept = self.store(|state| match state.leases.get_mut(&lease) {
             Some(lease) => {
                 lease.ends = Instant::now() + lease.ttl;
                 true
             }
             None => false,
-        })
+        });
+        self.answer().await;
+        kept
     }
 
     async fn end(&self, lease: LeaseId) -> Result<(), Fault> {
