A job that an earlier leader placed and that never started counts as waiting

Change: it counts as begun while a worker may still run it unseen, and as waiting once all of them have answered without it. Its state stays 'running'. Test: red without the change.

--- a/components/sched/src/ends.rs
+++ b/components/sched/src/ends.rs
@@ -6,7 +6,7 @@
 use work::{Attempt, Outcome, Record, Step, Task, Unit};
 
 use crate::engine::{Clock, Engine};
-use crate::entry::{self, Placement};
+use crate::entry::{self, Begun, Placement};
 use crate::quota::Charge;
 use crate::worker::{Contact, End, FAILURES_IN_A_ROW, How, Phase, Report, Run, Running};
 
@@ -61,7 +61,7 @@
     /// A task of the job has begun.
     pub(crate) fn begin(&mut self, task: Task) {
         if let Some(entry) = self.jobs.get_mut(&task.unit.job) {
-            entry.begun = true;
+            entry.begun = Begun::Yes;
         }
     }
 
--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -10,7 +10,7 @@
 
 use crate::advice::Shares;
 use crate::assemble::Patience;
-use crate::entry::{Accepted, Ended, Entry, Phase, TaskState, UnitState};
+use crate::entry::{Accepted, Begun, Ended, Entry, Phase, TaskState, UnitState};
 use crate::latency::Latency;
 use crate::limits::{AUTHORITY, Limits};
 use crate::loss::{self, Passing};
@@ -279,7 +279,7 @@
         let units = BTreeMap::new();
         let workspace = owner.workspace.map(|name| self.quota.number(&name));
         let queue = owner.queue;
-        let entry = Entry { queue, workspace, job, accepted, begun: false, outcome: None, units, opened: 0 };
+        let entry = Entry { queue, workspace, job, accepted, begun: Begun::No, outcome: None, units, opened: 0 };
         self.jobs.insert(id, entry);
         self.live.insert(id);
     }
@@ -298,17 +298,26 @@
         let entry = self.jobs.get(&id)?;
         match entry.outcome {
             Some(ended) if ended.position <= self.durable => Some(State::Ended(ended.outcome)),
-            _ if entry.begun => Some(State::Running),
+            _ if entry.begun != Begun::No => Some(State::Running),
             _ => Some(State::Queued),
         }
     }
 
     /// Accepted jobs of a queue none of whose tasks has begun.
     pub fn waiting(&self, queue: &str) -> usize {
-        let waits = |entry: &&Entry| entry.queue == queue && !entry.begun && entry.job.schedule.is_none();
+        let waits = |entry: &&Entry| entry.queue == queue && self.waits(entry) && entry.job.schedule.is_none();
         self.live.iter().filter_map(|id| self.jobs.get(id)).filter(waits).count()
     }
 
+    /// Whether none of a job's tasks has begun, as far as is known. One that an earlier leader placed may never have been started.
+    pub(crate) fn waits(&self, entry: &Entry) -> bool {
+        match entry.begun {
+            Begun::No => true,
+            Begun::Placed => entry.units.values().all(|unit| self.resolved(unit)),
+            Begun::Yes => false,
+        }
+    }
+
     /// Takes the orders and questions that have come up.
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
--- a/components/sched/src/entry.rs
+++ b/components/sched/src/entry.rs
@@ -169,7 +169,7 @@
     /// When it was accepted, on this process's steady clock; earlier leaders' jobs may lie before its start.
     pub accepted: Accepted,
     /// Whether a task of it has begun.
-    pub begun: bool,
+    pub begun: Begun,
     pub outcome: Option<Ended>,
     /// Units that have been opened, by round and step.
     pub units: BTreeMap<(u32, u16), UnitState>,
@@ -177,6 +177,17 @@
     pub opened: u32,
 }
 
+/// What is known of whether a task of a job has begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Begun {
+    /// None has.
+    No,
+    /// An earlier leader has placed some: they may have begun where nobody has answered yet.
+    Placed,
+    /// One has.
+    Yes,
+}
+
 /// When a job was accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Accepted {
--- a/components/sched/src/quota.rs
+++ b/components/sched/src/quota.rs
@@ -262,7 +262,7 @@
         for entry in live {
             let Some(workspace) = entry.workspace.and_then(|number| found.get_mut(number)) else { continue };
             workspace.live += 1;
-            workspace.waiting += usize::from(!entry.begun);
+            workspace.waiting += usize::from(self.waits(entry));
         }
         found.sort_by(|a, b| a.name.cmp(&b.name));
         found
--- a/components/sched/src/restore.rs
+++ b/components/sched/src/restore.rs
@@ -8,7 +8,7 @@
 
 use crate::blame::Crash;
 use crate::engine::{Clock, Engine, Owner};
-use crate::entry::{Accepted, Ended, Inherited, Phase, TaskState, UnitState};
+use crate::entry::{Accepted, Begun, Ended, Inherited, Phase, TaskState, UnitState};
 use crate::loss::Lost;
 use crate::quota::Charge;
 use crate::worker::{Info, Worker};
@@ -139,13 +139,13 @@
         }
     }
 
-    /// The state of a unit that the log names: a round that a record names was open, and its job had begun.
-    fn replay_unit(&mut self, unit: Unit) -> Option<&mut UnitState> {
+    /// The state of a unit that the log names: a round that a record names was open, and its job had begun, or was about to.
+    fn replay_unit(&mut self, unit: Unit, begun: Begun) -> Option<&mut UnitState> {
         let entry = self.jobs.get_mut(&unit.job)?;
         while entry.opened <= unit.round && entry.opened < entry.job.rounds() {
             entry.open(entry.opened);
         }
-        entry.begun = true;
+        entry.begun = begun.max(entry.begun);
         entry.units.get_mut(&(unit.round, unit.step))
     }
 
@@ -153,7 +153,7 @@
         if let Some(charge) = self.jobs.get(&task.unit.job).and_then(|entry| entry.charge(task.unit.step)) {
             self.quota.replay_run(task, run.attempt, &run.worker, charge);
         }
-        let Some(unit) = self.replay_unit(task.unit) else { return };
+        let Some(unit) = self.replay_unit(task.unit, Begun::Placed) else { return };
         if let Some(state) = unit.tasks.get_mut(task.index as usize)
             && state.phase == Phase::Pending
         {
@@ -164,7 +164,7 @@
 
     fn replay_done(&mut self, task: Task) {
         let gang = self.step(task).is_some_and(|step| step.gang);
-        let Some(unit) = self.replay_unit(task.unit) else { return };
+        let Some(unit) = self.replay_unit(task.unit, Begun::Yes) else { return };
         let done = unit.done_with(task.index, gang);
         done.clone().for_each(|index| unit.set(index, Phase::Done));
         done.for_each(|index| self.quota.replay_done(Task { index: index as u32, ..task }));
@@ -173,7 +173,7 @@
     fn replay_failed(&mut self, task: Task, attempt: u64) {
         self.quota.replay_failed(task, attempt);
         let gang = self.step(task).is_some_and(|step| step.gang);
-        let Some(unit) = self.replay_unit(task.unit) else { return };
+        let Some(unit) = self.replay_unit(task.unit, Begun::Yes) else { return };
         let Some(failed) = unit.failures_mut(task.index, gang) else { return };
         if !failed.contains(&attempt) {
             failed.push(attempt);
@@ -181,7 +181,7 @@
     }
 
     fn replay_crash(&mut self, task: Task, crash: Crash) {
-        let Some(unit) = self.replay_unit(task.unit) else { return };
+        let Some(unit) = self.replay_unit(task.unit, Begun::Yes) else { return };
         if let Some(state) = unit.tasks.get_mut(task.index as usize) {
             state.hold_against(crash);
         }
@@ -196,7 +196,7 @@
         }
         let Some(entry) = self.jobs.get_mut(&id) else { return };
         entry.outcome = Some(Ended { outcome, position: 0, at: clock.now });
-        entry.begun = true;
+        entry.begun = Begun::Yes;
         entry.forget_work();
         self.live.remove(&id);
     }
--- a/components/sched/tests/decisions/main.rs
+++ b/components/sched/tests/decisions/main.rs
@@ -448,3 +448,19 @@
     cell.engine.list(cell.clock(), cell.infos.clone());
     assert!(!cell.engine.starting(&worker, start.task, start.attempt), "its worker leaves");
 }
+
+/// Callers see how many jobs wait: one whose start was recorded and never sent still does.
+#[test]
+fn a_job_that_was_placed_and_never_started_waits_after_a_takeover() {
+    let mut old = Cell::new(1).ready();
+    old.submit(1, "urgent", vec![step(1, 1)]);
+    let (worker, start) = old.starts().remove(0);
+    let mut new = Cell::after(1, 2, &old.log);
+    new.engine.list(new.clock(), new.infos.clone());
+    new.write();
+    assert_eq!(new.engine.waiting("urgent"), 0, "it may run");
+    new.report(&worker, &[], &[]);
+    assert_eq!(new.engine.waiting("urgent"), 1, "it doesn't");
+    new.report(&worker, &[running(&start)], &[]);
+    assert_eq!(new.engine.waiting("urgent"), 0, "the order was carried out late");
+}
