--- a/components/entry/src/reign/yielding.rs
+++ b/components/entry/src/reign/yielding.rs
@@ -64,7 +64,7 @@
             }
         } else if now - looked >= GIVE_WAY {
             looked = now;
-            let stronger = some(&reign, Some(reign.host.settings.claim_delay));
+            let stronger = strongest(&reign, Some(reign.host.settings.claim_delay));
             if let Some(follower) = served(stronger).await {
                 give(&reign, &follower, Cause::Weakness).await;
             }
@@ -76,7 +76,7 @@
 }
 
 /// Some of the strongest followers that can be asked now; with `below`, only those that wait less than this before they claim.
-fn some(reign: &Reign, below: Option<Duration>) -> Vec<Follower> {
+fn strongest(reign: &Reign, below: Option<Duration>) -> Vec<Follower> {
     let mut followers = reign.host.live_followers();
     followers.retain(|follower| below.is_none_or(|below| follower.claim_delay < below));
     followers.shuffle(&mut rand::rng());
@@ -99,7 +99,7 @@
     let follower = tokio::select! {
         // Refused or reset, it is no answer: whether followers get one decides.
         true = own.clone() => return None,
-        follower = served(some(reign, None)) => follower?,
+        follower = served(strongest(reign, None)) => follower?,
     };
     let took = reign.host.started.elapsed() - began;
     let left = OWN_TRY.max(took * OWN_TRIES).saturating_sub(took);
