Leftovers are written anew behind the records of tasks that are done

By reading: a leftover in front of its task's 'done' was taken for the run that had ended, and no longer counted. Test: red with the other order.

--- a/components/sched/src/restore.rs
+++ b/components/sched/src/restore.rs
@@ -8,7 +8,7 @@
 
 use crate::blame::Crash;
 use crate::engine::{Clock, Engine, Owner};
-use crate::entry::{Accepted, Begun, Ended, Inherited, Phase, TaskState, UnitState};
+use crate::entry::{Accepted, Begun, Ended, Entry, Inherited, Phase, TaskState, UnitState};
 use crate::loss::Lost;
 use crate::quota::Charge;
 use crate::worker::{Info, Worker};
@@ -207,28 +207,18 @@
         ids.into_iter().for_each(|id| self.rewrite_job(id, left.remove(&id).unwrap_or_default()));
     }
 
-    /// The same for one job, of which these placements are on workers whose end isn't known.
+    /// The same for one job, of which `left` may still be on workers besides the runs that its tasks wait for.
     fn rewrite_job(&mut self, id: JobId, left: Vec<Record>) {
         let workspace = self.workspace(id).cloned();
         let Some(entry) = self.jobs.get(&id) else { return };
-        if let Some(ended) = entry.outcome {
-            self.rewritten(Record::Ended { id, outcome: ended.outcome, workspace });
-            let leftover = |record: &Record| matches!(record, Record::Leftover { .. });
-            left.into_iter().filter(leftover).for_each(|record| self.rewritten(record));
-            return;
-        }
-        let mut records = vec![Record::Accepted {
-            id,
-            queue: entry.queue.clone(),
-            workspace,
-            at: entry.accepted.wall,
-            job: (*entry.job).clone(),
-        }];
-        records.extend(left);
-        for ((round, step), unit) in &entry.units {
-            let name = Unit { job: id, round: *round, step: *step };
-            records.extend(unit_records(name, unit));
-        }
+        // Behind the record of a task that is done: that one would be taken for the end of its leftover.
+        let (leftovers, placed): (Vec<_>, Vec<_>) =
+            left.into_iter().partition(|record| matches!(record, Record::Leftover { .. }));
+        let mut records = match entry.outcome {
+            Some(ended) => vec![Record::Ended { id, outcome: ended.outcome, workspace }],
+            None => live_records(id, entry, workspace, placed),
+        };
+        records.extend(leftovers);
         records.into_iter().for_each(|record| self.rewritten(record));
     }
 
@@ -275,6 +265,21 @@
     }
 }
 
+/// Records from which a job that goes on is rebuilt; it was `placed` on workers whose end isn't known, too.
+fn live_records(id: JobId, entry: &Entry, workspace: Option<WorkspaceName>, placed: Vec<Record>) -> Vec<Record> {
+    let accepted = Record::Accepted {
+        id,
+        queue: entry.queue.clone(),
+        workspace,
+        at: entry.accepted.wall,
+        job: (*entry.job).clone(),
+    };
+    let unit = |((round, step), unit): (&(u32, u16), &UnitState)| {
+        unit_records(Unit { job: id, round: *round, step: *step }, unit)
+    };
+    [accepted].into_iter().chain(placed).chain(entry.units.iter().flat_map(unit)).collect()
+}
+
 /// Records from which a unit is rebuilt.
 fn unit_records(name: Unit, unit: &UnitState) -> Vec<Record> {
     let mut records = Vec::new();
--- a/components/sched/tests/decisions/quota.rs
+++ b/components/sched/tests/decisions/quota.rs
@@ -112,6 +112,31 @@
     });
 }
 
+/// A task is done elsewhere while an order of it without an answer may be carried out on a silent worker; its job goes on.
+#[test]
+fn a_leftover_of_a_task_that_is_done_counts_once_the_log_is_written_anew() {
+    let mut before = Cell::shared(2).ready();
+    before.submit_for(SMALL, 1, "urgent", vec![step(1, 8), Step { after: vec![0], ..step(1, 8) }]);
+    let (worker, start) = before.starts().remove(0);
+    before.engine.ordered(before.clock(), &worker, start.task, start.attempt, OrderOutcome::Unknown);
+    let other = before.infos.keys().find(|id| **id != worker).cloned().expect("two workers");
+    let done = sched::End { number: 1, task: start.task, attempt: start.attempt, how: How::Done, saved: String::new() };
+    before.report(&other, &[], &[done]);
+    before.write();
+    let written = before.log.len();
+    before.engine.rewrite([1]);
+    before.rewrite_workers();
+    before.write();
+
+    let mut cell = Cell::shared_after(2, 2, &before.log[written..]);
+    cell.engine.list(cell.clock(), cell.infos.clone());
+    cell.write();
+    cell.report(&other, &[], &[]);
+    assert!(cell.starts().is_empty(), "8 of 8 cores may be in use");
+    cell.report(&worker, &[], &[]);
+    assert_eq!(cell.starts().len(), 1);
+}
+
 /// `clean` may write the log anew, and tells how much of it is removed.
 fn what_may_run_counts_after_a_takeover(clean: impl FnOnce(&mut Cell) -> usize) {
     let mut before = Cell::shared(2).ready();
