--- a/components/sched/src/quota.rs
+++ b/components/sched/src/quota.rs
@@ -10,7 +10,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
-use work::{Attempt, Config, Job, Record, Step, Task, WorkerId, WorkspaceName};
+use work::{Attempt, Config, Job, JobId, Record, Step, Task, WorkerId, WorkspaceName};
 
 use crate::engine::Engine;
 use crate::entry::Entry;
@@ -196,12 +196,14 @@
         }
     }
 
-    /// Records of what earlier leaders have placed, for the next one.
-    pub(crate) fn leftovers(&self) -> impl Iterator<Item = Record> {
-        let of_worker = |(worker, runs): (&WorkerId, &Vec<Earlier>)| {
-            runs.iter().filter_map(|run| self.leftover(worker, run.task, run.attempt, run.charge)).collect::<Vec<_>>()
-        };
-        self.inherited.iter().flat_map(of_worker)
+    /// Records of what earlier leaders have placed of these jobs, for the next one.
+    pub(crate) fn leftovers<'a>(&'a self, ids: &'a BTreeSet<JobId>) -> impl Iterator<Item = (JobId, Record)> + 'a {
+        let runs = self.inherited.iter().flat_map(|(worker, runs)| runs.iter().map(move |run| (worker, run)));
+        let wanted = runs.filter(|(_, run)| ids.contains(&run.task.unit.job));
+        wanted.filter_map(|(worker, run)| {
+            let record = self.leftover(worker, run.task, run.attempt, run.charge)?;
+            Some((run.task.unit.job, record))
+        })
     }
 
     /// The record of a run that may go on without its task waiting for it.
--- a/components/sched/src/restore.rs
+++ b/components/sched/src/restore.rs
@@ -1,6 +1,6 @@
 //! Rebuilds the book from the log, and writes a job anew when its part of the log is removed.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -203,7 +203,8 @@
 
     /// Everything that must be kept of jobs, as new records: of an ended one, only how it ended. Nothing for a job that is no longer kept.
     pub fn rewrite(&mut self, ids: impl IntoIterator<Item = JobId>) {
-        let mut left = self.left_behind();
+        let ids: BTreeSet<JobId> = ids.into_iter().collect();
+        let mut left = self.left_behind(&ids);
         ids.into_iter().for_each(|id| self.rewrite_job(id, left.remove(&id).unwrap_or_default()));
     }
 
@@ -222,24 +223,23 @@
         records.into_iter().for_each(|record| self.rewritten(record));
     }
 
-    /// What may be on workers besides the runs that tasks wait for, by job. Placements on workers whose leases have run out and whose end
+    /// What may be on workers besides the runs that tasks of these jobs wait for, by job. Placements on workers whose leases have run out and whose end
     /// isn't known yet would count against no task once these records were gone, and leftovers against no limit.
-    fn left_behind(&self) -> HashMap<JobId, Vec<Record>> {
+    fn left_behind(&self, ids: &BTreeSet<JobId>) -> HashMap<JobId, Vec<Record>> {
         let mut found: HashMap<JobId, Vec<Record>> = HashMap::new();
         for (id, worker) in &self.workers {
-            for lost in &worker.left {
+            for lost in worker.left.iter().filter(|lost| ids.contains(&lost.task.unit.job)) {
                 let placed = Record::Placed { task: lost.task, attempt: lost.attempt, worker: id.clone() };
                 found.entry(lost.task.unit.job).or_default().push(placed);
             }
-            for ((task, attempt), run) in &worker.runs {
+            for ((task, attempt), run) in worker.runs.iter().filter(|((task, _), _)| ids.contains(&task.unit.job)) {
                 let Some(charge) = run.charge.filter(|_| !self.is_held(*task, id, *attempt)) else { continue };
                 let leftover = self.quota.leftover(id, *task, *attempt, charge);
                 found.entry(task.unit.job).or_default().extend(leftover);
             }
         }
-        for leftover in self.quota.leftovers() {
-            let Record::Leftover { task, .. } = &leftover else { continue };
-            found.entry(task.unit.job).or_default().push(leftover);
+        for (id, leftover) in self.quota.leftovers(ids) {
+            found.entry(id).or_default().push(leftover);
         }
         found
     }
@@ -248,7 +248,8 @@
     fn is_held(&self, task: Task, worker: &str, attempt: Attempt) -> bool {
         let live = self.live.contains(&task.unit.job);
         let state = self.unit(task.unit).and_then(|unit| unit.tasks.get(task.index as usize));
-        live && state.is_some_and(|state| state.phase == Phase::Held(worker.to_owned(), attempt))
+        live && state
+            .is_some_and(|state| matches!(&state.phase, Phase::Held(on, run) if on == worker && *run == attempt))
     }
 
     fn rewritten(&mut self, record: Record) {
