--- a/components/entry/examples/takeover.rs
+++ b/components/entry/examples/takeover.rs
@@ -14,7 +14,7 @@
 use tokio::time::sleep;
 use work::{Config, Job, JobId, Queue, Step, Term};
 
-/// Processor time of a call to a worker, as measured on the users' platform.
+/// Processor time of a call to a worker.
 const CALL: Duration = Duration::from_micros(100);
 /// Hosts that follow.
 const FOLLOWERS: usize = 40;
--- a/components/entry/src/election.rs
+++ b/components/entry/src/election.rs
@@ -386,9 +386,9 @@
         tokio::time::sleep(host.settings.lease_ttl / RENEWALS).await;
         let sent = host.started.elapsed();
         match host.edges.store.keep(lease).await {
-            Ok(kept) if kept => host.claim_kept.note(sent),
+            Ok(true) => host.claim_kept.note(sent),
             // The reign finds out, and writes the record anew.
-            Ok(_) => {}
+            Ok(false) => {}
             Err(fault) => emit!(host.log, events::PLATFORM_FAILED, "call" => "renewal of the lease",
                 "fault" => fault.to_string()),
         }
--- a/components/entry/tests/takeover.rs
+++ b/components/entry/tests/takeover.rs
@@ -45,6 +45,13 @@
     }
 }
 
+/// The first of both hosts stops. The term of the second, which leads then.
+async fn taken_over(hosts: &[Arc<entry::Host>]) -> work::Term {
+    hosts[0].stop().await;
+    until("the next leads", || leads(&hosts[1])).await;
+    term(&hosts[1])
+}
+
 /// Tasks that ran on workers as the leader changed wait for what became of them.
 #[tokio::test]
 async fn workers_on_which_tasks_were_placed_are_called_first() {
@@ -52,9 +59,7 @@
     let mut placed: Vec<WorkerId> = cell.starts().into_iter().map(|(worker, _, _)| worker).collect();
     placed.sort();
     placed.dedup();
-    hosts[0].stop().await;
-    until("the next leads", || leads(&hosts[1])).await;
-    let next = term(&hosts[1]);
+    let next = taken_over(&hosts).await;
     until("all workers are called", || cell.first_calls(next).len() >= WORKERS).await;
     let mut first: Vec<WorkerId> = cell.first_calls(next).into_iter().take(placed.len()).collect();
     first.sort();
@@ -68,9 +73,7 @@
 async fn few_workers_are_called_at_once() {
     let (cell, hosts) = before_takeover(WORKERS).await;
     cell.first_call_takes(Duration::from_millis(5));
-    hosts[0].stop().await;
-    until("the next leads", || leads(&hosts[1])).await;
-    let next = term(&hosts[1]);
+    let next = taken_over(&hosts).await;
     until("all workers are called", || cell.first_calls(next).len() >= WORKERS).await;
     assert!(cell.most_first_calls_at_once() <= AT_ONCE, "{} at once", cell.most_first_calls_at_once());
     assert_eq!(ends(&hosts[1], 7).await, Outcome::Completed);
@@ -81,9 +84,7 @@
 async fn silent_workers_hold_up_no_others() {
     let (cell, hosts) = before_takeover(WORKERS).await;
     cell.first_call_takes(Duration::from_secs(600));
-    hosts[0].stop().await;
-    until("the next leads", || leads(&hosts[1])).await;
-    let next = term(&hosts[1]);
+    let next = taken_over(&hosts).await;
     until("all workers are called", || cell.first_calls(next).len() >= WORKERS).await;
     assert_eq!(submit(&hosts[1], 8, 1).await, Answer::Accepted, "it leads all the same");
 }
@@ -93,9 +94,7 @@
 async fn a_new_leader_keeps_its_place_while_it_calls_its_workers() {
     let (cell, hosts) = before_takeover(THOUSANDS).await;
     cell.call_costs(Duration::from_micros(500));
-    hosts[0].stop().await;
-    until("the next leads", || leads(&hosts[1])).await;
-    let next = term(&hosts[1]);
+    let next = taken_over(&hosts).await;
     let called = |count: usize| cell.first_calls(next).len() >= count;
     assert_eq!(submit(&hosts[1], 8, 1).await, Answer::Accepted);
     assert!(!called(THOUSANDS), "a job is taken before all workers have been called");
