Requests that wait for a confirmed configuration are logged and counted; so are failed watches

The hypotheses of the incident differ in what a late answer waited for and which version decided. Event 622 tells both, 327 after how long a configuration is confirmed again, and a failed watch of the configuration is logged like a failed read (it was dropped).

--- a/components/entry/src/config.rs
+++ b/components/entry/src/config.rs
@@ -26,7 +26,7 @@
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(800);
 /// A call with an unknown key or path is only refused if the configuration was known to be the newest this recently.
 /// Watches are renewed every 1.5 s, and changes by operators must be in force after 2 s.
-const MAX_CONFIG_AGE: Duration = Duration::from_millis(1800);
+pub(crate) const MAX_CONFIG_AGE: Duration = Duration::from_millis(1800);
 /// How long such a call waits for a confirmation; the store answers watches, and the leader sends heartbeats, more
 /// often than that.
 const MAX_CONFIG_WAIT: Duration = Duration::from_millis(700);
@@ -42,9 +42,21 @@
     Unsure,
 }
 
+impl Admission {
+    /// Name in logs and metrics.
+    fn name(&self) -> &'static str {
+        match self {
+            Admission::Granted(..) => "granted",
+            Admission::Refused(_) => "refused",
+            Admission::Unsure => "unsure",
+        }
+    }
+}
+
 /// Reads the configuration whenever it may have changed.
 pub(crate) async fn run(host: Arc<Host>) {
     let mut outage = Outage::new("configuration");
+    let mut watch_outage = Outage::new("watch of the configuration");
     loop {
         let sent = host.started.elapsed();
         let (config, mut revision) = match host.services.directory.config().await {
@@ -60,7 +72,7 @@
             host.update_config(config, "store");
         }
         host.confirm_config(sent);
-        while let Some(seen) = wait_for_change(&host, revision).await {
+        while let Some(seen) = wait_for_change(&host, revision, &mut watch_outage).await {
             revision = seen;
         }
     }
@@ -68,13 +80,18 @@
 
 /// Waits for a change. Returns the revision to continue from if nothing has changed, `None` if the configuration must
 /// be read.
-async fn wait_for_change(host: &Host, revision: u64) -> Option<u64> {
+async fn wait_for_change(host: &Host, revision: u64, outage: &mut Outage) -> Option<u64> {
     if heartbeat::wait_for_newer_config(host).await {
         return None;
     }
     let leads = matches!(host.role(), Role::Leading(_));
     let wait = if leads { LEADER_WATCH_TIMEOUT } else { WATCH_TIMEOUT };
-    match host.services.directory.watch_config(revision, wait).await {
+    let result = host.services.directory.watch_config(revision, wait).await;
+    match &result {
+        Ok(_) => outage.succeeded(&host.log),
+        Err(error) => outage.failed(&host.log, error),
+    }
+    match result {
         Ok(WatchResult::Unchanged(seen)) => {
             host.confirm_config(host.started.elapsed());
             Some(seen)
@@ -126,6 +143,29 @@
 /// isn't recent, the call waits for a confirmation that it is. Such calls cause no load on the store or the leader,
 /// however many there are.
 pub(crate) async fn admit(host: &Host, name: &str, path: &str, key: Credential, until: Instant) -> Admission {
+    let arrived = Instant::now();
+    let (config, config_age) = (host.config().version, host.config_age());
+    let mut waited = false;
+    let admission = admit_confirmed(host, name, path, key, until, &mut waited).await;
+    if waited {
+        emit!(host.log, events::REQUEST_DELAYED, "path" => path, "outcome" => admission.name(),
+            "delayed_ms" => arrived.elapsed().as_millis() as u64, "config_at_arrival" => config,
+            "config" => host.config().version, "config_age_ms" => config_age.as_millis() as u64);
+        let labels = metrics::OutcomeLabels { outcome: admission.name() };
+        host.metrics.delayed_requests.get_or_create(&labels).inc();
+    }
+    admission
+}
+
+/// See [`admit`]. Sets `waited` if the call had to wait.
+async fn admit_confirmed(
+    host: &Host,
+    name: &str,
+    path: &str,
+    key: Credential,
+    until: Instant,
+    waited: &mut bool,
+) -> Admission {
     let until = until.min(Instant::now() + MAX_CONFIG_WAIT);
     let mut known = host.subscribe_config_confirmed();
     loop {
@@ -147,6 +187,7 @@
                 "config" => config.version, "config_age_ms" => age.as_millis() as u64);
             return if sure { Admission::Refused(refusal) } else { Admission::Unsure };
         }
+        *waited = true;
         // Wakes up when the configuration is confirmed again, or at the deadline.
         let _ = tokio::time::timeout(remaining, known.changed()).await;
     }
--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -182,11 +182,18 @@
 
     /// Records that no newer configuration than this host's was in force at this time.
     pub(crate) fn confirm_config(&self, at: Duration) {
-        self.config_confirmed_at.send_if_modified(|known| {
+        let age = self.config_age();
+        let mut first = false;
+        let later = self.config_confirmed_at.send_if_modified(|known| {
             let later = at > *known;
+            first = known.is_zero();
             *known = at.max(*known);
             later
         });
+        if later && !first && age >= config::MAX_CONFIG_AGE {
+            emit!(self.log, events::CONFIG_CONFIRMED, "version" => self.config().version,
+                "config_age_ms" => age.as_millis() as u64);
+        }
     }
 
     /// Subscribes to the times at which the configuration was known to be the newest.
--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -71,6 +71,8 @@
     LOOP_FAILED = 325, Error, "a loop of the leader panicked; its term ends";
     /// The follower that was asked to take over does not acknowledge the request.
     TAKEOVER_UNANSWERED = 326, Warning, "the host asked to take over leadership does not respond";
+    /// The configuration is known to be the newest again after a while without confirmation.
+    CONFIG_CONFIRMED = 327, Info, "configuration is confirmed again";
     WORKER_HELD = 401, Info, "worker held by this host";
     /// Another entry host holds the worker.
     WORKER_SUPERSEDED = 402, Info, "worker is held by another entry host";
@@ -122,6 +124,8 @@
     CALL_NOT_ADMITTED = 620, Info, "caller's request not admitted; nothing was done";
     /// A job could make progress but does not.
     JOB_STALLED = 621, Warning, "job has no running tasks although resources are free";
+    /// A request that the configuration doesn't allow had to wait because the configuration was not confirmed.
+    REQUEST_DELAYED = 622, Info, "caller's request waited for a confirmed configuration";
     /// An operator's command was carried out.
     COMMAND_DONE = 701, Info, "command carried out";
     /// An operator's command was not carried out.
--- a/components/metrics/src/jobs.rs
+++ b/components/metrics/src/jobs.rs
@@ -42,6 +42,8 @@
 pub struct JobMetrics {
     /// Callers' requests by queue, workspace, kind and status.
     pub requests: Family<RequestLabels, Counter>,
+    /// Requests that waited for a confirmed configuration, by the outcome of their admission.
+    pub delayed_requests: Family<OutcomeLabels, Counter>,
     /// Seconds from the receipt of a request to its response.
     pub request_seconds: Histogram,
     /// Orders to start a run, by outcome.
@@ -91,6 +93,7 @@
     fn default() -> Self {
         JobMetrics {
             requests: Family::default(),
+            delayed_requests: Family::default(),
             request_seconds: seconds_histogram(),
             starts: Family::default(),
             ends: Family::default(),
@@ -119,6 +122,11 @@
     pub fn registry(&self) -> Registry {
         let mut registry = Registry::with_prefix("walkhook");
         registry.register("job_requests", "Callers' requests by queue, call and status", self.requests.clone());
+        registry.register(
+            "delayed_requests",
+            "Requests that waited for a confirmed configuration, by outcome",
+            self.delayed_requests.clone(),
+        );
         registry.register("job_request_seconds", "From receipt to answer", self.request_seconds.clone());
         registry.register("job_starts", "Orders to start by outcome", self.starts.clone());
         registry.register("job_ends", "Ends of runs by how", self.ends.clone());
