A request waits for a confirmed configuration for half of the rollback slack, not for 0.7 s

Cause: a request that the host's configuration doesn't allow, while that configuration may be outdated, waited for up to 0.7 s and was then decided by whatever was in force, even by a version that was written after its arrival; requests that came meanwhile were decided at once by the older one. So the order of decisions could differ from the order of arrival by 0.7 s, where the platform allows 0.25 s (RollbackSlackMs, which nothing read).

Now a request waits for at most half of the slack, the rest is for the network, and is then refused with 503 and a time to come back. The wait ends when the configuration is replaced or confirmed, not only when it is confirmed. Holding all requests behind a waiting one was ruled out: one unknown path would stop a host's callers. Refusing at once was, too: most waits in calm times end by the next heartbeat.

The test was run on the code before: the waiting request was granted by version 3 after a later one by version 2.

--- a/components/entry/src/config.rs
+++ b/components/entry/src/config.rs
@@ -27,9 +27,6 @@
 /// A call with an unknown key or path is only refused if the configuration was known to be the newest this recently.
 /// Watches are renewed every 1.5 s, and changes by operators must be in force after 2 s.
 pub(crate) const MAX_CONFIG_AGE: Duration = Duration::from_millis(1800);
-/// How long such a call waits for a confirmation; the store answers watches, and the leader sends heartbeats, more
-/// often than that.
-const MAX_CONFIG_WAIT: Duration = Duration::from_millis(700);
 
 /// Result of checking a call on the host where it arrived.
 #[derive(Clone, Debug)]
@@ -143,52 +140,62 @@
 /// isn't recent, the call waits for a confirmation that it is. Such calls cause no load on the store or the leader,
 /// however many there are.
 pub(crate) async fn admit(host: &Host, name: &str, path: &str, key: Credential, until: Instant) -> Admission {
-    let arrived = Instant::now();
     let (config, config_age) = (host.config().version, host.config_age());
-    let mut waited = false;
-    let admission = admit_confirmed(host, name, path, key, until, &mut waited).await;
-    if waited {
-        emit!(host.log, events::REQUEST_DELAYED, "path" => path, "outcome" => admission.name(),
-            "delayed_ms" => arrived.elapsed().as_millis() as u64, "config_at_arrival" => config,
-            "config" => host.config().version, "config_age_ms" => config_age.as_millis() as u64);
-        let labels = metrics::OutcomeLabels { outcome: admission.name() };
-        host.metrics.delayed_requests.get_or_create(&labels).inc();
-    }
+    let arrived = Instant::now();
+    let refusal = match check(host, name, path, key) {
+        Ok(admission) => return admission,
+        Err(refusal) => refusal,
+    };
+    let wait = host.settings.max_admission_delay.min(until.saturating_duration_since(arrived));
+    let admission = match tokio::time::timeout(wait, check_when_confirmed(host, name, path, key)).await {
+        Ok(admission) => admission,
+        Err(_) => {
+            log_refusal(host, path, &refusal, false);
+            Admission::Unsure
+        }
+    };
+    emit!(host.log, events::REQUEST_DELAYED, "path" => path, "outcome" => admission.name(),
+        "delayed_ms" => arrived.elapsed().as_millis() as u64, "config_at_arrival" => config,
+        "config" => host.config().version, "config_age_ms" => config_age.as_millis() as u64);
+    host.metrics.delayed_requests.get_or_create(&metrics::OutcomeLabels { outcome: admission.name() }).inc();
     admission
 }
 
-/// See [`admit`]. Sets `waited` if the call had to wait.
-async fn admit_confirmed(
-    host: &Host,
-    name: &str,
-    path: &str,
-    key: Credential,
-    until: Instant,
-    waited: &mut bool,
-) -> Admission {
-    let until = until.min(Instant::now() + MAX_CONFIG_WAIT);
-    let mut known = host.subscribe_config_confirmed();
+/// Repeats [`check`] whenever the configuration is replaced or confirmed, until the call can be decided.
+async fn check_when_confirmed(host: &Host, name: &str, path: &str, key: Credential) -> Admission {
+    let mut configs = host.subscribe_config();
+    let mut confirmations = host.subscribe_config_confirmed();
     loop {
-        known.mark_unchanged();
-        let config = host.config();
-        if config.version == 0 {
-            return Admission::Unsure;
+        if let Ok(admission) = check(host, name, path, key) {
+            return admission;
         }
-        let refusal = match access::admit(&config, name, path, key) {
-            Ok((queue, client)) => return Admission::Granted(Box::new(queue.clone()), client),
-            Err(refusal) => refusal,
-        };
-        let age = host.config_age();
-        let certain = matches!(refusal, Refusal::Denied(Denial::Missing | Denial::Malformed));
-        let remaining = until.saturating_duration_since(Instant::now());
-        if certain || age < MAX_CONFIG_AGE || remaining.is_zero() {
-            let sure = certain || age < MAX_CONFIG_AGE;
-            emit!(host.log, events::CALL_NOT_ADMITTED, "path" => path, "why" => refusal.to_string(), "sure" => sure,
-                "config" => config.version, "config_age_ms" => age.as_millis() as u64);
-            return if sure { Admission::Refused(refusal) } else { Admission::Unsure };
+        // The host outlives its calls, so the senders aren't dropped.
+        tokio::select! {
+            _ = configs.changed() => {}
+            _ = confirmations.changed() => {}
         }
-        *waited = true;
-        // Wakes up when the configuration is confirmed again, or at the deadline.
-        let _ = tokio::time::timeout(remaining, known.changed()).await;
     }
 }
+
+/// Checks a call by the configuration in force. An error is the refusal of a configuration that may be outdated.
+fn check(host: &Host, name: &str, path: &str, key: Credential) -> Result<Admission, Refusal> {
+    let config = host.config();
+    if config.version == 0 {
+        return Ok(Admission::Unsure);
+    }
+    let refusal = match access::admit(&config, name, path, key) {
+        Ok((queue, client)) => return Ok(Admission::Granted(Box::new(queue.clone()), client)),
+        Err(refusal) => refusal,
+    };
+    let independent_of_config = matches!(refusal, Refusal::Denied(Denial::Missing | Denial::Malformed));
+    if !independent_of_config && host.config_age() >= MAX_CONFIG_AGE {
+        return Err(refusal);
+    }
+    log_refusal(host, path, &refusal, true);
+    Ok(Admission::Refused(refusal))
+}
+
+fn log_refusal(host: &Host, path: &str, refusal: &Refusal, sure: bool) {
+    emit!(host.log, events::CALL_NOT_ADMITTED, "path" => path, "why" => refusal.to_string(), "sure" => sure,
+        "config" => host.config().version, "config_age_ms" => host.config_age().as_millis() as u64);
+}
--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -34,6 +34,9 @@
     pub limits: sched::Limits,
     /// Time to live of the leader's lease in the store.
     pub lease_ttl: Duration,
+    /// How long a call may wait for a confirmed configuration. Calls that arrive meanwhile may be decided by the
+    /// configuration in force, so a longer wait would let this host go back to an older one for its callers.
+    pub max_admission_delay: Duration,
     /// Additional delay before this host claims leadership, so that a weak host leads only when no other does.
     pub claim_delay: Duration,
 }
--- a/components/entry/tests/access.rs
+++ b/components/entry/tests/access.rs
@@ -11,6 +11,10 @@
 use work::key::{Credential, Denial, Digest};
 use work::{Config, JobId, State, Workspace};
 
+/// Time within which a host's requests must be decided by the same configuration.
+const ROLLBACK_SLACK: Duration = Duration::from_millis(250);
+/// After this time without a confirmation a configuration may be outdated.
+const OUTDATED_AFTER: Duration = Duration::from_secs(5);
 /// Number of calls with invalid keys.
 const INVALID_CALLS: usize = 10_000;
 
@@ -145,6 +149,27 @@
     assert!(matches!(admit(&hosts[0], key("new")).await, Admission::Granted(..)));
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_waiting_request_is_not_decided_by_a_newer_configuration_than_later_requests() {
+    let cell = new_cell();
+    cell.set_config(config_with_keys(2, &[("rail", &["one"])]));
+    let host = start_hosts(&cell, 1).await.remove(0);
+    wait_until("the configuration", || host.config().version == 2).await;
+    cell.set_store_unavailable("host-0", true);
+    tokio::time::sleep(OUTDATED_AFTER).await;
+    let waiting = tokio::spawn({
+        let host = host.clone();
+        async move { admit(&host, key("new")).await }
+    });
+    tokio::time::sleep(ROLLBACK_SLACK).await;
+    let later = admit(&host, key("one")).await;
+    assert!(matches!(&later, Admission::Granted(_, client) if client.version == 2), "{later:?}");
+    cell.set_config(config_with_keys(3, &[("rail", &["new"])]));
+    cell.set_store_unavailable("host-0", false);
+    let earlier = waiting.await.expect("an admission");
+    assert!(matches!(earlier, Admission::Unsure), "{earlier:?}");
+}
+
 #[tokio::test]
 async fn jobs_stay_visible_to_their_sender_when_a_queue_becomes_private_or_public() {
     let cell = new_cell();
--- a/components/fakes/src/cell.rs
+++ b/components/fakes/src/cell.rs
@@ -22,6 +22,9 @@
 use crate::runner::Runner;
 use calls::{Calls, CommitInProgress, UnansweredCommit};
 
+/// How long calls wait for a confirmed configuration: half of the platform's bound for rollbacks, as on the platform.
+const MAX_ADMISSION_DELAY: Duration = Duration::from_millis(125);
+
 /// Duration and outcome of the runs that fake workers simulate.
 #[derive(Clone, Copy, Debug)]
 pub struct SimulatedRun {
@@ -243,6 +246,7 @@
             address: listener.local_addr()?.to_string(),
             limits: Limits::example(),
             lease_ttl: Duration::from_millis(1000),
+            max_admission_delay: MAX_ADMISSION_DELAY,
             claim_delay,
         };
         let host_view = Arc::new(HostView { cell: self.clone(), host: name.to_owned() });
