A host that knows of a newer configuration refuses no caller by its own

Callers got 404 or 401 from a host that had been told of a newer configuration a moment before: by the leader's heartbeat, or by the leader's refusal of a call that the host had admitted. Cause: only the age of the configuration counted, and one that was confirmed within 1.8 s counted as recent even when a newer one was known. After a refusal by the leader's version the next request went back to the host's own: the class of the incident, a decision by a configuration that isn't tied to what callers have already seen.

Messages between hosts are as before.

--- a/components/entry/src/config.rs
+++ b/components/entry/src/config.rs
@@ -188,7 +188,8 @@
         Err(refusal) => refusal,
     };
     let independent_of_config = matches!(refusal, Refusal::Denied(Denial::Missing | Denial::Malformed));
-    if !independent_of_config && host.config_age() >= MAX_CONFIG_AGE {
+    let outdated = host.config_age() >= MAX_CONFIG_AGE || host.heartbeats.is_config_outdated(config.version);
+    if outdated && !independent_of_config {
         return Err(refusal);
     }
     log_refusal(host, path, &refusal, true);
--- a/components/entry/src/heartbeat.rs
+++ b/components/entry/src/heartbeat.rs
@@ -24,7 +24,7 @@
 pub(crate) struct Heartbeats {
     /// When the followed leader was last certain to be the leader; `None` once it says that it isn't.
     leader_confirmed: watch::Sender<Option<Duration>>,
-    /// The newest version of the configuration that was announced.
+    /// The configuration has this version or a newer one, as far as other hosts have told.
     config_version: watch::Sender<u64>,
     /// The largest number of hosts known to have followed a leader.
     followers: AtomicU32,
@@ -43,13 +43,23 @@
     pub(crate) fn record(&self, alive: &Alive, sent: Duration) {
         self.leader_confirmed.send_replace(alive.unconfirmed_for.map(|age| sent.saturating_sub(age)));
         self.note_followers(alive.followers);
+        self.note_config_version(alive.config);
+    }
+
+    /// Records that the configuration has this version or a newer one.
+    pub(crate) fn note_config_version(&self, version: u64) {
         self.config_version.send_if_modified(|known| {
-            let newer = alive.config > *known;
-            *known = alive.config.max(*known);
+            let newer = version > *known;
+            *known = version.max(*known);
             newer
         });
     }
 
+    /// Whether a configuration newer than this version is known to exist.
+    pub(crate) fn is_config_outdated(&self, version: u64) -> bool {
+        *self.config_version.borrow() > version
+    }
+
     /// Records the number of followers and returns the largest one known. A new leader has few followers at first, so
     /// the maximum counts.
     pub(crate) fn note_followers(&self, followers: u32) -> u32 {
--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -353,6 +353,10 @@
                     outcome.ok()
                 }
             };
+            if let (Some(Answer::NotAdmitted(_)), Some(version)) = (&answer, call.admitted_by()) {
+                // Only a newer configuration denies what this host has admitted.
+                self.heartbeats.note_config_version(version + 1);
+            }
             match answer {
                 None | Some(Answer::NotLeader) => {}
                 // A leader that was replaced doesn't know the outcome; the next one does.
--- a/components/entry/src/message.rs
+++ b/components/entry/src/message.rs
@@ -96,6 +96,20 @@
     FetchConfig,
 }
 
+impl Call {
+    /// Version of the configuration by which the host that received the call admitted it; `None` for calls that aren't
+    /// a client's.
+    pub(crate) fn admitted_by(&self) -> Option<u64> {
+        match self {
+            Call::Submit { caller: Caller::Client(client), .. }
+            | Call::State { caller: Caller::Client(client), .. }
+            | Call::Cancel { caller: Caller::Client(client), .. }
+            | Call::Waiting { caller: Caller::Client(client), .. } => Some(client.version),
+            _ => None,
+        }
+    }
+}
+
 /// Response to a call.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Answer {
--- a/components/entry/tests/access.rs
+++ b/components/entry/tests/access.rs
@@ -170,6 +170,22 @@
     assert!(matches!(earlier, Admission::Unsure), "{earlier:?}");
 }
 
+#[tokio::test]
+async fn a_host_that_knows_of_a_newer_configuration_refuses_no_caller_by_its_own() {
+    let cell = new_cell();
+    cell.set_config(config_with_keys(2, &[("rail", &["one"])]));
+    let hosts = start_hosts(&cell, 2).await;
+    wait_until("the configuration", || hosts[1].config().version == 2).await;
+    let old = caller(&hosts[1], "one").await;
+    cell.set_config_silent("host-1", true);
+    cell.set_config(config_with_keys(3, &[("rail", &["new"])]));
+    wait_until("the leader knows", || hosts[0].config().version == 3).await;
+    let denied = Answer::NotAdmitted(AccessRefusal::Denied(Denial::Unknown));
+    assert_eq!(submit_as(&hosts[1], &old, 7, 1).await, denied);
+    let admission = admit(&hosts[1], key("new")).await;
+    assert_eq!(refusal(&admission), None, "{admission:?}");
+}
+
 #[tokio::test]
 async fn jobs_stay_visible_to_their_sender_when_a_queue_becomes_private_or_public() {
     let cell = new_cell();
--- a/components/fakes/src/cell.rs
+++ b/components/fakes/src/cell.rs
@@ -68,6 +68,8 @@
     config: Option<Config>,
     /// Reads and watches of the configuration.
     config_calls: usize,
+    /// Hosts whose reads and watches of the configuration are never answered.
+    silent_config_hosts: BTreeSet<String>,
     /// Calls of each host to the store. A watch adds a call each time it checks for a change.
     store_calls: BTreeMap<String, usize>,
     /// Delay of the store's answers to a host's reads of single keys and lease renewals.
@@ -350,6 +352,19 @@
 }
 
 impl HostView {
+    /// Counts a read or watch of the configuration. Never returns if such calls of this host aren't answered, even if
+    /// later ones are.
+    async fn begin_config_call(&self) {
+        let silent = {
+            let mut state = self.cell.state.lock();
+            state.config_calls += 1;
+            state.silent_config_hosts.contains(&self.host)
+        };
+        if silent {
+            std::future::pending().await
+        }
+    }
+
     /// Whether the next transaction is to be dropped; counts it if so.
     fn take_dropped_commit(&self) -> bool {
         let mut state = self.cell.state.lock();
@@ -429,14 +444,12 @@
 #[async_trait]
 impl entry::Directory for HostView {
     async fn config(&self) -> Result<(Option<Config>, u64), ServiceError> {
-        self.with_store(|state| {
-            state.config_calls += 1;
-            (state.config.clone(), state.revision)
-        })
+        self.begin_config_call().await;
+        self.with_store(|state| (state.config.clone(), state.revision))
     }
 
     async fn watch_config(&self, revision: u64, wait: Duration) -> Result<WatchResult, ServiceError> {
-        self.with_store(|state| state.config_calls += 1)?;
+        self.begin_config_call().await;
         self.wait_for_change(revision, wait).await
     }
 
--- a/components/fakes/src/cell/tampering.rs
+++ b/components/fakes/src/cell/tampering.rs
@@ -3,6 +3,17 @@
 use super::Cell;
 
 impl Cell {
+    /// Leaves reads and watches of the configuration by a host without an answer. Those that were sent before this
+    /// ends stay unanswered.
+    pub fn set_config_silent(&self, host: &str, silent: bool) {
+        let mut state = self.state.lock();
+        if silent {
+            state.silent_config_hosts.insert(host.to_owned());
+        } else {
+            state.silent_config_hosts.remove(host);
+        }
+    }
+
     /// Removes a key without telling the host that owns it.
     pub fn delete_key(&self, key: &str) {
         let mut state = self.state.lock();
