A new leader reads the configuration before it decides

The configuration is now read beside the log, for at most 0.6 s: without it the host leads by what it has, since without a leader nobody is served. On the code before the test failed: the new leader had version 1, the store version 2.

--- a/components/entry/src/config.rs
+++ b/components/entry/src/config.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use events::emit;
-use work::Queue;
 use work::key::{Credential, Denial};
+use work::{Config, Queue};
 
 use crate::access::{self, Client, Refusal};
 use crate::heartbeat;
@@ -19,6 +19,8 @@
 pub(crate) const WATCH_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Watch timeout of the leader, which informs all other hosts.
 const LEADER_WATCH_TIMEOUT: Duration = Duration::from_millis(500);
+/// A new leader doesn't wait longer than this for the configuration: without a leader, no call is answered at all.
+const LEADER_READ_TIMEOUT: Duration = Duration::from_millis(600);
 /// Delay after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// How long a host may take to answer while a configuration is transferred; long enough for a large one over a slow
@@ -65,16 +67,37 @@
             }
         };
         outage.succeeded(&host.log);
-        if let Some(config) = config {
-            host.update_config(config, "store");
-        }
-        host.confirm_config(sent);
+        apply_read(&host, config, sent);
         while let Some(seen) = wait_for_change(&host, revision, &mut watch_outage).await {
             revision = seen;
         }
     }
 }
 
+/// Applies the result of a read that was sent at `sent`.
+fn apply_read(host: &Host, config: Option<Config>, sent: Duration) {
+    if let Some(config) = config {
+        host.update_config(config, "store");
+    }
+    host.confirm_config(sent);
+}
+
+/// Reads the configuration for a new leader, which must not decide by an older one than its predecessor. [`run`] may
+/// still wait for the response to a call that it sent while the store was silent.
+pub(crate) async fn read_for_leader(host: &Host) {
+    let sent = host.started.elapsed();
+    match tokio::time::timeout(LEADER_READ_TIMEOUT, host.services.directory.config()).await {
+        Ok(Ok((config, _))) => apply_read(host, config, sent),
+        Ok(Err(error)) => log_failed_leader_read(host, &error.to_string()),
+        Err(_) => log_failed_leader_read(host, "no response in time"),
+    }
+}
+
+fn log_failed_leader_read(host: &Host, fault: &str) {
+    emit!(host.log, events::PLATFORM_FAILED, "call" => "configuration for a new leader", "fault" => fault,
+        "config" => host.config().version, "config_age_ms" => host.config_age().as_millis() as u64);
+}
+
 /// Waits for a change. Returns the revision to continue from if nothing has changed, `None` if the configuration must
 /// be read.
 async fn wait_for_change(host: &Host, revision: u64, outage: &mut Outage) -> Option<u64> {
--- a/components/entry/src/leadership.rs
+++ b/components/entry/src/leadership.rs
@@ -24,6 +24,7 @@
 use work::{JobId, State, Term, WorkerId};
 
 use crate::access::{self, Caller, Refusal, Scope};
+use crate::config;
 use crate::election::Predecessor;
 use crate::host::{Follower, Host};
 use crate::latest::LatestTime;
@@ -105,7 +106,8 @@
         // Read concurrently: a list of thousands of workers takes as long to read as the log, and nothing can start
         // without it.
         let worker_list = loops::read_worker_list(&host);
-        let found = parts::load(&host, &claim).await?;
+        let (found, ()) = tokio::join!(parts::load(&host, &claim), config::read_for_leader(&host));
+        let found = found?;
         let clock = host.clock();
         let mut engine = Engine::new(host.settings.limits, claim.term, host.config(), clock.now);
         let mut parts = Vec::new();
