A configuration read without an answer is sent again

Cause: reads that were sent while the store was silent (at 6.14, 6.70 and, by the leader, 7.14) had a time limit of 3 s, which is meant for large pages on slow links, and nothing else was asked meanwhile, although the leader's transactions were answered from 7.68 on.

A read that isn't answered within 0.6 s is sent again, then after 1.2 s more; the first answer counts, and the earlier reads go on, so that a large configuration on a slow link still arrives. A shorter time limit was ruled out for that reason.

--- a/components/entry/src/config.rs
+++ b/components/entry/src/config.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use events::emit;
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use work::key::{Credential, Denial};
 use work::{Config, Queue};
 
@@ -13,7 +14,7 @@
 use crate::host::{Host, Link, Role};
 use crate::message::{Answer, Call};
 use crate::outage::Outage;
-use crate::services::WatchResult;
+use crate::services::{ServiceError, WatchResult};
 
 /// Watches are renewed after this time: only the response to a watch shows that nothing has changed.
 pub(crate) const WATCH_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -21,6 +22,9 @@
 const LEADER_WATCH_TIMEOUT: Duration = Duration::from_millis(500);
 /// A new leader doesn't wait longer than this for the configuration: without a leader, no call is answered at all.
 const LEADER_READ_TIMEOUT: Duration = Duration::from_millis(600);
+/// A read of the configuration is sent again if it isn't answered within this time, then within twice this time, and
+/// so on until the first of them fails. Longer than a slow store takes.
+const FIRST_READ_REPEAT: Duration = Duration::from_millis(600);
 /// Delay after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// How long a host may take to answer while a configuration is transferred; long enough for a large one over a slow
@@ -57,8 +61,7 @@
     let mut outage = Outage::new("configuration");
     let mut watch_outage = Outage::new("watch of the configuration");
     loop {
-        let sent = host.started.elapsed();
-        let (config, mut revision) = match host.services.directory.config().await {
+        let ConfigRead { config, mut revision, sent } = match read(&host).await {
             Ok(found) => found,
             Err(error) => {
                 outage.failed(&host.log, &error);
@@ -74,6 +77,35 @@
     }
 }
 
+/// Result of a read of the configuration.
+struct ConfigRead {
+    config: Option<Config>,
+    /// Revision of the store at the time of the read.
+    revision: u64,
+    /// When the read was sent, on the monotonic clock.
+    sent: Duration,
+}
+
+async fn read_once(host: &Host) -> Result<ConfigRead, ServiceError> {
+    let sent = host.started.elapsed();
+    let (config, revision) = host.services.directory.config().await?;
+    Ok(ConfigRead { config, revision, sent })
+}
+
+/// Reads the configuration, and sends the read again while it isn't answered: a read that was sent to a silent store
+/// stays unanswered when the store is back. The earlier ones go on, as a large configuration may only be slow.
+async fn read(host: &Host) -> Result<ConfigRead, ServiceError> {
+    let mut reads = FuturesUnordered::new();
+    let mut pause = FIRST_READ_REPEAT;
+    loop {
+        reads.push(read_once(host));
+        tokio::select! {
+            Some(result) = reads.next() => return result,
+            () = tokio::time::sleep(pause) => pause *= 2,
+        }
+    }
+}
+
 /// Applies the result of a read that was sent at `sent`.
 fn apply_read(host: &Host, config: Option<Config>, sent: Duration) {
     if let Some(config) = config {
