--- a/components/entry/src/config.rs
+++ b/components/entry/src/config.rs
@@ -22,9 +22,10 @@
 const LEADER_WATCH_TIMEOUT: Duration = Duration::from_millis(500);
 /// A new leader doesn't wait longer than this for the configuration: without a leader, no call is answered at all.
 const LEADER_READ_TIMEOUT: Duration = Duration::from_millis(600);
-/// A read of the configuration is sent again if it isn't answered within this time, then within twice this time, and
-/// so on until the first of them fails. Longer than a slow store takes.
+/// A read of the configuration is sent again if it isn't answered within this time. Longer than a slow store takes.
 const FIRST_READ_REPEAT: Duration = Duration::from_millis(600);
+/// Time between the further repetitions. Shorter than the 2 s within which changes must be in force.
+const LATER_READ_REPEAT: Duration = Duration::from_millis(1200);
 /// Delay after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// How long a host may take to answer while a configuration is transferred; long enough for a large one over a slow
@@ -101,7 +102,7 @@
         reads.push(read_once(host));
         tokio::select! {
             Some(result) = reads.next() => return result,
-            () = tokio::time::sleep(pause) => pause *= 2,
+            () = tokio::time::sleep(pause) => pause = LATER_READ_REPEAT,
         }
     }
 }
