A watch that found no change confirms the configuration for the time when it ended at the store

A host whose machine had been suspended took the answer to a watch from before for a confirmation of this moment, and refused requests by a configuration that might be as old as the suspension, for up to 1.8 s. A watch ends at the store after the time that it asked for at the latest, so that counts now.

--- a/components/entry/src/config.rs
+++ b/components/entry/src/config.rs
@@ -139,6 +139,7 @@
     }
     let leads = matches!(host.role(), Role::Leading(_));
     let wait = if leads { LEADER_WATCH_TIMEOUT } else { WATCH_TIMEOUT };
+    let sent = host.started.elapsed();
     let result = host.services.directory.watch_config(revision, wait).await;
     match &result {
         Ok(_) => outage.succeeded(&host.log),
@@ -146,7 +147,8 @@
     }
     match result {
         Ok(WatchResult::Unchanged(seen)) => {
-            host.confirm_config(host.started.elapsed());
+            // The response may have waited for this host, which was suspended or busy.
+            host.confirm_config(host.started.elapsed().min(sent + wait));
             Some(seen)
         }
         Ok(WatchResult::Changed) => {
--- a/components/entry/tests/access.rs
+++ b/components/entry/tests/access.rs
@@ -170,6 +170,20 @@
     assert!(matches!(earlier, Admission::Unsure), "{earlier:?}");
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_host_resumed_from_suspension_refuses_no_caller_by_a_watch_from_before() {
+    let cell = new_cell();
+    cell.set_config(config_with_keys(2, &[("rail", &["one"])]));
+    let host = start_hosts(&cell, 1).await.remove(0);
+    wait_until("the configuration", || host.config().version == 2).await;
+    cell.suspend_host("host-0", OUTDATED_AFTER);
+    // The watch in progress is answered, later ones aren't.
+    cell.set_config_silent("host-0", true);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let admission = admit(&host, key("new")).await;
+    assert!(matches!(admission, Admission::Unsure), "{admission:?}");
+}
+
 #[tokio::test]
 async fn a_host_that_knows_of_a_newer_configuration_refuses_no_caller_by_its_own() {
     let cell = new_cell();
