--- a/components/node/src/claims.rs
+++ b/components/node/src/claims.rs
@@ -46,7 +46,7 @@
             owner_live: claim.as_ref().is_some_and(|claim| is_owner_live(shared, claim)),
         };
         match claim::next_step(view) {
-            Step::Leave => drop_partition(shared, number),
+            Step::Leave => drop_partition(shared, number, ReleaseReason::NotRecorded),
             Step::Release if !stable && shared.membership.presence() == Presence::Serving => {}
             step => steps.push((number, step)),
         }
@@ -65,10 +65,32 @@
     same_incarnation && matches!(state, Some(HostState::Live | HostState::Leaving))
 }
 
+/// Why this host stops acting as the owner of a partition.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum ReleaseReason {
+    /// The claim record doesn't name this host.
+    NotRecorded,
+    /// A neighbour knows a claim with a higher epoch.
+    Superseded,
+    /// Another live host ranks higher for the partition.
+    HandedOver,
+}
+
+impl ReleaseReason {
+    /// Name in logs.
+    fn name(self) -> &'static str {
+        match self {
+            ReleaseReason::NotRecorded => "not the recorded owner",
+            ReleaseReason::Superseded => "superseded by a later claim",
+            ReleaseReason::HandedOver => "handed over",
+        }
+    }
+}
+
 /// Drops the state of a partition that this host no longer owns.
-pub(crate) fn drop_partition(shared: &Shared, number: Partition) {
+pub(crate) fn drop_partition(shared: &Shared, number: Partition, reason: ReleaseReason) {
     if shared.partitions.set(number, None) {
-        events::emit!(shared.log, events::PARTITION_RELEASED, "partition" => number);
+        events::emit!(shared.log, events::PARTITION_RELEASED, "partition" => number, "why" => reason.name());
     }
 }
 
@@ -196,7 +218,7 @@
     for (number, _) in steps.iter().filter(|(_, step)| *step == Step::Release) {
         let Some((claim, _)) = shared.configuration.claim(shared.data_centre(), *number) else { continue };
         // This host must stop acting as the owner before the record changes.
-        drop_partition(shared, *number);
+        drop_partition(shared, *number, ReleaseReason::HandedOver);
         to_release.push((*number, Claim { owner: None, epoch: claim.epoch, change: Uuid::new_v4() }));
     }
     if to_release.is_empty() {
@@ -204,4 +226,7 @@
     }
     let outcome = shared.store.txn(Purpose::Claims, &claims_txn(shared, &to_release)).await;
     shared.record_platform_result(&outcome);
+    if let Err(error) = outcome {
+        events::emit!(shared.log, events::PLATFORM_FAILED, "call" => "release", "why" => error.to_string());
+    }
 }
--- a/components/node/src/recovery.rs
+++ b/components/node/src/recovery.rs
@@ -14,7 +14,7 @@
 use store::Purpose;
 use wire::{Answer, InventoryAnswer, Request};
 
-use crate::claims::drop_partition;
+use crate::claims::{ReleaseReason, drop_partition};
 use crate::held_workers;
 use crate::keys::{self, RecordKey};
 use crate::owner::OwnedPartition;
@@ -56,7 +56,7 @@
         let claim: Option<Claim> = keys::decode(&entry.value).ok();
         let is_own = claim.is_some_and(|claim| claim.owner.as_ref() == Some(&shared.owner) && claim.epoch == epoch);
         if !is_own {
-            drop_partition(shared, number);
+            drop_partition(shared, number, ReleaseReason::NotRecorded);
         }
         return is_own;
     }
@@ -86,7 +86,7 @@
         }
     }
     if inventories.iter().any(|inventory| inventory.epoch > epoch) {
-        drop_partition(shared, number);
+        drop_partition(shared, number, ReleaseReason::Superseded);
         return;
     }
     let missing = missing.or_else(|| find_unaccounted_worker(shared, &inventories));
