An owner paused in a platform outage confirms its claim with its neighbours in time

What operators would see: after a host was paused for longer than dead_after while the platform is unavailable, its partitions start nothing any more until the platform is back (event 105, ten times a second and more). Cause: the claim is confirmed with the platform first and, when that fails, with the neighbours, but the age of the confirmation counted from the first request. Where the platform's time limit (700 ms in the tests) is not below dead_after (600 ms), each confirmation was too old when it came; with the defaults (1.5 s and 2 s) the neighbours had half a second.

The age now counts from the request that confirmed the claim; a platform that answers too late counts like one that doesn't answer.

--- a/bins/walkhookd/tests/platform.rs
+++ b/bins/walkhookd/tests/platform.rs
@@ -4,12 +4,16 @@
 mod support;
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use api::Status;
 use fakes::{Control, Platform, any_port};
 use support::{Cell, FAST_TIMINGS, SERVICE, batch, wait_until};
 use uuid::Uuid;
 
+/// Longer than the largest gap between two checks of an owner's authority, `dead_after`.
+const LONG_PAUSE: Duration = Duration::from_millis(1500);
+
 #[tokio::test(flavor = "multi_thread")]
 async fn in_a_platform_outage_requests_are_served_and_new_workloads_are_not_accepted() {
     let cell = Cell::start(&[("gt-1", 2, 3)]).await;
@@ -147,6 +151,25 @@
     assert_eq!(cell.running_twice(), []);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_paused_in_a_platform_outage_acts_again() {
+    let platform = Platform::start(any_port()).await.expect("a free port");
+    let endpoints = BTreeMap::from([("gt-1", platform.add_endpoint().await.expect("a free port"))]);
+    let cell = Cell::start_with_platform(platform, &[("gt-1", 1, 2)], FAST_TIMINGS, &endpoints).await;
+    cell.submit(0, SERVICE).await;
+    cell.wait_for_rows(0, "show tasks where state = running", 4).await;
+    endpoints["gt-1"].set_cut_off(true);
+    cell.hosts[0].pause();
+    tokio::time::sleep(LONG_PAUSE).await;
+    cell.hosts[0].resume();
+    cell.workers.iter().for_each(|(_, worker)| worker.restart_empty());
+    wait_until("the instances run again", || async {
+        cell.workers.iter().map(|(_, worker)| worker.running().len()).sum::<usize>() == 4
+    })
+    .await;
+    assert_eq!(cell.running_twice(), []);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_slow_platform_is_handled_like_an_outage() {
     let cell = Cell::start(&[("gt-1", 2, 2)]).await;
--- a/components/node/src/recovery.rs
+++ b/components/node/src/recovery.rs
@@ -32,9 +32,7 @@
         return true;
     }
     events::emit!(shared.log, events::PAUSED, "partition" => number);
-    if !confirm_claim(shared, number, epoch).await {
-        return false;
-    }
+    let Some(asked_at) = confirm_claim(shared, number, epoch).await else { return false };
     let now = Instant::now();
     shared
         .partitions
@@ -45,9 +43,11 @@
         .unwrap_or(false)
 }
 
-/// Confirms a claim with the platform or, if it can't be reached, with the neighbours. In that case each of them must
-/// answer, and none may know a higher epoch.
-async fn confirm_claim(shared: &Arc<Shared>, number: Partition, epoch: u64) -> bool {
+/// Confirms a claim with the platform or, if it can't be reached or is slow, with the neighbours. In that case each of
+/// them must answer, and none may know a higher epoch. Returns when the requests that confirmed it were sent: the time
+/// that the platform took doesn't count for the neighbours.
+async fn confirm_claim(shared: &Arc<Shared>, number: Partition, epoch: u64) -> Option<Instant> {
+    let asked_platform_at = Instant::now();
     let record_key = RecordKey::Claim(shared.data_centre().clone(), number);
     let key = format!("{}{}", keys::cell_prefix(&shared.settings.cell), record_key.key());
     let read = shared.store.get(Purpose::Claims, &key).await;
@@ -57,16 +57,21 @@
         let is_own = claim.is_some_and(|claim| claim.owner.as_ref() == Some(&shared.owner) && claim.epoch == epoch);
         if !is_own {
             drop_partition(shared, number, ReleaseReason::NotRecorded);
+            return None;
+        }
+        if asked_platform_at.elapsed() <= shared.max_clock_gap() {
+            return Some(asked_platform_at);
         }
-        return is_own;
     }
+    let asked_neighbours_at = Instant::now();
     let neighbours = shared.membership.neighbours();
     let calls = neighbours.iter().map(|member| shared.peer_client.call(member.peer.peers, &Request::Epochs));
     let answers = join_all(calls).await;
-    answers.into_iter().all(|answer| match answer {
+    let confirmed = answers.into_iter().all(|answer| match answer {
         Ok(Answer::Epochs(epochs)) => epochs.iter().all(|(other, known)| *other != number || *known <= epoch),
         _ => false,
-    })
+    });
+    confirmed.then_some(asked_neighbours_at)
 }
 
 /// Announces the claim on a partition to all holders and reads their inventories. This is repeated until all workers
