A partition's owner keeps it until its release is written

What operators saw: in a data centre cut off from the platform, or with a platform that answers slowly, instances whose worker restarted stayed down, and changes that had arrived weren't carried out, until the platform was back. Cause: a host that joins gets its share of the partitions when the set of hosts has been unchanged for 2 s. Their owner dropped its state first and wrote the release then; when that write fails, the record still names a live owner, so the next one leaves the partition alone, and the old one has given it up. Nothing ends that but the platform.

Evidence: in the logs of all five failures 'partition released' comes 2.1 s after a host joined, with the platform away, and no host owns the partition again; with the events added since: why = handed over, then 'platform call failed, call = release' every 0.8 s.

Now the owner reads the claim first and keeps acting while the platform doesn't answer. While the release is being written it doesn't act, as the order of a release demands, but keeps its state. If the write fails or has no known outcome, it acts again once its claim is confirmed, by the platform or, without it, by all neighbours: whoever has claimed the partition meanwhile has told them a higher epoch before its first start. A partition taken back under a new tracker was ruled out, since that would number its attempts anew under the same epoch. The owner's loop no longer waits for the write.

--- a/bins/walkhookd/tests/platform.rs
+++ b/bins/walkhookd/tests/platform.rs
@@ -170,6 +170,50 @@
     assert_eq!(cell.running_twice(), []);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_partition_whose_release_cannot_be_written_keeps_its_owner() {
+    let platform = Platform::start(any_port()).await.expect("a free port");
+    let endpoints = BTreeMap::from([("gt-1", platform.add_endpoint().await.expect("a free port"))]);
+    let mut cell = Cell::start_with_platform(platform, &[("gt-1", 2, 3)], FAST_TIMINGS, &endpoints).await;
+    cell.hosts[1].kill();
+    // Enough workloads for every partition.
+    for number in 0..8 {
+        cell.submit(0, &batch(&format!("long-{number}"), 1, 1, "run 10m")).await;
+    }
+    cell.wait_for_rows(0, "show tasks where state = running", 8).await;
+    cell.hosts[1].restart();
+    cell.wait_until_ready(1).await;
+    endpoints["gt-1"].set_cut_off(true);
+    wait_until("a release fails", || async { cell.hosts[0].log().contains(r#""call":"release""#) }).await;
+    cell.workers.iter().for_each(|(_, worker)| worker.restart_empty());
+    wait_until("the tasks run again", || async {
+        cell.workers.iter().map(|(_, worker)| worker.running().len()).sum::<usize>() == 8
+    })
+    .await;
+    assert_eq!(cell.running_twice(), []);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_partition_whose_release_is_not_answered_gets_its_next_owner() {
+    let mut cell = Cell::start(&[("gt-1", 2, 3)]).await;
+    cell.hosts[1].kill();
+    for number in 0..8 {
+        cell.submit(0, &batch(&format!("long-{number}"), 1, 1, "run 10m")).await;
+    }
+    cell.wait_for_rows(0, "show tasks where state = running", 8).await;
+    let recoveries = |cell: &Cell| cell.hosts[1].log().matches("partition recovered").count();
+    let before = recoveries(&cell);
+    cell.hosts[1].restart();
+    cell.wait_until_ready(1).await;
+    cell.platform.control(Control { lose_answers: 1, ..Control::default() });
+    wait_until("the next owner is ready", || async { recoveries(&cell) > before }).await;
+    for number in 0..8 {
+        cell.submit(0, &batch(&format!("more-{number}"), 1, 1, "run 10m")).await;
+    }
+    cell.wait_for_rows(0, "show tasks where state = running", 16).await;
+    assert_eq!(cell.started_more_than_once(), []);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_slow_platform_is_handled_like_an_outage() {
     let cell = Cell::start(&[("gt-1", 2, 2)]).await;
--- a/bins/walkhookd/tests/support/mod.rs
+++ b/bins/walkhookd/tests/support/mod.rs
@@ -143,6 +143,11 @@
         None
     }
 
+    /// Returns what the host has logged so far, in all of its processes.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.settings.with_extension("log")).expect("a log file")
+    }
+
     /// Starts a new process with the same settings, as when a host is replaced.
     pub fn restart(&mut self) {
         self.start();
--- a/components/claim/src/lib.rs
+++ b/components/claim/src/lib.rs
@@ -80,12 +80,14 @@
     max_gap: Duration,
     last_check: Instant,
     confirmed: bool,
+    /// Whether the authority was ended by [`Authority::revoke`], not by a pause.
+    revoked: bool,
 }
 
 impl Authority {
     /// Creates a confirmed authority. A gap between checks that is longer than `max_gap` counts as a pause.
     pub fn new(max_gap: Duration, now: Instant) -> Authority {
-        Authority { max_gap, last_check: now, confirmed: true }
+        Authority { max_gap, last_check: now, confirmed: true, revoked: false }
     }
 
     /// Returns whether the owner may act. Call this frequently, and immediately before each action.
@@ -97,12 +99,24 @@
         self.confirmed
     }
 
+    /// Ends the authority until the claim is confirmed.
+    pub fn revoke(&mut self) {
+        self.confirmed = false;
+        self.revoked = true;
+    }
+
+    /// Whether the authority was revoked and isn't confirmed since.
+    pub fn is_revoked(&self) -> bool {
+        self.revoked
+    }
+
     /// Records that the claim was confirmed by a request sent at `asked_at`. A confirmation that took longer than the
     /// largest gap is ignored, as this host may have been paused meanwhile.
     pub fn confirm(&mut self, asked_at: Instant, now: Instant) {
         if now.saturating_duration_since(asked_at) <= self.max_gap {
             self.last_check = now;
             self.confirmed = true;
+            self.revoked = false;
         }
     }
 }
--- a/components/claim/tests/claim.rs
+++ b/components/claim/tests/claim.rs
@@ -57,3 +57,14 @@
     authority.confirm(at(30), at(31));
     assert!(authority.check(at(31)));
 }
+
+#[test]
+fn revoked_authority_returns_with_a_confirmation() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let mut authority = Authority::new(Duration::from_secs(1), start);
+    authority.revoke();
+    assert!(!authority.check(at(100)) && authority.is_revoked());
+    authority.confirm(at(200), at(300));
+    assert!(authority.check(at(400)) && !authority.is_revoked());
+}
--- a/components/node/src/claims.rs
+++ b/components/node/src/claims.rs
@@ -17,7 +17,7 @@
 use crate::shared::Shared;
 
 /// How long to wait for the configuration of a claim's revision. A partition isn't opened without it.
-const CONFIGURATION_TIMEOUT: Duration = Duration::from_secs(2);
+pub(crate) const CONFIGURATION_TIMEOUT: Duration = Duration::from_secs(2);
 /// A live owner keeps its partitions until the set of live hosts has been unchanged for this long, so that hosts
 /// that come and go don't make partitions move back and forth.
 const RELEASE_DELAY: Duration = Duration::from_secs(2);
@@ -146,7 +146,7 @@
     }
 }
 
-fn claims_txn(shared: &Shared, claims: &[(Partition, Claim)]) -> Txn {
+pub(crate) fn claims_txn(shared: &Shared, claims: &[(Partition, Claim)]) -> Txn {
     let prefix = keys::cell_prefix(&shared.settings.cell);
     let mut txn = Txn::default();
     for (number, claim) in claims {
@@ -207,26 +207,8 @@
         visible_from: HashMap::new(),
         compared_at: now,
         unrecorded_lives: BTreeSet::new(),
+        releasing: false,
     };
     shared.partitions.set(number, Some(owned));
     events::emit!(shared.log, events::PARTITION_OWNED, "partition" => number, "epoch" => claim.epoch);
 }
-
-/// Releases partitions, so that their next owner can claim them at once.
-pub(crate) async fn release(shared: &Arc<Shared>, steps: &[(Partition, Step)]) {
-    let mut to_release = Vec::new();
-    for (number, _) in steps.iter().filter(|(_, step)| *step == Step::Release) {
-        let Some((claim, _)) = shared.configuration.claim(shared.data_centre(), *number) else { continue };
-        // This host must stop acting as the owner before the record changes.
-        drop_partition(shared, *number, ReleaseReason::HandedOver);
-        to_release.push((*number, Claim { owner: None, epoch: claim.epoch, change: Uuid::new_v4() }));
-    }
-    if to_release.is_empty() {
-        return;
-    }
-    let outcome = shared.store.txn(Purpose::Claims, &claims_txn(shared, &to_release)).await;
-    shared.record_platform_result(&outcome);
-    if let Err(error) = outcome {
-        events::emit!(shared.log, events::PLATFORM_FAILED, "call" => "release", "why" => error.to_string());
-    }
-}
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -20,6 +20,7 @@
 mod peers;
 mod pull;
 mod recovery;
+mod release;
 mod reservations;
 mod schedule;
 mod send;
--- a/components/node/src/owner.rs
+++ b/components/node/src/owner.rs
@@ -15,7 +15,7 @@
 use wire::StopOrder;
 
 use crate::shared::Shared;
-use crate::{claims, recovery, send};
+use crate::{claims, recovery, release, send};
 
 /// Time between two updates of the owned partitions.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -35,6 +35,15 @@
     pub(crate) compared_at: Instant,
     /// Lives of workloads that the platform has no record of, so that their attempts may be stopped.
     pub(crate) unrecorded_lives: BTreeSet<(WorkloadId, u32)>,
+    /// Whether its release is being written. Until the outcome is known, this host doesn't act as the owner.
+    pub(crate) releasing: bool,
+}
+
+impl OwnedPartition {
+    /// Whether this host may act as the owner now; see [`Authority::check`].
+    pub(crate) fn may_act(&mut self, now: Instant) -> bool {
+        self.authority.check(now) && !self.releasing
+    }
 }
 
 /// All partitions of the data centre, whether owned by this host or not.
@@ -42,11 +51,16 @@
     owned: Vec<Mutex<Option<OwnedPartition>>>,
     /// The live hosts, and since when the set has been unchanged.
     pub(crate) live_hosts: Mutex<(Vec<HostId>, Instant)>,
+    pub(crate) release: Mutex<release::Progress>,
 }
 
 impl Partitions {
     pub(crate) fn new(count: Partition, now: Instant) -> Partitions {
-        Partitions { owned: (0..count).map(|_| Mutex::new(None)).collect(), live_hosts: Mutex::new((Vec::new(), now)) }
+        Partitions {
+            owned: (0..count).map(|_| Mutex::new(None)).collect(),
+            live_hosts: Mutex::new((Vec::new(), now)),
+            release: Mutex::default(),
+        }
     }
 
     pub(crate) fn numbers(&self) -> impl Iterator<Item = Partition> + use<> {
@@ -82,7 +96,7 @@
         }
         let steps = claims::next_steps(&shared);
         claims::take_partitions(&shared, &steps).await;
-        claims::release(&shared, &steps).await;
+        release::start(&shared, &steps);
         let leaving = shared.facts.leaving();
         join_all(shared.partitions.owned_here().into_iter().map(|number| update_partition(&shared, number, &leaving)))
             .await;
--- a/components/node/src/recovery.rs
+++ b/components/node/src/recovery.rs
@@ -20,27 +20,27 @@
 use crate::owner::OwnedPartition;
 use crate::shared::Shared;
 
-/// Checks the authority over a partition. After a pause of this host the claim is confirmed first.
+/// Checks the authority over a partition. After a pause of this host, or after a release without a known outcome, the
+/// claim is confirmed first.
 pub(crate) async fn check_authority(shared: &Arc<Shared>, number: Partition) -> bool {
-    let asked_at = Instant::now();
-    let Some((valid, epoch)) =
-        shared.partitions.with(number, |owned| (owned.authority.check(asked_at), owned.tracker.epoch()))
-    else {
-        return false;
-    };
-    if valid {
-        return true;
+    let now = Instant::now();
+    let state = shared.partitions.with(number, |owned| {
+        (owned.may_act(now), owned.releasing, owned.authority.is_revoked(), owned.tracker.epoch())
+    });
+    let Some((may_act, releasing, revoked, epoch)) = state else { return false };
+    if may_act || releasing {
+        return may_act;
+    }
+    if !revoked {
+        events::emit!(shared.log, events::PAUSED, "partition" => number);
     }
-    events::emit!(shared.log, events::PAUSED, "partition" => number);
     let Some(asked_at) = confirm_claim(shared, number, epoch).await else { return false };
     let now = Instant::now();
-    shared
-        .partitions
-        .with(number, |owned| {
-            owned.authority.confirm(asked_at, now);
-            owned.authority.check(now)
-        })
-        .unwrap_or(false)
+    let may_act = shared.partitions.with(number, |owned| {
+        owned.authority.confirm(asked_at, now);
+        owned.may_act(now)
+    });
+    may_act.unwrap_or(false)
 }
 
 /// Confirms a claim with the platform or, if it can't be reached or is slow, with the neighbours. In that case each of
