A repeated command is answered by its receipt, also while its own workload stands in the way

What operators saw: a command sent again, since its first answer was lost, was answered 'not done: workload once exists and has not ended', although it had been carried out. Cause: the state of the workload was checked before the receipt, and the receipt was only read where a write conflicted; the state was the command's own effect. With tasks of 100 ms the workload had ended by the second try, unless the machine was busy.

Found by 24 copies of the platform tests beside load, in three of them a_command_whose_platform_response_is_lost_is_carried_out_once failed. Where the receipt can't be read, the outcome is now unknown, not 'not done'. The test failed on the code before: NotDone instead of Done.

--- a/bins/walkhookd/tests/platform.rs
+++ b/bins/walkhookd/tests/platform.rs
@@ -56,6 +56,18 @@
     assert!(cell.start_counts().values().all(|count| *count == 1));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_command_repeated_while_its_workload_runs_is_reported_as_done() {
+    let cell = Cell::start(&[("gt-1", 2, 2)]).await;
+    let command = Uuid::new_v4();
+    let plan = batch("once", 4, 1, "run 10m");
+    let first = cell.send_command(0, command, "submit plan.yaml", Some(&plan)).await.expect("a response");
+    assert_eq!(first.status, Status::Done, "{}", first.message);
+    cell.wait_for_rows(1, "show tasks where state = running", 4).await;
+    let again = cell.send_command(1, command, "submit plan.yaml", Some(&plan)).await.expect("a response");
+    assert_eq!((again.status, again.message), (first.status, first.message));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn of_two_concurrent_conditional_changes_exactly_one_succeeds() {
     let cell = Cell::start(&[("gt-1", 2, 3)]).await;
--- a/components/node/src/commands.rs
+++ b/components/node/src/commands.rs
@@ -13,7 +13,7 @@
 use serde::Deserialize;
 use store::Purpose;
 
-use crate::commit::{Change, CommitOutcome, resolve_outcome};
+use crate::commit::{Change, CommitOutcome, read_receipt, resolve_outcome};
 use crate::keys::{self, Drain, Receipt, RecordKey, Team};
 use crate::shared::Shared;
 use crate::show;
@@ -38,7 +38,7 @@
     wait_for_workload(shared, &statement).await;
     let change = match plan_change(shared, &statement, &command) {
         Ok(change) => change,
-        Err(reason) => return refuse(shared, &command, reason, None),
+        Err(reason) => return refuse_unless_done(shared, &command, reason).await,
     };
     let committed = shared.committer.commit(change.clone()).await;
     finish_command(shared, &command, &change, committed).await
@@ -77,6 +77,20 @@
     Outcome { retry_after_ms, ..Outcome::not_done(reason) }
 }
 
+/// Refuses a command that the configuration doesn't allow, unless it was carried out before: a repeated command is
+/// often refused because of its own effect.
+async fn refuse_unless_done(shared: &Shared, command: &Command, reason: String) -> Outcome {
+    match read_receipt(shared, command.command).await {
+        Ok(Some(receipt)) => receipt_outcome(receipt),
+        Ok(None) => refuse(shared, command, reason, None),
+        Err(error) => {
+            let why = format!("{reason}; whether the command was carried out before is unknown: {error}");
+            events::emit!(shared.log, events::COMMAND_UNKNOWN, "command" => command.command.to_string(), "why" => &why);
+            Outcome::unknown(why)
+        }
+    }
+}
+
 async fn finish_command(shared: &Arc<Shared>, command: &Command, change: &Change, committed: CommitOutcome) -> Outcome {
     match committed {
         CommitOutcome::Done(revision) => {
--- a/components/node/src/commit.rs
+++ b/components/node/src/commit.rs
@@ -212,7 +212,7 @@
     Ok(lease)
 }
 
-async fn read_receipt(shared: &Shared, command: CommandId) -> Result<Option<Receipt>, StoreError> {
+pub(crate) async fn read_receipt(shared: &Shared, command: CommandId) -> Result<Option<Receipt>, StoreError> {
     let entry = shared.store.get(Purpose::Acceptance, &keys::receipt_key(&shared.settings.cell, command)).await;
     shared.record_platform_result(&entry);
     let entry = entry?;
