The progress of a removed workload goes with its record, also where this host hasn't read it back

Its log shows revision 3 in force, while the progress was revision 4, which it had written itself and not yet got from its neighbour. The progress record stayed for good.

All progress records that the workload may have are now deleted.

--- a/components/node/src/sweep.rs
+++ b/components/node/src/sweep.rs
@@ -60,11 +60,9 @@
         txn.compares.push(Compare { key: record.clone(), mod_revision: *revision });
         txn.deletes.push(record);
         let shares = shared.configuration.workload(name).map(|known| known.record.shares.clone()).unwrap_or_default();
-        for data_centre in shares.into_keys() {
-            if shared.configuration.progress(&data_centre, name).is_some() {
-                txn.deletes.push(key(RecordKey::Progress(data_centre, name.clone())));
-            }
-        }
+        // Whether there is progress is only known at the platform: what this host has just written may not have come back.
+        let progress = shares.into_keys().map(|data_centre| key(RecordKey::Progress(data_centre, name.clone())));
+        txn.deletes.extend(progress);
     }
     txn
 }
