Ends of tasks are not written again once they are stored

Ends are queued every 0.1 s until they are marked as stored, so a second write could wait while the first was under way, and come after the removal; the progress record then stood for good. Before a write, it is now checked that the ends still are to be stored.

--- a/components/jobs/src/tracker.rs
+++ b/components/jobs/src/tracker.rs
@@ -433,6 +433,11 @@
         writes
     }
 
+    /// Whether the platform has yet to store ends of a workload's tasks.
+    pub fn has_unpersisted_ends(&self, workload: &str) -> bool {
+        self.unpersisted_ends.contains_key(workload)
+    }
+
     /// Records that the platform has stored the ends of these attempts, which may now be acknowledged.
     pub fn mark_persisted(&mut self, workload: &str, ends: &[StopOrder]) {
         let Some(waiting) = self.unpersisted_ends.get_mut(workload) else { return };
--- a/components/jobs/tests/book.rs
+++ b/components/jobs/tests/book.rs
@@ -90,7 +90,7 @@
     assert_eq!(progress, Progress { life: 1, finished: vec![(1, 1)] });
     tracker.mark_persisted(&name, &ends);
     assert_eq!(tracker.take_acknowledgements(), ends);
-    assert!(tracker.unpersisted_ends().is_empty());
+    assert!(tracker.unpersisted_ends().is_empty() && !tracker.has_unpersisted_ends(&name));
 }
 
 #[test]
--- a/components/node/src/commit.rs
+++ b/components/node/src/commit.rs
@@ -262,7 +262,13 @@
     loop {
         tokio::time::sleep(END_WRITE_INTERVAL).await;
         let ends = std::mem::take(&mut *shared.committer.ends.lock());
-        let mut remaining: Vec<_> = ends.into_iter().collect();
+        // Ends are queued again until they are marked as stored. A second write could come after the removal of the
+        // workload's records and create its progress anew.
+        let is_unpersisted = |partition: Partition, workload: &WorkloadId| {
+            shared.partitions.with(partition, |owned| owned.tracker.has_unpersisted_ends(workload)).unwrap_or(false)
+        };
+        let mut remaining: Vec<_> =
+            ends.into_iter().filter(|((partition, workload), _)| is_unpersisted(*partition, workload)).collect();
         while !remaining.is_empty() {
             let batch: Vec<_> = remaining.drain(..remaining.len().min(MAX_OPERATIONS / 2)).collect();
             write_end_batch(&shared, batch).await;
