A refusal counts as sure by the age that was read before the configuration

Between the two reads the configuration could be replaced and confirmed: the refusal by the old one then counted as recent. Found by reading; a matter of microseconds, no test.

--- a/components/entry/src/config.rs
+++ b/components/entry/src/config.rs
@@ -237,6 +237,8 @@
 
 /// Checks a call by the configuration in force. An error is the refusal of a configuration that may be outdated.
 fn check(host: &Host, name: &str, path: &str, key: Credential) -> Result<Admission, Refusal> {
+    // Read before the configuration, which may be replaced and confirmed meanwhile.
+    let age = host.config_age();
     let config = host.config();
     if config.version == 0 {
         return Ok(Admission::Unsure);
@@ -246,7 +248,7 @@
         Err(refusal) => refusal,
     };
     let independent_of_config = matches!(refusal, Refusal::Denied(Denial::Missing | Denial::Malformed));
-    let outdated = host.config_age() >= MAX_CONFIG_AGE || host.heartbeats.is_config_outdated(config.version);
+    let outdated = age >= MAX_CONFIG_AGE || host.heartbeats.is_config_outdated(config.version);
     if outdated && !independent_of_config {
         return Err(refusal);
     }
