A finished release leaves a partition alone that this host has claimed again

The new owner's record and its own next claim can arrive before the answer to the release is handled; dropping the partition then would drop the later claim's state, under which this host is the recorded owner. Found by reading; no test, since the order of the three answers can't be set from outside.

--- a/components/node/src/owner.rs
+++ b/components/node/src/owner.rs
@@ -51,6 +51,7 @@
     owned: Vec<Mutex<Option<OwnedPartition>>>,
     /// The live hosts, and since when the set has been unchanged.
     pub(crate) live_hosts: Mutex<(Vec<HostId>, Instant)>,
+    /// Progress of the release of partitions to hosts that rank higher for them.
     pub(crate) release: Mutex<release::Progress>,
 }
 
--- a/components/node/src/release.rs
+++ b/components/node/src/release.rs
@@ -67,14 +67,19 @@
     // Without this check, the partitions would be without an owner in each attempt during an outage.
     check_platform(shared, numbers).await?;
     let released: Vec<(Partition, Claim)> = numbers.iter().filter_map(|number| stop_acting(shared, *number)).collect();
+    if released.is_empty() {
+        return Ok(());
+    }
     let outcome = shared.store.txn(Purpose::Claims, &claims_txn(shared, &released)).await;
     shared.record_platform_result(&outcome);
     let written = outcome.as_ref().is_ok_and(|outcome| outcome.succeeded);
-    for (number, _) in released {
-        if written {
-            drop_partition(shared, number, ReleaseReason::HandedOver);
-        } else {
-            act_again(shared, number);
+    for (number, claim) in released {
+        // This host may own the partition under a later claim by now.
+        let epoch = shared.partitions.with(number, |owned| owned.tracker.epoch());
+        match epoch == Some(claim.epoch) {
+            true if written => drop_partition(shared, number, ReleaseReason::HandedOver),
+            true => act_again(shared, number),
+            false => {}
         }
     }
     let revision = outcome?.revision;
