--- a/bins/walkhookd/tests/platform.rs
+++ b/bins/walkhookd/tests/platform.rs
@@ -11,9 +11,26 @@
 use support::{Cell, FAST_TIMINGS, SERVICE, batch, wait_until};
 use uuid::Uuid;
 
+/// Number of workloads that is large enough for each partition to have one.
+const WORKLOADS: usize = 8;
 /// Longer than the largest gap between two checks of an owner's authority, `dead_after`.
 const LONG_PAUSE: Duration = Duration::from_millis(1500);
 
+/// Submits workloads of one task each to all partitions.
+async fn submit_to_all_partitions(cell: &Cell, name: &str) {
+    for number in 0..WORKLOADS {
+        cell.submit(0, &batch(&format!("{name}-{number}"), 1, 1, "run 10m")).await;
+    }
+}
+
+/// Kills host 1, and starts tasks in all partitions, which host 0 owns then. Returns the number of tasks.
+async fn leave_all_partitions_to_host_0(cell: &mut Cell) -> usize {
+    cell.hosts[1].kill();
+    submit_to_all_partitions(cell, "long").await;
+    cell.wait_for_rows(0, "show tasks where state = running", WORKLOADS).await;
+    WORKLOADS
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn in_a_platform_outage_requests_are_served_and_new_workloads_are_not_accepted() {
     let cell = Cell::start(&[("gt-1", 2, 3)]).await;
@@ -187,12 +204,7 @@
     let platform = Platform::start(any_port()).await.expect("a free port");
     let endpoints = BTreeMap::from([("gt-1", platform.add_endpoint().await.expect("a free port"))]);
     let mut cell = Cell::start_with_platform(platform, &[("gt-1", 2, 3)], FAST_TIMINGS, &endpoints).await;
-    cell.hosts[1].kill();
-    // Enough workloads for every partition.
-    for number in 0..8 {
-        cell.submit(0, &batch(&format!("long-{number}"), 1, 1, "run 10m")).await;
-    }
-    cell.wait_for_rows(0, "show tasks where state = running", 8).await;
+    let tasks = leave_all_partitions_to_host_0(&mut cell).await;
     cell.hosts[1].restart();
     cell.wait_until_ready(1).await;
     endpoints["gt-1"].set_cut_off(true);
@@ -202,7 +214,7 @@
     .await;
     cell.workers.iter().for_each(|(_, worker)| worker.restart_empty());
     wait_until("the tasks run again", || async {
-        cell.workers.iter().map(|(_, worker)| worker.running().len()).sum::<usize>() == 8
+        cell.workers.iter().map(|(_, worker)| worker.running().len()).sum::<usize>() == tasks
     })
     .await;
     assert_eq!(cell.running_twice(), []);
@@ -211,11 +223,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_partition_whose_release_is_not_answered_gets_its_next_owner() {
     let mut cell = Cell::start(&[("gt-1", 2, 3)]).await;
-    cell.hosts[1].kill();
-    for number in 0..8 {
-        cell.submit(0, &batch(&format!("long-{number}"), 1, 1, "run 10m")).await;
-    }
-    cell.wait_for_rows(0, "show tasks where state = running", 8).await;
+    let tasks = leave_all_partitions_to_host_0(&mut cell).await;
     let recoveries =
         |cell: &Cell| cell.hosts.iter().map(|host| host.log().matches("partition recovered").count()).sum::<usize>();
     let before = recoveries(&cell);
@@ -223,10 +231,8 @@
     cell.wait_until_ready(1).await;
     cell.platform.control(Control { lose_answers: 1, ..Control::default() });
     wait_until("the next owner is ready", || async { recoveries(&cell) > before }).await;
-    for number in 0..8 {
-        cell.submit(0, &batch(&format!("more-{number}"), 1, 1, "run 10m")).await;
-    }
-    cell.wait_for_rows(0, "show tasks where state = running", 16).await;
+    submit_to_all_partitions(&cell, "more").await;
+    cell.wait_for_rows(0, "show tasks where state = running", tasks * 2).await;
     assert_eq!(cell.started_more_than_once(), []);
 }
 
