--- a/components/node/src/release.rs
+++ b/components/node/src/release.rs
@@ -64,7 +64,7 @@
 }
 
 async fn release(shared: &Arc<Shared>, numbers: &[Partition]) -> Result<(), StoreError> {
-    // Without this check, the partitions would be without an owner in each attempt during an outage.
+    // Without this check, the partitions would be without an acting owner in each attempt during an outage.
     check_platform(shared, numbers).await?;
     let released: Vec<(Partition, Claim)> = numbers.iter().filter_map(|number| stop_acting(shared, *number)).collect();
     if released.is_empty() {
@@ -75,11 +75,11 @@
     let written = outcome.as_ref().is_ok_and(|outcome| outcome.succeeded);
     for (number, claim) in released {
         // This host may own the partition under a later claim by now.
-        let epoch = shared.partitions.with(number, |owned| owned.tracker.epoch());
-        match epoch == Some(claim.epoch) {
-            true if written => drop_partition(shared, number, ReleaseReason::HandedOver),
-            true => act_again(shared, number),
-            false => {}
+        let reclaimed = shared.partitions.with(number, |owned| owned.tracker.epoch() > claim.epoch).unwrap_or(false);
+        match written {
+            _ if reclaimed => {}
+            true => drop_partition(shared, number, ReleaseReason::HandedOver),
+            false => act_again(shared, number),
         }
     }
     let revision = outcome?.revision;
