--- a/components/fakes/src/cell.rs
+++ b/components/fakes/src/cell.rs
@@ -22,7 +22,7 @@
 use crate::runner::Runner;
 use calls::{Calls, CommitInProgress, UnansweredCommit};
 
-/// How long calls wait for a confirmed configuration: half of the platform's bound for rollbacks, as on the platform.
+/// How long calls wait for a confirmed configuration.
 const MAX_ADMISSION_DELAY: Duration = Duration::from_millis(125);
 
 /// Duration and outcome of the runs that fake workers simulate.
