--- a/components/entry/src/election.rs
+++ b/components/entry/src/election.rs
@@ -9,34 +9,23 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use anyhow::{Context, bail};
 use events::emit;
-use rand::Rng;
 use tokio::net::TcpStream;
-use work::Term;
 
+use crate::claim::{Predecessor, claim_if_free};
 use crate::config;
 use crate::heartbeat;
 use crate::host::{Host, Link, Role};
-use crate::leadership::{Claim, Leadership};
 use crate::message::{Alive, Answer, Call, Leader};
 use crate::peers::handle;
-use crate::services::{CommitOutcome, KeyValue, LeaseId, Put, Read, ServiceError, Transaction, WatchResult};
+use crate::services::{KeyValue, Read, ServiceError, WatchResult};
 
 /// Key of the leader's record.
 pub(crate) const LEADER_KEY: &str = "walkhook/leader";
-/// Key of the term counter.
-pub(crate) const TERM_KEY: &str = "walkhook/chain";
-/// Key that names the last leader that won a claim; it outlives the lease of the leader's record.
-const LAST_LEADER_KEY: &str = "walkhook/last";
 /// While there is no leader's record, it is read again after this time, whatever the watch returns.
 const NO_LEADER_POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// Timeout for connecting to another host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Timeout for a claim.
-const CLAIM_TIMEOUT: Duration = Duration::from_millis(900);
-/// Number of renewals within a lease's time to live.
-pub(crate) const RENEWALS_PER_LEASE: u32 = 4;
 /// Delay after a failed attempt.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// How often a follower pings the leader; also the timeout of a ping.
@@ -46,17 +35,6 @@
 /// If the leader's record is gone and its link was silent for this long (two heartbeats are missing), a follower
 /// claims leadership without asking the leader.
 const MAX_LINK_SILENCE: Duration = Duration::from_millis(650);
-/// Maximum random delay before a claim, so that hosts which see the leader gone don't all claim at once.
-const MAX_CLAIM_JITTER: Duration = Duration::from_millis(40);
-
-/// What is known about the previous leader.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Predecessor {
-    /// It has ended its leadership itself and grants no more leases.
-    Ended,
-    /// It may continue for a while.
-    Unknown,
-}
 
 /// Follows the leader's record, and claims leadership if there is none.
 pub(crate) async fn run(host: Arc<Host>) {
@@ -75,7 +53,7 @@
     }
 }
 
-async fn read_leader_record(host: &Host) -> Result<Read, ServiceError> {
+pub(crate) async fn read_leader_record(host: &Host) -> Result<Read, ServiceError> {
     let found = host.services.store.get(LEADER_KEY).await;
     host.note_store_answer(&found);
     found
@@ -99,7 +77,7 @@
     }
 }
 
-fn decode_leader(host: &Host, item: &KeyValue) -> Option<Leader> {
+pub(crate) fn decode_leader(host: &Host, item: &KeyValue) -> Option<Leader> {
     match postcard::from_bytes(&item.value) {
         Ok(leader) => Some(leader),
         Err(error) => {
@@ -269,14 +247,6 @@
     }
 }
 
-/// Term of the leader that this host follows.
-fn followed_term(host: &Host) -> Option<Term> {
-    match host.role() {
-        Role::Following(leader, _) => Some(leader.term),
-        Role::Leading(_) | Role::NoLeader => None,
-    }
-}
-
 fn follows(host: &Host, leader: &Leader) -> bool {
     matches!(host.role(), Role::Following(known, _) if known == *leader)
 }
@@ -294,163 +264,3 @@
         Role::NoLeader => claim_if_free(host, record_revision, Predecessor::Unknown).await,
     }
 }
-
-/// Claims leadership, unless this host is stopping. `record_revision` is the revision of the record that the claim
-/// replaces, 0 for none: a leader that was elected in between is kept.
-async fn claim_if_free(host: &Arc<Host>, record_revision: u64, predecessor: Predecessor) {
-    if host.stopping() || matches!(host.role(), Role::Leading(_)) {
-        return;
-    }
-    let known = followed_term(host);
-    let start_term = term_at_wait_start(host, predecessor).await;
-    let jitter = rand::rng().random_range(Duration::ZERO..MAX_CLAIM_JITTER);
-    let delay = match predecessor {
-        Predecessor::Ended => Duration::ZERO,
-        Predecessor::Unknown => host.settings.claim_delay,
-    };
-    tokio::time::sleep(jitter + delay).await;
-    // A leader was elected and lost during the wait: waits again, for its successor. Otherwise a host behind a slow
-    // link, which began to wait under the previous leader, would win the claim, and no jobs would be accepted while
-    // it reads the log.
-    if predecessor == Predecessor::Unknown && followed_term(host) > known {
-        return;
-    }
-    // If hundreds of hosts see the leader gone, all but the first few find its successor's record with a single read.
-    if predecessor == Predecessor::Unknown && !record_unchanged(host, record_revision).await {
-        return;
-    }
-    // One claim at a time: the loop that follows the record and the old leader may both request one.
-    let _guard = host.claim_lock.lock().await;
-    if host.claimed_term.load(Ordering::Acquire) != 0 {
-        return;
-    }
-    if let Err(error) = claim(host, record_revision, predecessor, start_term).await {
-        emit!(host.log, events::LEADERSHIP_CLAIM_FAILED, "fault" => format!("{error:#}"));
-        tokio::time::sleep(RETRY_DELAY).await;
-    }
-}
-
-/// Whether the leader's record still has this revision, 0 for none.
-async fn record_unchanged(host: &Host, record_revision: u64) -> bool {
-    let found = read_leader_record(host).await;
-    found.is_ok_and(|found| found.item.map_or(0, |item| item.revision) == record_revision)
-}
-
-/// Term at which a weak host starts waiting; if the term has changed after the wait, the host waits again. It may be
-/// too busy to notice the new leader by following it. Otherwise weak hosts would lead one after the other, each
-/// reading the log for most of its time as leader.
-async fn term_at_wait_start(host: &Host, predecessor: Predecessor) -> Option<Term> {
-    if predecessor == Predecessor::Ended || host.settings.claim_delay.is_zero() {
-        return None;
-    }
-    let item = host.services.store.get(TERM_KEY).await.ok()?.item?;
-    postcard::from_bytes(&item.value).ok()
-}
-
-/// Writes the next term and the leader's record in one transaction, then starts to lead.
-async fn claim(
-    host: &Arc<Host>,
-    record_revision: u64,
-    predecessor: Predecessor,
-    start_term: Option<Term>,
-) -> anyhow::Result<()> {
-    let store = &host.services.store;
-    let lease = async { store.grant_lease(host.settings.lease_ttl).await.context("creating a lease") };
-    let counter = async { store.get(TERM_KEY).await.context("reading the term counter") };
-    let last_leader = async { store.get(LAST_LEADER_KEY).await.context("reading the last leader") };
-    // Concurrently, since each of these calls is slow on a slow store.
-    let (lease, counter, last_leader) = tokio::try_join!(lease, counter, last_leader)?;
-    let (revision, old): (u64, Term) = match &counter.item {
-        None => (0, 0),
-        Some(item) => (item.revision, postcard::from_bytes(&item.value).context("decoding the term counter")?),
-    };
-    if start_term.is_some_and(|start_term| start_term != old) {
-        bail!("the term has changed during the claim delay");
-    }
-    let last_leader =
-        last_leader.item.and_then(|item| decode_leader(host, &item)).filter(|last_leader| last_leader.term == old);
-    let term = old + 1;
-    let leader = Leader {
-        host: host.settings.host.clone(),
-        incarnation: host.settings.incarnation,
-        address: host.settings.address.clone(),
-        term,
-    };
-    let confirmed_at = host.started.elapsed();
-    let transaction = Transaction {
-        expected: vec![(TERM_KEY.to_owned(), revision), (LEADER_KEY.to_owned(), record_revision)],
-        puts: vec![term_put(term)?, leader_put(&leader, lease)?, last_leader_put(&leader)?],
-        removes: Vec::new(),
-    };
-    let revision = match store.commit(&transaction, CLAIM_TIMEOUT).await {
-        Ok(CommitOutcome::Done(revision)) => revision,
-        Ok(CommitOutcome::Conflict(_)) => bail!("another host has claimed leadership first"),
-        Ok(CommitOutcome::NoLease) => bail!("the lease has expired"),
-        Err(ServiceError::Unknown(error)) => verify_claim(host, &leader).await.context(error)?,
-        Err(error) => return Err(error.into()),
-    };
-    emit!(host.log, events::LEADERSHIP_CLAIMED, "term" => term, "revision" => revision);
-    begin_leadership(
-        host,
-        Claim { term, revision, lease, leader, last_leader, record_revision: revision, confirmed_at },
-        predecessor,
-    )
-    .await
-}
-
-/// Renews the lease of a claim until its leadership begins, which then renews it itself.
-async fn renew_claim_lease(host: Arc<Host>, lease: LeaseId) {
-    loop {
-        tokio::time::sleep(host.settings.lease_ttl / RENEWALS_PER_LEASE).await;
-        let sent = host.started.elapsed();
-        match host.services.store.renew_lease(lease).await {
-            Ok(true) => host.claim_renewed_at.advance(sent),
-            // The new leadership notices this and writes the record again.
-            Ok(false) => {}
-            Err(error) => emit!(host.log, events::PLATFORM_FAILED, "call" => "renewal of the lease",
-                "fault" => error.to_string()),
-        }
-    }
-}
-
-/// Starts the leadership won by a claim. If the log can't be read, the host may claim again.
-async fn begin_leadership(host: &Arc<Host>, claim: Claim, predecessor: Predecessor) -> anyhow::Result<()> {
-    host.claim_renewed_at.advance(claim.confirmed_at);
-    host.claimed_term.store(claim.term, Ordering::Release);
-    // Reading a long log over a slow link may take longer than the lease lasts.
-    let keeper = tokio::spawn(renew_claim_lease(host.clone(), claim.lease)).abort_handle();
-    let start_term = Leadership::begin(host.clone(), claim, predecessor).await;
-    keeper.abort();
-    let leadership = match start_term {
-        Ok(leadership) => leadership,
-        Err(error) => {
-            host.claimed_term.store(0, Ordering::Release);
-            return Err(error.context("reading the log"));
-        }
-    };
-    host.set_role(Role::Leading(leadership));
-    Ok(())
-}
-
-/// Checks whether an unanswered claim was committed. Returns the revision of the term counter.
-async fn verify_claim(host: &Host, leader: &Leader) -> anyhow::Result<u64> {
-    let item = host.services.store.get(TERM_KEY).await?.item.context("the term counter is missing")?;
-    let now: Term = postcard::from_bytes(&item.value)?;
-    let record_revision = host.services.store.get(LEADER_KEY).await?.item.context("the leader's record is missing")?;
-    if now != leader.term || decode_leader(host, &record_revision).as_ref() != Some(leader) {
-        bail!("the claim was not committed");
-    }
-    Ok(item.revision)
-}
-
-fn term_put(term: Term) -> anyhow::Result<Put> {
-    Ok(Put { key: TERM_KEY.to_owned(), value: postcard::to_stdvec(&term)?, lease: 0 })
-}
-
-fn last_leader_put(leader: &Leader) -> anyhow::Result<Put> {
-    Ok(Put { key: LAST_LEADER_KEY.to_owned(), value: postcard::to_stdvec(leader)?, lease: 0 })
-}
-
-pub(crate) fn leader_put(leader: &Leader, lease: LeaseId) -> anyhow::Result<Put> {
-    Ok(Put { key: LEADER_KEY.to_owned(), value: postcard::to_stdvec(leader)?, lease })
-}
--- a/components/entry/src/leadership.rs
+++ b/components/entry/src/leadership.rs
@@ -26,8 +26,8 @@
 use work::{JobId, State, Term, WorkerId};
 
 use crate::access::{self, Caller, Refusal, Scope};
+use crate::claim::Predecessor;
 use crate::config;
-use crate::election::Predecessor;
 use crate::host::{Follower, Host};
 use crate::latest::LatestTime;
 use crate::message::{Answer, Call, Leader};
--- a/components/entry/src/leadership/commit.rs
+++ b/components/entry/src/leadership/commit.rs
@@ -18,7 +18,7 @@
 use work::log::{FIRST_PART, Part, PartId};
 use work::{Record, format_job_id};
 
-use crate::election::{TERM_KEY, leader_put};
+use crate::claim::{TERM_KEY, leader_put};
 use crate::leadership::Leadership;
 use crate::leadership::parts::{self, part_key};
 use crate::services::{CommitOutcome, Put, ServiceError, Transaction};
--- a/components/entry/src/leadership/loops.rs
+++ b/components/entry/src/leadership/loops.rs
@@ -10,7 +10,7 @@
 use tokio::task::JoinHandle;
 use work::{Evidence, WorkerId};
 
-use crate::election::RENEWALS_PER_LEASE;
+use crate::claim::RENEWALS_PER_LEASE;
 use crate::host::Host;
 use crate::leadership::{Leadership, advice, orders, renewal, usage};
 use crate::outage::Outage;
--- a/components/entry/src/leadership/parts.rs
+++ b/components/entry/src/leadership/parts.rs
@@ -8,7 +8,7 @@
 use work::log::{Part, PartId};
 use work::{JobId, Record, WorkerId};
 
-use crate::election::TERM_KEY;
+use crate::claim::TERM_KEY;
 use crate::host::Host;
 use crate::leadership::{Claim, Leadership};
 use crate::services::{CommitOutcome, KeyValue, ServiceError, Transaction};
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! log to the store. The other hosts forward calls to the leader and query the advice service on its behalf.
 
 mod access;
+mod claim;
 mod config;
 mod election;
 mod heartbeat;
