--- a/components/entry/src/claim.rs
+++ b/components/entry/src/claim.rs
@@ -37,12 +37,55 @@
     Unknown,
 }
 
+/// Why a host claims leadership.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Cause {
+    /// No leader is known.
+    NoLeader,
+    /// The record names an earlier process of this host.
+    OwnRecord,
+    /// Another process answers at the leader's address.
+    LeaderReplaced,
+    /// The leader was silent for too long to be asked.
+    LeaderSilent,
+    /// The leader didn't answer.
+    LeaderUnanswered,
+    /// The leader said that it isn't certain to lead.
+    LeaderUncertain,
+    /// The leader asked this host to take over.
+    Requested,
+}
+
+impl Cause {
+    /// Description for the log.
+    pub(crate) fn text(self) -> &'static str {
+        match self {
+            Cause::NoLeader => "no leader is known",
+            Cause::OwnRecord => "the record names an earlier process of this host",
+            Cause::LeaderReplaced => "another process answers at the leader's address",
+            Cause::LeaderSilent => "the leader is silent",
+            Cause::LeaderUnanswered => "the leader doesn't answer",
+            Cause::LeaderUncertain => "the leader isn't certain to lead",
+            Cause::Requested => "the leader asks for it",
+        }
+    }
+
+    fn predecessor(self) -> Predecessor {
+        match self {
+            Cause::Requested => Predecessor::Ended,
+            _ => Predecessor::Unknown,
+        }
+    }
+}
+
 /// Claims leadership, unless this host is stopping. `record_revision` is the revision of the record that the claim
 /// replaces, 0 for none: a leader that was elected in between is kept.
-pub(crate) async fn claim_if_free(host: &Arc<Host>, record_revision: u64, predecessor: Predecessor) {
+pub(crate) async fn claim_if_free(host: &Arc<Host>, record_revision: u64, cause: Cause) {
     if host.stopping() || matches!(host.role(), Role::Leading(_)) {
         return;
     }
+    let predecessor = cause.predecessor();
+    let began_at = host.started.elapsed();
     let known = followed_term(host);
     let start_term = term_at_wait_start(host, predecessor).await;
     let jitter = rand::rng().random_range(Duration::ZERO..MAX_CLAIM_JITTER);
@@ -66,7 +109,7 @@
     if host.claimed_term.load(Ordering::Acquire) != 0 {
         return;
     }
-    if let Err(error) = claim(host, record_revision, predecessor, start_term).await {
+    if let Err(error) = claim(host, record_revision, cause, began_at, start_term).await {
         emit!(host.log, events::LEADERSHIP_CLAIM_FAILED, "fault" => format!("{error:#}"));
         tokio::time::sleep(RETRY_DELAY).await;
     }
@@ -97,11 +140,13 @@
     postcard::from_bytes(&item.value).ok()
 }
 
-/// Writes the next term and the leader's record in one transaction, then starts to lead.
+/// Writes the next term and the leader's record in one transaction, then starts to lead. `began_at` is when this host
+/// first saw the cause.
 async fn claim(
     host: &Arc<Host>,
     record_revision: u64,
-    predecessor: Predecessor,
+    cause: Cause,
+    began_at: Duration,
     start_term: Option<Term>,
 ) -> anyhow::Result<()> {
     let store = &host.services.store;
@@ -139,11 +184,13 @@
         Err(ServiceError::Unknown(error)) => verify_claim(host, &leader).await.context(error)?,
         Err(error) => return Err(error.into()),
     };
-    emit!(host.log, events::LEADERSHIP_CLAIMED, "term" => term, "revision" => revision);
+    emit!(host.log, events::LEADERSHIP_CLAIMED, "term" => term, "revision" => revision, "why" => cause.text(),
+        "claim_delay_ms" => host.settings.claim_delay.as_millis() as u64,
+        "waited_ms" => (confirmed_at - began_at).as_millis() as u64);
     begin_leadership(
         host,
         Claim { term, revision, lease, leader, last_leader, record_revision: revision, confirmed_at },
-        predecessor,
+        cause.predecessor(),
     )
     .await
 }
--- a/components/entry/src/election.rs
+++ b/components/entry/src/election.rs
@@ -12,7 +12,7 @@
 use events::emit;
 use tokio::net::TcpStream;
 
-use crate::claim::{Predecessor, claim_if_free};
+use crate::claim::{Cause, claim_if_free};
 use crate::config;
 use crate::heartbeat;
 use crate::host::{Host, Link, Role};
@@ -95,7 +95,7 @@
         let current = host.claimed_term.load(Ordering::Acquire) == leader.term;
         if !(own && current) {
             // The record is from an earlier process of this host, which must have ended.
-            claim_if_free(host, record_revision, Predecessor::Unknown).await;
+            claim_if_free(host, record_revision, Cause::OwnRecord).await;
         }
         return;
     }
@@ -145,7 +145,7 @@
             // Another process has taken over the leader's address: the leader is gone.
             host.set_role(Role::NoLeader);
             if let Some(record_revision) = record_revision {
-                claim_if_free(host, record_revision, Predecessor::Unknown).await;
+                claim_if_free(host, record_revision, Cause::LeaderReplaced).await;
             }
         }
         Err(_) => link.close(),
@@ -174,7 +174,7 @@
 
 /// Replaces the leader at its own request. Boxed, like [`connect_to`].
 pub(crate) fn take_over(host: Arc<Host>, record_revision: u64) -> Pin<Box<dyn Future<Output = ()> + Send>> {
-    Box::pin(async move { claim_if_free(&host, record_revision, Predecessor::Ended).await })
+    Box::pin(async move { claim_if_free(&host, record_revision, Cause::Requested).await })
 }
 
 async fn dial(host: &Arc<Host>, leader: &Leader) -> Option<Arc<Link>> {
@@ -255,12 +255,29 @@
 async fn handle_missing_record(host: &Arc<Host>, record_revision: u64) {
     match host.role() {
         Role::Leading(leadership) => leadership.request_record_rewrite(),
-        Role::Following(_, link) => {
-            let silent = link.time_since_last_frame() > MAX_LINK_SILENCE;
-            if silent || link.call(Call::Missing, PING_INTERVAL).await != Ok(Answer::Done) {
-                claim_if_free(host, record_revision, Predecessor::Unknown).await;
+        Role::Following(leader, link) => {
+            if let Some(cause) = ask_about_record(host, &leader, &link).await {
+                claim_if_free(host, record_revision, cause).await;
             }
         }
-        Role::NoLeader => claim_if_free(host, record_revision, Predecessor::Unknown).await,
+        Role::NoLeader => claim_if_free(host, record_revision, Cause::NoLeader).await,
     }
 }
+
+/// Asks the followed leader about its missing record. Returns why it has to be replaced, or `None` if it still leads.
+async fn ask_about_record(host: &Host, leader: &Leader, link: &Link) -> Option<Cause> {
+    let asked_at = host.started.elapsed();
+    let silence = link.time_since_last_frame();
+    let cause = match silence > MAX_LINK_SILENCE {
+        true => Some(Cause::LeaderSilent),
+        false => match link.call(Call::Missing, PING_INTERVAL).await {
+            Ok(Answer::Done) => None,
+            Ok(_) => Some(Cause::LeaderUncertain),
+            Err(_) => Some(Cause::LeaderUnanswered),
+        },
+    };
+    emit!(host.log, events::LEADER_RECORD_MISSING, "leader" => &leader.host, "term" => leader.term,
+        "outcome" => cause.map_or("the leader still leads", Cause::text), "silent_ms" => silence.as_millis() as u64,
+        "took_ms" => (host.started.elapsed() - asked_at).as_millis() as u64);
+    cause
+}
--- a/components/entry/src/leadership.rs
+++ b/components/entry/src/leadership.rs
@@ -1,6 +1,7 @@
 //! One term of leadership of this host, from its claim until it is replaced.
 
 mod accept;
+mod activity;
 mod admission;
 mod advice;
 mod commit;
@@ -96,6 +97,7 @@
     first_call_permits: Arc<Semaphore>,
     pub(crate) advice_queue: AdviceQueue,
     admission: admission::State,
+    activity: activity::Activity,
     loops: Mutex<Vec<AbortHandle>>,
 }
 
@@ -153,6 +155,7 @@
             first_call_permits: renewal::first_call_permits(),
             advice_queue: AdviceQueue::default(),
             admission: admission::State::default(),
+            activity: activity::Activity::default(),
             loops: Mutex::new(Vec::new()),
             host,
         });
--- a/components/entry/src/leadership/advice.rs
+++ b/components/entry/src/leadership/advice.rs
@@ -143,6 +143,7 @@
     emit!(leadership.host.log, events::ADVICE, "unit" => question.unit.to_string(), "asker" => asker.name(),
         "named" => question.workers.len(), "healthy" => healthy.as_ref().map(Vec::len),
         "took_ms" => (now - sent).as_millis() as u64);
+    leadership.activity.note_question();
     usage::record_question(&leadership, question.unit.job, healthy.as_ref().map_or(0, Vec::len));
     match healthy {
         Some(healthy) => {
--- a/components/entry/src/leadership/loops.rs
+++ b/components/entry/src/leadership/loops.rs
@@ -12,7 +12,7 @@
 
 use crate::claim::RENEWALS_PER_LEASE;
 use crate::host::Host;
-use crate::leadership::{Leadership, advice, orders, renewal, usage};
+use crate::leadership::{Leadership, activity, advice, orders, renewal, usage};
 use crate::outage::Outage;
 use crate::services::ServiceError;
 
@@ -98,11 +98,12 @@
         }
         if clock.now.saturating_sub(self.checked) > STALL_CHECK_INTERVAL {
             self.checked = clock.now;
-            let (stalls, stalled) = {
+            let (stalls, stalled, pass) = {
                 let mut engine = leadership.engine.lock();
                 usage::show(leadership, &engine);
-                (engine.stalls(clock), engine.stalled_count())
+                (engine.stalls(clock), engine.stalled_count(), engine.last_pass())
             };
+            activity::log(leadership, &pass);
             leadership.host.metrics.stalled_jobs.set(stalled as i64);
             stalls.iter().for_each(|stall| report_stall(leadership, stall));
         }
@@ -111,6 +112,7 @@
 
 /// Records how long a pass took and how many units it examined.
 fn record_pass(leadership: &Leadership, pass: &Pass, took: Duration) {
+    leadership.activity.note_pass(pass, took);
     let metrics = &leadership.host.metrics;
     metrics.pass_seconds.observe(took.as_secs_f64());
     metrics.units_examined.inc_by(pass.examined as u64);
--- a/components/entry/src/leadership/orders.rs
+++ b/components/entry/src/leadership/orders.rs
@@ -52,6 +52,7 @@
         engine.start_answered(clock, &worker, start.task, start.attempt, outcome);
         engine.queue(start.task.unit.job).cloned()
     };
+    leadership.activity.note_start(outcome);
     usage::record_start(&leadership, queue, outcome);
     if let Some(renewal) = leadership.worker_handles.lock().get(&worker) {
         renewal.wake.notify_one();
--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -76,6 +76,10 @@
     /// The leader is cut off from most hosts and from the store; it and its followers aren't ready for callers.
     HOST_ISOLATED = 328, Warning, "the leader is cut off from most hosts and the store; not ready for callers";
     HOST_CONNECTED = 329, Info, "the leader is no longer cut off";
+    /// A follower asked the leader why its record is missing.
+    LEADER_RECORD_MISSING = 330, Info, "the leader's record is missing";
+    /// What the leader did since the last such line.
+    LEADER_ACTIVITY = 331, Info, "activity of the leader";
     WORKER_HELD = 401, Info, "worker held by this host";
     /// Another entry host holds the worker.
     WORKER_SUPERSEDED = 402, Info, "worker is held by another entry host";
