--- a/components/fakes/src/cell.rs
+++ b/components/fakes/src/cell.rs
@@ -70,6 +70,8 @@
     config_calls: usize,
     /// Hosts whose reads and watches of the configuration are never answered.
     silent_config_hosts: BTreeSet<String>,
+    /// Hosts whose reads by prefix are never answered.
+    silent_range_hosts: BTreeSet<String>,
     /// Calls of each host to the store. A watch adds a call each time it checks for a change.
     store_calls: BTreeMap<String, usize>,
     /// Delay of the store's answers to a host's reads of single keys and lease renewals.
@@ -393,6 +395,9 @@
     async fn range(&self, prefix: &str) -> Result<Vec<KeyValue>, ServiceError> {
         let delay = *self.cell.range_delay.lock();
         tokio::time::sleep(delay).await;
+        if self.cell.state.lock().silent_range_hosts.contains(&self.host) {
+            std::future::pending::<()>().await;
+        }
         self.with_store(|state| {
             let keys: Vec<String> = state.items.keys().filter(|key| key.starts_with(prefix)).cloned().collect();
             keys.iter().filter_map(|key| key_value(state, key)).collect()
--- a/components/fakes/src/cell/tampering.rs
+++ b/components/fakes/src/cell/tampering.rs
@@ -14,6 +14,11 @@
         }
     }
 
+    /// Leaves reads by prefix by a host without an answer, as if its link were too slow for the log.
+    pub fn silence_ranges(&self, host: &str) {
+        self.state.lock().silent_range_hosts.insert(host.to_owned());
+    }
+
     /// Removes a key without telling the host that owns it.
     pub fn delete_key(&self, key: &str) {
         let mut state = self.state.lock();
