Fix: a new leader forgets all leaders but the last

What callers may see: a task on two workers. A leader that is cut off with some workers goes on to renew their leases for up to 7 s. If its successor lasted for less than that, and yielded or followed the next leader, that one took all earlier leaders for ended and restarted the cut-off workers' tasks up to 7 s too early.

Cause: 'the previous leader has ended' was taken for 'no earlier leader is active'.

Fix: a claim knows which earlier leaders may be active and for how long (entry::predecessors). A leader that yields passes that on, and the record of the last leader names them; it is written again, with the next part of the log, once they have ended, so that nobody waits for leaders of long ago. Messages and records of the version before are understood, and it reads the new ones.

--- a/components/entry/src/claim.rs
+++ b/components/entry/src/claim.rs
@@ -9,10 +9,11 @@
 use rand::Rng;
 use work::Term;
 
-use crate::election::{LEADER_KEY, decode_leader, read_leader_record};
+use crate::election::{LEADER_KEY, decode, read_leader_record};
 use crate::host::{Host, Role};
 use crate::leadership::{Claim, Leadership};
 use crate::message::Leader;
+use crate::predecessors::{LastLeader, Predecessors};
 use crate::services::{CommitOutcome, LeaseId, Put, ServiceError, Transaction};
 
 /// Key of the term counter.
@@ -28,17 +29,8 @@
 /// Maximum random delay before a claim, so that hosts which see the leader gone don't all claim at once.
 const MAX_CLAIM_JITTER: Duration = Duration::from_millis(40);
 
-/// What is known about the previous leader.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Predecessor {
-    /// It has ended its leadership itself and grants no more leases.
-    Ended,
-    /// It may continue for a while.
-    Unknown,
-}
-
 /// Why a host claims leadership.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Cause {
     /// No leader is known.
     NoLeader,
@@ -52,13 +44,13 @@
     LeaderUnanswered,
     /// The leader said that it isn't certain to lead.
     LeaderUncertain,
-    /// The leader asked this host to take over.
-    Requested,
+    /// The leader, which has ended, asked this host to take over. These leaders before it may still be active.
+    Requested(Predecessors),
 }
 
 impl Cause {
     /// Description for the log.
-    pub(crate) fn text(self) -> &'static str {
+    pub(crate) fn text(&self) -> &'static str {
         match self {
             Cause::NoLeader => "no leader is known",
             Cause::OwnRecord => "the record names an earlier process of this host",
@@ -66,14 +58,7 @@
             Cause::LeaderSilent => "the leader is silent",
             Cause::LeaderUnanswered => "the leader doesn't answer",
             Cause::LeaderUncertain => "the leader isn't certain to lead",
-            Cause::Requested => "the leader asks for it",
-        }
-    }
-
-    fn predecessor(self) -> Predecessor {
-        match self {
-            Cause::Requested => Predecessor::Ended,
-            _ => Predecessor::Unknown,
+            Cause::Requested(_) => "the leader asks for it",
         }
     }
 }
@@ -84,24 +69,21 @@
     if host.stopping() || matches!(host.role(), Role::Leading(_)) {
         return;
     }
-    let predecessor = cause.predecessor();
     let began_at = host.started.elapsed();
     let known = followed_term(host);
-    let start_term = term_at_wait_start(host, predecessor).await;
+    let start_term = term_at_wait_start(host, &cause).await;
     let jitter = rand::rng().random_range(Duration::ZERO..MAX_CLAIM_JITTER);
-    let delay = match predecessor {
-        Predecessor::Ended => Duration::ZERO,
-        Predecessor::Unknown => host.settings.claim_delay,
-    };
+    let requested = matches!(cause, Cause::Requested(_));
+    let delay = if requested { Duration::ZERO } else { host.settings.claim_delay };
     tokio::time::sleep(jitter + delay).await;
     // A leader was elected and lost during the wait: waits again, for its successor. Otherwise a host behind a slow
     // link, which began to wait under the previous leader, would win the claim, and no jobs would be accepted while
     // it reads the log.
-    if predecessor == Predecessor::Unknown && followed_term(host) > known {
+    if !requested && followed_term(host) > known {
         return;
     }
     // If hundreds of hosts see the leader gone, all but the first few find its successor's record with a single read.
-    if predecessor == Predecessor::Unknown && !record_unchanged(host, record_revision).await {
+    if !requested && !record_unchanged(host, record_revision).await {
         return;
     }
     // One claim at a time: the loop that follows the record and the old leader may both request one.
@@ -132,8 +114,8 @@
 /// Term at which a weak host starts waiting; if the term has changed after the wait, the host waits again. It may be
 /// too busy to notice the new leader by following it. Otherwise weak hosts would lead one after the other, each
 /// reading the log for most of its time as leader.
-async fn term_at_wait_start(host: &Host, predecessor: Predecessor) -> Option<Term> {
-    if predecessor == Predecessor::Ended || host.settings.claim_delay.is_zero() {
+async fn term_at_wait_start(host: &Host, cause: &Cause) -> Option<Term> {
+    if matches!(cause, Cause::Requested(_)) || host.settings.claim_delay.is_zero() {
         return None;
     }
     let item = host.services.store.get(TERM_KEY).await.ok()?.item?;
@@ -162,8 +144,9 @@
     if start_term.is_some_and(|start_term| start_term != old) {
         bail!("the term has changed during the claim delay");
     }
-    let last_leader =
-        last_leader.item.and_then(|item| decode_leader(host, &item)).filter(|last_leader| last_leader.term == old);
+    let last_leader = last_leader.item.and_then(|item| decode::<LastLeader>(host, &item));
+    let last_leader = last_leader.filter(|last_leader| last_leader.leader.term == old);
+    let predecessors = predecessors(host, last_leader, &cause);
     let term = old + 1;
     let leader = Leader {
         host: host.settings.host.clone(),
@@ -174,7 +157,7 @@
     let confirmed_at = host.started.elapsed();
     let transaction = Transaction {
         expected: vec![(TERM_KEY.to_owned(), revision), (LEADER_KEY.to_owned(), record_revision)],
-        puts: vec![term_put(term)?, leader_put(&leader, lease)?, last_leader_put(&leader)?],
+        puts: vec![term_put(term)?, leader_put(&leader, lease)?, last_leader_put(&leader, &predecessors)?],
         removes: Vec::new(),
     };
     let revision = match store.commit(&transaction, CLAIM_TIMEOUT).await {
@@ -189,12 +172,23 @@
         "waited_ms" => (confirmed_at - began_at).as_millis() as u64);
     begin_leadership(
         host,
-        Claim { term, revision, lease, leader, last_leader, record_revision: revision, confirmed_at },
-        cause.predecessor(),
+        Claim { term, revision, lease, leader, predecessors, record_revision: revision, confirmed_at },
     )
     .await
 }
 
+/// The leaders before a claim that may still be active. An earlier process of this host must have ended.
+fn predecessors(host: &Host, last_leader: Option<LastLeader>, cause: &Cause) -> Predecessors {
+    let limits = &host.settings.limits;
+    let mut predecessors = match (cause, last_leader) {
+        (_, None) => Predecessors::unknown(limits),
+        (Cause::Requested(predecessors), Some(_)) => predecessors.clone(),
+        (_, last_leader) => Predecessors::before_claim(last_leader, limits),
+    };
+    predecessors.remove(|leader| leader.address == host.settings.address);
+    predecessors
+}
+
 /// Renews the lease of a claim until its leadership begins, which then renews it itself.
 async fn renew_claim_lease(host: Arc<Host>, lease: LeaseId) {
     loop {
@@ -211,12 +205,12 @@
 }
 
 /// Starts the leadership won by a claim. If the log can't be read, the host may claim again.
-async fn begin_leadership(host: &Arc<Host>, claim: Claim, predecessor: Predecessor) -> anyhow::Result<()> {
+async fn begin_leadership(host: &Arc<Host>, claim: Claim) -> anyhow::Result<()> {
     host.claim_renewed_at.advance(claim.confirmed_at);
     host.claimed_term.store(claim.term, Ordering::Release);
     // Reading a long log over a slow link may take longer than the lease lasts.
     let keeper = tokio::spawn(renew_claim_lease(host.clone(), claim.lease)).abort_handle();
-    let start_term = Leadership::begin(host.clone(), claim, predecessor).await;
+    let start_term = Leadership::begin(host.clone(), claim).await;
     keeper.abort();
     let leadership = match start_term {
         Ok(leadership) => leadership,
@@ -234,7 +228,7 @@
     let item = host.services.store.get(TERM_KEY).await?.item.context("the term counter is missing")?;
     let now: Term = postcard::from_bytes(&item.value)?;
     let record_revision = host.services.store.get(LEADER_KEY).await?.item.context("the leader's record is missing")?;
-    if now != leader.term || decode_leader(host, &record_revision).as_ref() != Some(leader) {
+    if now != leader.term || decode::<Leader>(host, &record_revision).as_ref() != Some(leader) {
         bail!("the claim was not committed");
     }
     Ok(item.revision)
@@ -244,8 +238,9 @@
     Ok(Put { key: TERM_KEY.to_owned(), value: postcard::to_stdvec(&term)?, lease: 0 })
 }
 
-fn last_leader_put(leader: &Leader) -> anyhow::Result<Put> {
-    Ok(Put { key: LAST_LEADER_KEY.to_owned(), value: postcard::to_stdvec(leader)?, lease: 0 })
+pub(crate) fn last_leader_put(leader: &Leader, predecessors: &Predecessors) -> anyhow::Result<Put> {
+    let last_leader = LastLeader { leader: leader.clone(), predecessors: predecessors.clone() };
+    Ok(Put { key: LAST_LEADER_KEY.to_owned(), value: postcard::to_stdvec(&last_leader)?, lease: 0 })
 }
 
 pub(crate) fn leader_put(leader: &Leader, lease: LeaseId) -> anyhow::Result<Put> {
--- a/components/entry/src/election.rs
+++ b/components/entry/src/election.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use events::emit;
+use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
 
 use crate::claim::{Cause, claim_if_free};
@@ -18,6 +19,7 @@
 use crate::host::{Host, Link, Role};
 use crate::message::{Alive, Answer, Call, Leader};
 use crate::peers::handle;
+use crate::predecessors::Predecessors;
 use crate::services::{KeyValue, Read, ServiceError, WatchResult};
 
 /// Key of the leader's record.
@@ -45,7 +47,7 @@
             continue;
         };
         let record_revision = found.item.as_ref().map_or(0, |item| item.revision);
-        match found.item.and_then(|item| decode_leader(&host, &item)) {
+        match found.item.and_then(|item| decode::<Leader>(&host, &item)) {
             Some(leader) => follow_leader(&host, leader, record_revision).await,
             None => handle_missing_record(&host, record_revision).await,
         }
@@ -77,11 +79,12 @@
     }
 }
 
-pub(crate) fn decode_leader(host: &Host, item: &KeyValue) -> Option<Leader> {
+/// Decodes a record that names a leader. An unreadable one is logged.
+pub(crate) fn decode<T: DeserializeOwned>(host: &Host, item: &KeyValue) -> Option<T> {
     match postcard::from_bytes(&item.value) {
-        Ok(leader) => Some(leader),
+        Ok(record) => Some(record),
         Err(error) => {
-            emit!(host.log, events::RECORD_UNREADABLE, "key" => LEADER_KEY, "fault" => error.to_string());
+            emit!(host.log, events::RECORD_UNREADABLE, "key" => &item.key, "fault" => error.to_string());
             None
         }
     }
@@ -172,9 +175,13 @@
     Box::pin(async move { connect(&host, leader, None).await })
 }
 
-/// Replaces the leader at its own request. Boxed, like [`connect_to`].
-pub(crate) fn take_over(host: Arc<Host>, record_revision: u64) -> Pin<Box<dyn Future<Output = ()> + Send>> {
-    Box::pin(async move { claim_if_free(&host, record_revision, Cause::Requested).await })
+/// Replaces the leader at its own request; `predecessors` are the leaders before it. Boxed, like [`connect_to`].
+pub(crate) fn take_over(
+    host: Arc<Host>,
+    record_revision: u64,
+    predecessors: Predecessors,
+) -> Pin<Box<dyn Future<Output = ()> + Send>> {
+    Box::pin(async move { claim_if_free(&host, record_revision, Cause::Requested(predecessors)).await })
 }
 
 async fn dial(host: &Arc<Host>, leader: &Leader) -> Option<Arc<Link>> {
@@ -235,7 +242,7 @@
     // The leader may only have restarted, or its host was briefly cut off.
     while matches!(host.role(), Role::NoLeader) && !host.stopping() {
         let record_revision = match read_leader_record(host).await {
-            Ok(Read { item: Some(item), .. }) if decode_leader(host, &item).as_ref() == Some(&leader) => {
+            Ok(Read { item: Some(item), .. }) if decode::<Leader>(host, &item).as_ref() == Some(&leader) => {
                 Some(item.revision)
             }
             // [`run`], which follows the record, takes over.
@@ -277,7 +284,7 @@
         },
     };
     emit!(host.log, events::LEADER_RECORD_MISSING, "leader" => &leader.host, "term" => leader.term,
-        "outcome" => cause.map_or("the leader still leads", Cause::text), "silent_ms" => silence.as_millis() as u64,
+        "outcome" => cause.as_ref().map_or("the leader still leads", Cause::text), "silent_ms" => silence.as_millis() as u64,
         "took_ms" => (host.started.elapsed() - asked_at).as_millis() as u64);
     cause
 }
--- a/components/entry/src/leadership.rs
+++ b/components/entry/src/leadership.rs
@@ -27,11 +27,11 @@
 use work::{JobId, State, Term, WorkerId};
 
 use crate::access::{self, Caller, Refusal, Scope};
-use crate::claim::Predecessor;
 use crate::config;
 use crate::host::{Follower, Host};
 use crate::latest::LatestTime;
 use crate::message::{Answer, Call, Leader};
+use crate::predecessors::Predecessors;
 use crate::services::LeaseId;
 use advice::AdviceQueue;
 use loops::WorkerList;
@@ -53,8 +53,8 @@
     pub revision: u64,
     pub lease: LeaseId,
     pub leader: Leader,
-    /// The previous leader, if it is known.
-    pub last_leader: Option<Leader>,
+    /// Earlier leaders that may still grant leases.
+    pub predecessors: Predecessors,
     pub record_revision: u64,
     /// When the claim was sent, on the monotonic clock.
     pub confirmed_at: Duration,
@@ -86,8 +86,8 @@
     pub(crate) unanswered_since: Mutex<Option<Duration>>,
     /// Minimum number of milliseconds between the renewals of busy workers; see [`Engine::busy_renewal_interval`].
     busy_renewal_interval: AtomicU64,
-    /// Whether the previous leader is known to grant no more leases.
-    predecessor_ended: AtomicBool,
+    /// Whether the record of this leader must be written again because its predecessors have ended.
+    pub(crate) write_last_leader: AtomicBool,
     pub(crate) plan: Notify,
     pub(crate) write: Notify,
     pub(crate) durable: watch::Sender<u64>,
@@ -103,11 +103,7 @@
 
 impl Leadership {
     /// Starts to lead: rebuilds the scheduler's state from the log.
-    pub(crate) async fn begin(
-        host: Arc<Host>,
-        claim: Claim,
-        predecessor: Predecessor,
-    ) -> anyhow::Result<Arc<Leadership>> {
+    pub(crate) async fn begin(host: Arc<Host>, claim: Claim) -> anyhow::Result<Arc<Leadership>> {
         // Read concurrently: a list of thousands of workers takes as long to read as the log, and nothing can start
         // without it.
         let worker_list = loops::read_worker_list(&host);
@@ -122,14 +118,7 @@
             part.records.into_iter().for_each(|record| engine.replay(clock, record));
         }
         engine.finish_replay(clock);
-        // An earlier process of this host must have ended.
-        let own = claim.last_leader.as_ref().is_some_and(|last_leader| last_leader.address == host.settings.address);
-        let ended = predecessor == Predecessor::Ended || own;
-        match &claim.last_leader {
-            None => engine.predecessor_unknown(),
-            Some(_) if ended => engine.predecessor_ended(clock.now),
-            Some(_) => {}
-        }
+        engine.set_predecessor_activity(claim.predecessors.active_for());
         emit!(host.log, events::RECOVERED, "term" => claim.term, "parts" => parts.len(),
             "took_ms" => (host.started.elapsed() - claim.confirmed_at).as_millis() as u64);
         let leadership = Arc::new(Leadership {
@@ -146,7 +135,7 @@
             write_leader_record: AtomicBool::new(false),
             unanswered_since: Mutex::new(None),
             busy_renewal_interval: AtomicU64::new(0),
-            predecessor_ended: AtomicBool::new(ended),
+            write_last_leader: AtomicBool::new(false),
             plan: Notify::new(),
             write: Notify::new(),
             durable: watch::Sender::new(0),
@@ -192,36 +181,47 @@
         }
     }
 
-    /// Whether the previous leader is known to grant no more leases.
+    /// Whether all earlier leaders are known to grant no more leases.
     pub fn predecessor_ended(&self) -> bool {
-        self.predecessor_ended.load(Ordering::Relaxed)
+        self.claim.lock().predecessors.have_ended()
+    }
+
+    /// Earlier leaders, and for how long from now on they may still grant leases.
+    pub(crate) fn predecessors(&self) -> Predecessors {
+        let active_for = self.engine.lock().predecessor_active_for(self.host.started.elapsed());
+        self.claim.lock().predecessors.with_remaining(active_for)
     }
 
-    /// Looks for the previous leader among the followers. A process at its address that follows this leader is either
-    /// the previous leader itself, which no longer leads, or a later process. Runs on lost workers are then restarted
-    /// sooner, since the time for which the previous leader could have continued needn't be waited for.
-    pub(crate) fn look_for_predecessor(&self) {
+    /// Looks for earlier leaders among the followers. A process at the address of one that follows this leader is either
+    /// that leader itself, which no longer leads, or a later process. Runs on lost workers are then restarted sooner,
+    /// since the time for which it could have continued needn't be waited for.
+    pub(crate) fn look_for_predecessors(&self) {
         if self.predecessor_ended() {
             return;
         }
-        let is_later_process = |follower: &Follower, last_leader: &Leader| {
-            follower.idle && follower.term == self.term && follower.address == last_leader.address
+        let now = self.host.started.elapsed();
+        let is_later_process = |follower: &Follower, leader: &Leader| {
+            follower.idle && follower.term == self.term && follower.address == leader.address
         };
-        let last_leader = {
+        let (ended, all_ended) = {
+            let remaining = self.predecessors();
             let followers = self.host.followers.lock();
-            let claim = self.claim.lock();
-            claim
-                .last_leader
-                .as_ref()
-                .filter(|last_leader| followers.values().any(|follower| is_later_process(follower, last_leader)))
-                .cloned()
+            let mut claim = self.claim.lock();
+            claim.predecessors = remaining;
+            let ended = claim
+                .predecessors
+                .remove(|leader| followers.values().any(|follower| is_later_process(follower, leader)));
+            (ended, claim.predecessors.have_ended())
         };
-        let Some(last_leader) = last_leader else { return };
-        self.predecessor_ended.store(true, Ordering::Relaxed);
-        self.engine.lock().predecessor_ended(self.host.started.elapsed());
-        emit!(self.host.log, events::PREDECESSOR_ENDED, "leader" => &last_leader.host, "before" => last_leader.term,
-            "term" => self.term,
-            "after_ms" => (self.host.started.elapsed() - self.claim.lock().confirmed_at).as_millis() as u64);
+        for leader in ended {
+            emit!(self.host.log, events::PREDECESSOR_ENDED, "leader" => &leader.host, "before" => leader.term,
+                "term" => self.term, "all" => all_ended,
+                "after_ms" => (now - self.claim.lock().confirmed_at).as_millis() as u64);
+        }
+        if all_ended {
+            self.engine.lock().predecessor_ended(now);
+            self.write_last_leader.store(true, Ordering::Release);
+        }
     }
 
     /// Records that no other host led at this time.
--- a/components/entry/src/leadership/commit.rs
+++ b/components/entry/src/leadership/commit.rs
@@ -18,7 +18,7 @@
 use work::log::{FIRST_PART, Part, PartId};
 use work::{Record, format_job_id};
 
-use crate::claim::{TERM_KEY, leader_put};
+use crate::claim::{TERM_KEY, last_leader_put, leader_put};
 use crate::leadership::Leadership;
 use crate::leadership::parts::{self, part_key};
 use crate::services::{CommitOutcome, Put, ServiceError, Transaction};
@@ -53,6 +53,8 @@
     up_to: u64,
     /// Whether the leader's record is written as well.
     write_leader_record: bool,
+    /// Whether the record of the last leader is, since its predecessors have ended.
+    write_last_leader: bool,
     /// Old parts that are deleted.
     removed: Vec<PartId>,
 }
@@ -130,6 +132,7 @@
         if records.is_empty() && !write_leader_record {
             return None;
         }
+        let write_last_leader = self.leadership.write_last_leader.swap(false, Ordering::AcqRel);
         let part = (!records.is_empty()).then(|| {
             let id = PartId { term: self.leadership.term, number: self.next };
             self.next += 1;
@@ -138,7 +141,7 @@
         });
         self.due = Instant::now() + self.pacing().1;
         let removed = self.removed(part);
-        Some(Batch { part, up_to, write_leader_record, removed })
+        Some(Batch { part, up_to, write_leader_record, write_last_leader, removed })
     }
 
     /// Old parts that the transaction with this part deletes. The first part deletes the stale ones; until it is
@@ -291,6 +294,9 @@
     if batch.write_leader_record {
         puts.push(leader_put(&claim.leader, claim.lease)?);
     }
+    if batch.write_last_leader {
+        puts.push(last_leader_put(&claim.leader, &claim.predecessors)?);
+    }
     Ok(Transaction {
         expected: vec![(TERM_KEY.to_owned(), claim.revision)],
         puts,
--- a/components/entry/src/leadership/loops.rs
+++ b/components/entry/src/leadership/loops.rs
@@ -49,7 +49,7 @@
             leadership.host.metrics.queues.hide_gauges(leadership.term);
             continue;
         }
-        leadership.look_for_predecessor();
+        leadership.look_for_predecessors();
         let clock = leadership.host.clock();
         let hosts = advice::hosts(&leadership);
         let (actions, made_room, ended_workers, load) = {
--- a/components/entry/src/leadership/renewal.rs
+++ b/components/entry/src/leadership/renewal.rs
@@ -249,7 +249,7 @@
             emit!(host.log, events::WORKER_RESPONDING, "worker" => &self.target.id, "lapsed" => self.expired);
         }
         self.expired = false;
-        let known = self.leadership.claim.lock().last_leader.is_some();
+        let known = self.leadership.claim.lock().predecessors.are_known();
         let follows = self.leadership.engine.lock().follows_earlier_incarnation(&self.target.id);
         self.lease.lock().observe_clock(
             clock,
--- a/components/entry/src/leadership/yielding.rs
+++ b/components/entry/src/leadership/yielding.rs
@@ -143,12 +143,14 @@
         leadership.flush().await;
     }
     let record_revision = leadership.claim.lock().record_revision;
+    let predecessors = leadership.predecessors();
     emit!(leadership.host.log, events::TAKEOVER_REQUESTED, "key" => LEADER_KEY, "to" => &follower.host, "term" => leadership.term,
         "why" => cause.text(), "unanswered_ms" => leadership.store_silence().as_millis() as u64);
     // This leadership must have ended before the other begins, so that it prolongs no leases afterwards.
     leadership.host.leadership_ended(leadership.term);
     let link = follower.link.clone();
-    let asked = tokio::spawn(async move { link.call(Call::TakeOver(record_revision), PROBE_TIMEOUT).await });
+    let asked =
+        tokio::spawn(async move { link.call(Call::TakeOver { record_revision, predecessors }, PROBE_TIMEOUT).await });
     leadership.step_down(cause.text());
     if !matches!(asked.await, Ok(Ok(Answer::Done))) {
         emit!(leadership.host.log, events::TAKEOVER_UNANSWERED, "to" => &follower.host, "term" => leadership.term);
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod message;
 mod outage;
 mod peers;
+mod predecessors;
 mod services;
 
 use std::sync::Arc;
@@ -28,6 +29,7 @@
 pub use isolation::is_isolated;
 pub use leadership::Leadership;
 pub use message::{Alive, Answer, Call, Leader};
+pub use predecessors::Predecessors;
 pub use services::{
     Adviser, CommitOutcome, Directory, KeyValue, LeaseId, Order, Put, Read, Refusal, Renewal, Reply, ServiceError,
     Store, Target, Transaction, WatchResult, WorkerStatus, Workers,
--- a/components/entry/src/message.rs
+++ b/components/entry/src/message.rs
@@ -8,6 +8,7 @@
 use work::{Config, Job, JobId, QueueName, State, Term, Unit, WorkerId};
 
 use crate::access::{Caller, Refusal};
+use crate::predecessors::Predecessors;
 
 /// The leader, as named by its record in the store and by its followers' messages.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,7 +45,7 @@
 }
 
 /// Reads a field, or takes its default if the message ends before it.
-fn or_default<'de, D: Deserializer<'de>, T: Deserialize<'de> + Default>(source: D) -> Result<T, D::Error> {
+pub(crate) fn or_default<'de, D: Deserializer<'de>, T: Deserialize<'de> + Default>(source: D) -> Result<T, D::Error> {
     Ok(T::deserialize(source).unwrap_or_default())
 }
 
@@ -68,8 +69,14 @@
     Ping,
     /// The leader asks whether the follower can reach the store.
     Probe,
-    /// The leader asks the follower to replace it; contains the revision of the leader's record.
-    TakeOver(u64),
+    /// The leader, which has ended, asks the follower to replace it.
+    TakeOver {
+        /// Revision of the leader's record.
+        record_revision: u64,
+        /// Leaders before it that may still be active. Earlier versions end the message before this field.
+        #[serde(deserialize_with = "or_default")]
+        predecessors: Predecessors,
+    },
     /// A follower finds no leader's record in the store.
     Missing,
     /// A newer leader is known.
--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -42,9 +42,10 @@
         Call::Ping => Answer::Alive(alive(&host)),
         Call::FetchConfig => Answer::Config((*host.config()).clone()),
         Call::Probe => probe(&host).await,
-        Call::TakeOver(record_revision) => {
-            emit!(host.log, events::ASKED_TO_TAKE_OVER, "record" => record_revision);
-            tokio::spawn(election::take_over(host.clone(), record_revision));
+        Call::TakeOver { record_revision, predecessors } => {
+            emit!(host.log, events::ASKED_TO_TAKE_OVER, "record" => record_revision,
+                "predecessors_active_ms" => predecessors.active_for().as_millis() as u64);
+            tokio::spawn(election::take_over(host.clone(), record_revision, predecessors));
             Answer::Done
         }
         Call::Config(config) => {
--- /dev/null
+++ b/components/entry/src/predecessors.rs
@@ -0,0 +1,80 @@
+//! Earlier leaders that may still grant leases. Until all of them have certainly ended, the next leader waits before it
+//! restarts what unreachable workers may run.
+
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+use sched::Limits;
+
+use crate::message::{Leader, or_default};
+
+/// Maximum number of leaders that are remembered by name. More of them within the time for which a leader may remain
+/// active are counted as unknown.
+const MAX_LEADERS: usize = 8;
+
+/// What is known of the leaders before a term.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Predecessors {
+    /// Those that may still be active.
+    leaders: Vec<Leader>,
+    /// Whether others may be active, which may run another version.
+    unknown: bool,
+    /// For how long they may be active at most; zero if none is.
+    active_for: Duration,
+}
+
+/// The last leader that won a claim, as recorded in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct LastLeader {
+    pub leader: Leader,
+    /// The leaders before it. Earlier versions end the record before this field.
+    #[serde(deserialize_with = "or_default")]
+    pub predecessors: Predecessors,
+}
+
+impl Predecessors {
+    /// The leaders before a claim that replaces `last`, which hasn't said that it has ended.
+    pub(crate) fn before_claim(last: Option<LastLeader>, limits: &Limits) -> Predecessors {
+        let Some(LastLeader { leader, predecessors }) = last else { return Predecessors::unknown(limits) };
+        let leaders: Vec<Leader> = [leader].into_iter().chain(predecessors.leaders).collect();
+        if predecessors.unknown || leaders.len() > MAX_LEADERS {
+            let active_for = limits.activity(false);
+            return Predecessors { leaders, unknown: true, active_for };
+        }
+        Predecessors { leaders, unknown: false, active_for: limits.activity(true) }
+    }
+
+    /// Leaders of which nothing is known.
+    pub(crate) fn unknown(limits: &Limits) -> Predecessors {
+        Predecessors { leaders: Vec::new(), unknown: true, active_for: limits.activity(false) }
+    }
+
+    /// Whether none of them is active.
+    pub(crate) fn have_ended(&self) -> bool {
+        self.active_for.is_zero()
+    }
+
+    /// Whether all of them are known.
+    pub(crate) fn are_known(&self) -> bool {
+        !self.unknown
+    }
+
+    pub(crate) fn active_for(&self) -> Duration {
+        self.active_for
+    }
+
+    /// The same leaders, which may be active for this long.
+    pub(crate) fn with_remaining(&self, active_for: Duration) -> Predecessors {
+        if active_for.is_zero() { Predecessors::default() } else { Predecessors { active_for, ..self.clone() } }
+    }
+
+    /// Removes the leaders that have ended, and returns them.
+    pub(crate) fn remove(&mut self, has_ended: impl Fn(&Leader) -> bool) -> Vec<Leader> {
+        let (ended, leaders) = std::mem::take(&mut self.leaders).into_iter().partition(has_ended);
+        self.leaders = leaders;
+        if self.leaders.is_empty() && !self.unknown {
+            self.active_for = Duration::ZERO;
+        }
+        ended
+    }
+}
--- /dev/null
+++ b/components/entry/tests/predecessors.rs
@@ -0,0 +1,92 @@
+//! What a new leader takes for granted of the leaders before it.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use entry::{Answer, Call, Host, Leader, Leadership, Predecessors, Role};
+use fakes::cell::Cell;
+use support::{POLL_INTERVAL, config, leads, start_hosts, submit, wait_until};
+
+/// Claim delay of a weak host.
+const WEAK_CLAIM_DELAY: Duration = Duration::from_millis(300);
+
+/// A leader that nothing tells that it was replaced: it is cut off, and there are no workers.
+async fn start_cut_off_leader() -> (Arc<Cell>, Arc<Host>, Instant) {
+    let cell = Cell::new(config(1));
+    let first = cell.start_host("first").await.expect("a free port");
+    wait_until("it leads", || leads(&first)).await;
+    let cut_off_at = Instant::now();
+    cell.set_store_unavailable("first", true);
+    cell.delete_key("walkhook/leader");
+    (cell, first, cut_off_at)
+}
+
+fn leadership(host: &Host) -> Arc<Leadership> {
+    match host.role() {
+        Role::Leading(leadership) => leadership,
+        Role::NoLeader | Role::Following(..) => panic!("the host leads"),
+    }
+}
+
+#[tokio::test]
+async fn a_cut_off_leader_before_a_short_lived_one_is_not_considered_ended() {
+    let (cell, first, cut_off_at) = start_cut_off_leader().await;
+    let weak = cell.start_host_with_claim_delay("weak", WEAK_CLAIM_DELAY).await.expect("a free port");
+    wait_until("the weak one leads", || leads(&weak)).await;
+    let strong = cell.start_host("strong").await.expect("a free port");
+    wait_until("the strong one leads", || leads(&strong)).await;
+    let may_be_active = leads(&first) && cut_off_at.elapsed() < sched::AUTHORITY_TIMEOUT;
+    assert!(!(may_be_active && leadership(&strong).predecessor_ended()), "the first may still grant leases");
+}
+
+#[tokio::test]
+async fn a_cut_off_leader_before_a_crashed_one_is_not_considered_ended() {
+    let (cell, first, cut_off_at) = start_cut_off_leader().await;
+    let second = cell.start_host("second").await.expect("a free port");
+    wait_until("the second leads", || leads(&second)).await;
+    let third = cell.start_host("third").await.expect("a free port");
+    let fourth = cell.start_host("fourth").await.expect("a free port");
+    let follows = |host: &Host| matches!(host.role(), Role::Following(..));
+    wait_until("both follow", || follows(&third) && follows(&fourth)).await;
+    cell.set_store_unavailable("second", true);
+    cell.delete_key("walkhook/leader");
+    wait_until("another leads", || leads(&third) || leads(&fourth)).await;
+    let next = if leads(&third) { third } else { fourth };
+    wait_until("the second follows", || follows(&second)).await;
+    wait_until("all have ended", || leadership(&next).predecessor_ended()).await;
+    assert!(!leads(&first) || cut_off_at.elapsed() >= sched::AUTHORITY_TIMEOUT, "the first may still grant leases");
+}
+
+/// Otherwise each takeover would wait for leaders that ended long ago and never follow another one.
+#[tokio::test]
+async fn leaders_that_have_ended_are_not_waited_for_by_the_next_but_one() {
+    let cell = Cell::new(config(1));
+    let hosts = start_hosts(&cell, 2).await;
+    cell.set_store_unavailable("host-0", true);
+    cell.delete_key("walkhook/leader");
+    wait_until("the next leads", || leads(&hosts[1])).await;
+    wait_until("its predecessor has ended", || leadership(&hosts[1]).predecessor_ended()).await;
+    let recorded = || postcard::from_bytes::<(Leader, Predecessors)>(&cell.values("walkhook/last")[0]);
+    let mut job = 0;
+    while recorded().expect("a record of the last leader").1 != Predecessors::default() {
+        job += 1;
+        assert_eq!(submit(&hosts[1], job, 1).await, Answer::Accepted);
+        assert!(job < 1000, "never recorded");
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Hosts of the version before take all earlier leaders for ended.
+#[test]
+fn messages_and_records_of_the_version_before_are_understood() {
+    const TAKE_OVER: u8 = 3;
+    const RECORD_REVISION: u8 = 7;
+    let call = postcard::from_bytes::<Call>(&[TAKE_OVER, RECORD_REVISION]).expect("a call");
+    let Call::TakeOver { record_revision, predecessors } = call else { panic!("{call:?}") };
+    assert_eq!((record_revision, predecessors), (u64::from(RECORD_REVISION), Predecessors::default()));
+    let leader = Leader { host: "host-0".to_owned(), incarnation: 1, address: "127.0.0.1:1".to_owned(), term: 4 };
+    let record = postcard::to_stdvec(&(&leader, Predecessors::default())).expect("a record");
+    assert_eq!(postcard::from_bytes::<Leader>(&record), Ok(leader));
+}
--- a/components/entry/tests/yielding.rs
+++ b/components/entry/tests/yielding.rs
@@ -3,11 +3,11 @@
 mod support;
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use entry::{Host, Role};
 use fakes::cell::Cell;
-use support::{config, leads, new_cell, wait_until};
+use support::{leads, new_cell, wait_until};
 
 /// Claim delay of a weak host.
 const WEAK_CLAIM_DELAY: Duration = Duration::from_millis(300);
@@ -38,21 +38,3 @@
     stopping.stop().await;
     wait_until("the other leads", || leads(&other)).await;
 }
-
-#[tokio::test]
-async fn a_cut_off_leader_before_a_short_lived_one_is_not_considered_ended() {
-    // Without workers, nothing tells the first leader that it was replaced.
-    let cell = Cell::new(config(1));
-    let first = cell.start_host("first").await.expect("a free port");
-    wait_until("it leads", || leads(&first)).await;
-    let cut_off_at = Instant::now();
-    cell.set_store_unavailable("first", true);
-    cell.delete_key("walkhook/leader");
-    let weak = cell.start_host_with_claim_delay("weak", WEAK_CLAIM_DELAY).await.expect("a free port");
-    wait_until("the weak one leads", || leads(&weak)).await;
-    let strong = cell.start_host("strong").await.expect("a free port");
-    wait_until("the strong one leads", || leads(&strong)).await;
-    let Role::Leading(leadership) = strong.role() else { panic!("it leads") };
-    let may_be_active = leads(&first) && cut_off_at.elapsed() < sched::AUTHORITY_TIMEOUT;
-    assert!(!(may_be_active && leadership.predecessor_ended()), "the first may still grant leases");
-}
--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -111,7 +111,7 @@
     pub(crate) term: Term,
     /// Start of this term, in monotonic time.
     pub(crate) term_start: Duration,
-    /// How long after the start of this term the previous leader may still have granted leases.
+    /// How long after the start of this term earlier leaders may still have granted leases.
     pub(crate) predecessor_active: Duration,
     pub(crate) config: Arc<Config>,
     /// Whether the configuration changed since the last pass. A job may have used up its attempts before its queue's
@@ -224,12 +224,17 @@
         }
     }
 
-    /// Records that nothing is known of the previous leader: it may run a version that grants longer leases.
-    pub fn predecessor_unknown(&mut self) {
-        self.predecessor_active = AUTHORITY_TIMEOUT + self.limits.predecessor_lease_excess();
+    /// Sets how long after the start of this term earlier leaders may still grant leases; see [`Limits::activity`].
+    pub fn set_predecessor_activity(&mut self, active_for: Duration) {
+        self.predecessor_active = active_for;
     }
 
-    /// Records that the previous leader grants no more leases, as of `now`.
+    /// For how long from now on earlier leaders may still grant leases.
+    pub fn predecessor_active_for(&self, now: Duration) -> Duration {
+        (self.term_start + self.predecessor_active).saturating_sub(now)
+    }
+
+    /// Records that no earlier leader grants leases any more, as of `now`.
     pub fn predecessor_ended(&mut self, now: Duration) {
         self.predecessor_active = self.predecessor_active.min(now.saturating_sub(self.term_start));
     }
--- a/components/sched/src/limits.rs
+++ b/components/sched/src/limits.rs
@@ -66,8 +66,13 @@
         if predecessor_known { self.lease } else { self.max_lease }
     }
 
+    /// How long after its replacement a leader may still grant leases; more if it may run an earlier version.
+    pub fn activity(&self, known: bool) -> Duration {
+        AUTHORITY_TIMEOUT + if known { Duration::ZERO } else { self.predecessor_lease_excess() }
+    }
+
     /// By how much the leases of an earlier version may exceed those of this one.
-    pub(crate) fn predecessor_lease_excess(&self) -> Duration {
+    fn predecessor_lease_excess(&self) -> Duration {
         self.max_lease.saturating_sub(self.lease).mul_f64(CLOCK_SLACK)
     }
 }
--- a/components/sched/tests/decisions/main.rs
+++ b/components/sched/tests/decisions/main.rs
@@ -450,7 +450,7 @@
 
     let limits = sched::Limits { max_lease: Duration::from_secs(10), ..sched::Limits::example() };
     let mut new = Cell::with_limits(limits, 2, 2, &old.log);
-    new.engine.predecessor_unknown();
+    new.engine.set_predecessor_activity(limits.activity(false));
     new.engine.update_workers(new.clock(), new.infos.clone());
     new.write();
     // 7 s of authority, and leases of up to 10 s by a clock that runs slow.
