Fix: a weak host that has claimed leadership keeps it until it has read the log

A host with 0.12 of a core and 20 Mbit/s won the term after an outage and read the log for 4.68 s, with 14 strong hosts following it; it yielded to one 0.77 s after that.

Cause: only a leadership that has begun looked for stronger followers, so the correction of a wrong election waited for the very step that makes it wrong.

Fix: while a weak host reads the log it watches for stronger followers, which connect within 0.1 s. Once there is one, it stops reading, so that answers aren't queued behind the log on its link, asks which of them the store answers, and yields its claim to that one. Nothing was ordered under the claim. If none answers, it reads the log after all. Why a weak host wins doesn't matter then; strong hosts never wait longer. Whatever claims first still leads where all hosts are equally weak.

--- a/components/entry/src/claim.rs
+++ b/components/entry/src/claim.rs
@@ -10,8 +10,8 @@
 use work::Term;
 
 use crate::election::{LEADER_KEY, decode, read_leader_record};
-use crate::host::{Host, Role};
-use crate::leadership::{Claim, Leadership};
+use crate::host::{Follower, Host, Role};
+use crate::leadership::{Claim, Leadership, yielding};
 use crate::message::Leader;
 use crate::predecessors::{LastLeader, Predecessors};
 use crate::services::{CommitOutcome, LeaseId, Put, ServiceError, Transaction};
@@ -204,25 +204,45 @@
     }
 }
 
-/// Starts the leadership won by a claim. If the log can't be read, the host may claim again.
+/// How the time between a claim and its leadership ended.
+enum Beginning {
+    /// The log is read.
+    Leading(Arc<Leadership>),
+    /// A stronger follower is to lead instead.
+    Yielding(Follower),
+}
+
+/// Starts the leadership won by a claim, or gives the claim up. If the log can't be read, the host may claim again.
 async fn begin_leadership(host: &Arc<Host>, claim: Claim) -> anyhow::Result<()> {
     host.claim_renewed_at.advance(claim.confirmed_at);
     host.claimed_term.store(claim.term, Ordering::Release);
     // Reading a long log over a slow link may take longer than the lease lasts.
     let keeper = tokio::spawn(renew_claim_lease(host.clone(), claim.lease)).abort_handle();
-    let start_term = Leadership::begin(host.clone(), claim).await;
+    let beginning = begin_or_yield(host, &claim).await;
     keeper.abort();
-    let leadership = match start_term {
-        Ok(leadership) => leadership,
-        Err(error) => {
-            host.claimed_term.store(0, Ordering::Release);
-            return Err(error.context("reading the log"));
-        }
-    };
-    host.set_role(Role::Leading(leadership));
+    if !matches!(beginning, Ok(Beginning::Leading(_))) {
+        host.claimed_term.store(0, Ordering::Release);
+    }
+    match beginning.context("reading the log")? {
+        Beginning::Leading(leadership) => host.set_role(Role::Leading(leadership)),
+        Beginning::Yielding(follower) => yielding::yield_claim(host, &claim, &follower).await,
+    }
     Ok(())
 }
 
+/// Reads the log, unless a stronger follower that the store answers can do so instead.
+async fn begin_or_yield(host: &Arc<Host>, claim: &Claim) -> anyhow::Result<Beginning> {
+    let stronger = tokio::select! {
+        leadership = Leadership::begin(host.clone(), claim.clone()) => return Ok(Beginning::Leading(leadership?)),
+        stronger = yielding::wait_for_stronger(host) => stronger,
+    };
+    // The log is no longer being read: over a slow link, answers would arrive after it.
+    match yielding::probe(stronger).await {
+        Some(follower) => Ok(Beginning::Yielding(follower)),
+        None => Ok(Beginning::Leading(Leadership::begin(host.clone(), claim.clone()).await?)),
+    }
+}
+
 /// Checks whether an unanswered claim was committed. Returns the revision of the term counter.
 async fn verify_claim(host: &Host, leader: &Leader) -> anyhow::Result<u64> {
     let item = host.services.store.get(TERM_KEY).await?.item.context("the term counter is missing")?;
--- a/components/entry/src/leadership.rs
+++ b/components/entry/src/leadership.rs
@@ -11,7 +11,7 @@
 mod pending;
 mod renewal;
 mod usage;
-mod yielding;
+pub(crate) mod yielding;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -22,7 +22,8 @@
 use parking_lot::Mutex;
 use sched::{Engine, Latency};
 use tokio::sync::{Notify, Semaphore, watch};
-use tokio::task::{AbortHandle, JoinHandle, JoinSet};
+use tokio::task::{AbortHandle, JoinSet};
+use tokio_util::task::AbortOnDropHandle;
 use work::log::PartId;
 use work::{JobId, State, Term, WorkerId};
 
@@ -152,7 +153,7 @@
         Ok(leadership)
     }
 
-    fn start(self: Arc<Leadership>, worker_list: JoinHandle<WorkerList>) {
+    fn start(self: Arc<Leadership>, worker_list: AbortOnDropHandle<WorkerList>) {
         let mut loops = JoinSet::new();
         let handles = vec![
             loops.spawn(commit::run(self.clone())),
--- a/components/entry/src/leadership/loops.rs
+++ b/components/entry/src/leadership/loops.rs
@@ -7,7 +7,7 @@
 
 use events::emit;
 use sched::{Clock, EndedWorker, Engine, Pass, Stall, WorkerEndReason, WorkerInfo};
-use tokio::task::JoinHandle;
+use tokio_util::task::AbortOnDropHandle;
 use work::{Evidence, WorkerId};
 
 use crate::claim::RENEWALS_PER_LEASE;
@@ -170,14 +170,14 @@
 /// Result of reading the list of workers.
 pub(crate) type WorkerList = Result<BTreeMap<WorkerId, WorkerInfo>, ServiceError>;
 
-/// Starts reading the list of workers.
-pub(crate) fn read_worker_list(host: &Host) -> JoinHandle<WorkerList> {
+/// Starts reading the list of workers. The read ends with the claim if that is given up.
+pub(crate) fn read_worker_list(host: &Host) -> AbortOnDropHandle<WorkerList> {
     let directory = host.services.directory.clone();
-    tokio::spawn(async move { directory.workers().await })
+    AbortOnDropHandle::new(tokio::spawn(async move { directory.workers().await }))
 }
 
 /// Reads the list of workers repeatedly; `first` was started before the leadership began.
-pub(crate) async fn list_workers(leadership: Arc<Leadership>, first: JoinHandle<WorkerList>) {
+pub(crate) async fn list_workers(leadership: Arc<Leadership>, first: AbortOnDropHandle<WorkerList>) {
     let mut outage = Outage::new("list of workers");
     // A panic while reading the list ends this loop as well.
     let mut result = first.await.unwrap_or_else(|error| std::panic::resume_unwind(error.into_panic()));
--- a/components/entry/src/leadership/yielding.rs
+++ b/components/entry/src/leadership/yielding.rs
@@ -1,7 +1,7 @@
 //! Hands leadership over to another host when only that one can reach the store, or when that one is stronger.
 //!
 //! Otherwise the other hosts would wait until the lease has expired, or a weak host would lead for as long as it
-//! lives.
+//! lives. A weak host yields already while it reads the log, which is what it is slowest at.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,9 +12,9 @@
 use tokio::task::JoinSet;
 
 use crate::election::LEADER_KEY;
-use crate::host::Follower;
+use crate::host::{Follower, Host};
 use crate::isolation;
-use crate::leadership::Leadership;
+use crate::leadership::{Claim, Leadership};
 use crate::message::{Answer, Call};
 
 /// How often the leader checks whether the store answers it.
@@ -35,6 +35,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 /// How often a weak leader looks for a stronger follower.
 const STRONGER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// The same while it reads the log. Followers connect within some 100 ms after a claim.
+const CLAIM_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Why a leader yields to a follower.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -69,7 +71,7 @@
             }
         } else if now - checked >= STRONGER_CHECK_INTERVAL {
             checked = now;
-            let stronger = strongest(&leadership, Some(leadership.host.settings.claim_delay));
+            let stronger = strongest(&leadership.host, Some(leadership.host.settings.claim_delay));
             if let Some(follower) = probe(stronger).await {
                 yield_to(&leadership, &follower, Cause::Weakness).await;
             }
@@ -81,8 +83,8 @@
 }
 
 /// Some of the strongest followers that can be called now; with `below`, only those with a shorter claim delay.
-fn strongest(leadership: &Leadership, below: Option<Duration>) -> Vec<Follower> {
-    let mut followers = leadership.host.live_followers();
+fn strongest(host: &Host, below: Option<Duration>) -> Vec<Follower> {
+    let mut followers = host.live_followers();
     followers.retain(|follower| below.is_none_or(|below| follower.claim_delay < below));
     followers.shuffle(&mut rand::rng());
     followers.sort_by_key(|follower| follower.claim_delay);
@@ -90,6 +92,21 @@
     followers
 }
 
+/// Waits until a host that has claimed leadership has stronger followers. Returns some of the strongest.
+pub(crate) async fn wait_for_stronger(host: &Host) -> Vec<Follower> {
+    let claim_delay = host.settings.claim_delay;
+    if claim_delay.is_zero() {
+        return std::future::pending().await;
+    }
+    loop {
+        let stronger = strongest(host, Some(claim_delay));
+        if !stronger.is_empty() {
+            return stronger;
+        }
+        tokio::time::sleep(CLAIM_CHECK_INTERVAL).await;
+    }
+}
+
 /// Finds a follower that the store answers while it doesn't answer this host.
 async fn find_reachable_follower(leadership: &Leadership) -> Option<Follower> {
     let started_at = leadership.host.started.elapsed();
@@ -104,7 +121,7 @@
     let follower = tokio::select! {
         // A refused or reset call is no answer: then it depends on whether followers get one.
         true = own.clone() => return None,
-        follower = probe(strongest(leadership, None)) => follower?,
+        follower = probe(strongest(&leadership.host, None)) => follower?,
     };
     let follower_took = leadership.host.started.elapsed() - started_at;
     let remaining = MIN_OWN_TIMEOUT.max(follower_took * OWN_TIMEOUT_FACTOR).saturating_sub(follower_took);
@@ -114,7 +131,7 @@
 }
 
 /// One of the strongest of the followers that the store answers.
-async fn probe(followers: Vec<Follower>) -> Option<Follower> {
+pub(crate) async fn probe(followers: Vec<Follower>) -> Option<Follower> {
     let strongest = followers.iter().map(|follower| follower.claim_delay).min()?;
     let mut asked = JoinSet::new();
     for follower in followers {
@@ -156,3 +173,13 @@
         emit!(leadership.host.log, events::TAKEOVER_UNANSWERED, "to" => &follower.host, "term" => leadership.term);
     }
 }
+
+/// Gives a claim up in favour of a stronger follower. Nothing was ordered or granted under it.
+pub(crate) async fn yield_claim(host: &Host, claim: &Claim, follower: &Follower) {
+    emit!(host.log, events::TAKEOVER_REQUESTED, "key" => LEADER_KEY, "to" => &follower.host, "term" => claim.term,
+        "why" => Cause::Weakness.text(), "after_ms" => (host.started.elapsed() - claim.confirmed_at).as_millis() as u64);
+    let call = Call::TakeOver { record_revision: claim.record_revision, predecessors: claim.predecessors.clone() };
+    if follower.link.call(call, PROBE_TIMEOUT).await != Ok(Answer::Done) {
+        emit!(host.log, events::TAKEOVER_UNANSWERED, "to" => &follower.host, "term" => claim.term);
+    }
+}
