Fix: a host that stops while it reads the log keeps its claim

What callers would see: after a planned stop of a host that has just claimed leadership, it leads as it ends, and nothing is accepted until its lease runs out, 1 s after its end; on a host that reads the log for seconds, all that time as well.

Fix: a stop that begins while the log is read deletes the leader's record at once and lets the followers go; it also ends a claim that was about to be made.

--- a/components/entry/src/claim.rs
+++ b/components/entry/src/claim.rs
@@ -88,7 +88,7 @@
     }
     // One claim at a time: the loop that follows the record and the old leader may both request one.
     let _guard = host.claim_lock.lock().await;
-    if host.claimed_term.load(Ordering::Acquire) != 0 {
+    if host.stopping() || host.claimed_term.load(Ordering::Acquire) != 0 {
         return;
     }
     if let Err(error) = claim(host, record_revision, cause, began_at, start_term).await {
@@ -210,6 +210,8 @@
     Leading(Arc<Leadership>),
     /// A stronger follower is to lead instead.
     Yielding(Follower),
+    /// This host is stopping.
+    Stopping,
 }
 
 /// Starts the leadership won by a claim, or gives the claim up. If the log can't be read, the host may claim again.
@@ -218,7 +220,10 @@
     host.claimed_term.store(claim.term, Ordering::Release);
     // Reading a long log over a slow link may take longer than the lease lasts.
     let keeper = tokio::spawn(renew_claim_lease(host.clone(), claim.lease)).abort_handle();
-    let beginning = begin_or_yield(host, &claim).await;
+    let beginning = tokio::select! {
+        beginning = begin_or_yield(host, &claim) => beginning,
+        () = host.wait_for_stop() => Ok(Beginning::Stopping),
+    };
     keeper.abort();
     if !matches!(beginning, Ok(Beginning::Leading(_))) {
         host.claimed_term.store(0, Ordering::Release);
@@ -226,6 +231,7 @@
     match beginning.context("reading the log")? {
         Beginning::Leading(leadership) => host.set_role(Role::Leading(leadership)),
         Beginning::Yielding(follower) => yielding::yield_claim(host, &claim, &follower).await,
+        Beginning::Stopping => give_up(host, &claim).await,
     }
     Ok(())
 }
@@ -243,6 +249,15 @@
     }
 }
 
+/// Gives a claim up for a planned stop, by deleting the leader's record.
+async fn give_up(host: &Host, claim: &Claim) {
+    emit!(host.log, events::LEADERSHIP_ENDED, "term" => claim.term, "why" => "planned stop while reading the log");
+    if let Err(error) = host.services.store.revoke_lease(claim.lease).await {
+        emit!(host.log, events::PLATFORM_FAILED, "call" => "revocation of the lease", "fault" => error.to_string());
+    }
+    host.disconnect_followers();
+}
+
 /// Checks whether an unanswered claim was committed. Returns the revision of the term counter.
 async fn verify_claim(host: &Host, leader: &Leader) -> anyhow::Result<u64> {
     let item = host.services.store.get(TERM_KEY).await?.item.context("the term counter is missing")?;
--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -126,6 +126,8 @@
 const MAX_FOLLOWER_SILENCE: Duration = Duration::from_millis(1000);
 /// The link of a follower that was silent for this long is closed.
 const FOLLOWER_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a planned stop waits until a claim is given up.
+const CLAIM_RELEASE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Delay before a call is retried when there is no leader to handle it.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
 /// A host without a leader reads from the store several times within this time. If the store was silent for this
@@ -299,9 +301,17 @@
         *self.stopping.borrow()
     }
 
-    /// Begins a planned stop: hands leadership over and doesn't claim it again.
+    /// Waits until a planned stop has begun.
+    pub(crate) async fn wait_for_stop(&self) {
+        // Fails only once the sender is dropped, which this host owns.
+        let _ = self.stopping.subscribe().wait_for(|stopping| *stopping).await;
+    }
+
+    /// Begins a planned stop: hands leadership over, or gives up a claim, and doesn't claim again.
     pub async fn stop(&self) {
         self.stopping.send_replace(true);
+        // A claim that is given up holds the lock until its record is deleted.
+        let _ = tokio::time::timeout(CLAIM_RELEASE_TIMEOUT, self.claim_lock.lock()).await;
         if let Role::Leading(leadership) = self.role() {
             leadership.hand_over().await;
             self.set_role(Role::NoLeader);
