Fix: a weak host replaces a leader that has become certain again during its wait

What callers saw: after an outage of the store with lapsed leases, a weak host claims leadership beside a leader that all strong hosts still follow.

Cause: a weak host asks the leader about its missing record, waits for 300 ms, and claims by the answer from before the wait.

Fix: a host with a claim delay asks again after it. The leader is asked at most once more, and a silent one isn't, so a dead leader is replaced as soon as before.

--- a/components/entry/src/claim.rs
+++ b/components/entry/src/claim.rs
@@ -9,7 +9,7 @@
 use rand::Rng;
 use work::Term;
 
-use crate::election::{LEADER_KEY, decode, read_leader_record};
+use crate::election::{LEADER_KEY, decode, leader_still_leads, read_leader_record};
 use crate::host::{Follower, Host, Role};
 use crate::leadership::{Claim, Leadership, yielding};
 use crate::message::Leader;
@@ -82,6 +82,10 @@
     if !requested && followed_term(host) > known {
         return;
     }
+    // The leader's answer is as old as the wait. It may have become certain again without having written its record yet.
+    if !delay.is_zero() && leader_still_leads(host).await {
+        return;
+    }
     // If hundreds of hosts see the leader gone, all but the first few find its successor's record with a single read.
     if !requested && !record_unchanged(host, record_revision).await {
         return;
--- a/components/entry/src/election.rs
+++ b/components/entry/src/election.rs
@@ -271,6 +271,14 @@
     }
 }
 
+/// Whether the followed leader, if any, says that it leads although its record is missing.
+pub(crate) async fn leader_still_leads(host: &Host) -> bool {
+    match host.role() {
+        Role::Following(leader, link) => ask_about_record(host, &leader, &link).await.is_none(),
+        Role::Leading(_) | Role::NoLeader => false,
+    }
+}
+
 /// Asks the followed leader about its missing record. Returns why it has to be replaced, or `None` if it still leads.
 async fn ask_about_record(host: &Host, leader: &Leader, link: &Link) -> Option<Cause> {
     let asked_at = host.started.elapsed();
