A weak host asks again only about a leader that it follows and doubts

Found in the last read-through: after a yielded claim its own record brought the host to the same wait, and it would have asked the leader before, with a misleading event 330. Imports in the usual order.

--- a/components/entry/src/claim.rs
+++ b/components/entry/src/claim.rs
@@ -49,6 +49,11 @@
 }
 
 impl Cause {
+    /// Whether a followed leader whose record is missing didn't say that it still leads.
+    fn is_leader_doubted(&self) -> bool {
+        matches!(self, Cause::LeaderSilent | Cause::LeaderUnanswered | Cause::LeaderUncertain)
+    }
+
     /// Description for the log.
     pub(crate) fn text(&self) -> &'static str {
         match self {
@@ -82,8 +87,9 @@
     if !requested && followed_term(host) > known {
         return;
     }
-    // The leader's answer is as old as the wait. It may have become certain again without having written its record yet.
-    if !delay.is_zero() && leader_still_leads(host).await {
+    // What is known of the leader is as old as the wait. It may have become certain again without having written its
+    // record yet.
+    if !delay.is_zero() && cause.is_leader_doubted() && leader_still_leads(host).await {
         return;
     }
     // If hundreds of hosts see the leader gone, all but the first few find its successor's record with a single read.
--- a/components/entry/src/leadership/yielding.rs
+++ b/components/entry/src/leadership/yielding.rs
@@ -35,7 +35,7 @@
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 /// How often a weak leader looks for a stronger follower.
 const STRONGER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// The same while it reads the log. Followers connect within some 100 ms after a claim.
+/// The same while a host that has claimed reads the log.
 const CLAIM_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Why a leader yields to a follower.
--- a/components/entry/src/predecessors.rs
+++ b/components/entry/src/predecessors.rs
@@ -1,10 +1,10 @@
 //! Earlier leaders that may still grant leases. Until all of them have certainly ended, the next leader waits before it
 //! restarts what unreachable workers may run.
 
-use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 use sched::Limits;
+use serde::{Deserialize, Serialize};
 
 use crate::message::{Leader, or_default};
 
