The leaders remembered by name are bounded, as their constant says

Found in the last read-through: with more than eight leaders in a row that may still be active, the further ones were counted as unknown, but the names were kept as well, so that the record of the last leader and the request to take over grew with each claim. The test, twelve leaders that are cut off one after the other, failed before with 11 names and passes now; the newest eight are kept.

--- a/components/entry/src/predecessors.rs
+++ b/components/entry/src/predecessors.rs
@@ -36,12 +36,10 @@
     /// The leaders before a claim that replaces `last`, which hasn't said that it has ended.
     pub(crate) fn before_claim(last: Option<LastLeader>, limits: &Limits) -> Predecessors {
         let Some(LastLeader { leader, predecessors }) = last else { return Predecessors::unknown(limits) };
-        let leaders: Vec<Leader> = [leader].into_iter().chain(predecessors.leaders).collect();
-        if predecessors.unknown || leaders.len() > MAX_LEADERS {
-            let active_for = limits.activity(false);
-            return Predecessors { leaders, unknown: true, active_for };
-        }
-        Predecessors { leaders, unknown: false, active_for: limits.activity(true) }
+        let mut leaders: Vec<Leader> = [leader].into_iter().chain(predecessors.leaders).collect();
+        let unknown = predecessors.unknown || leaders.len() > MAX_LEADERS;
+        leaders.truncate(MAX_LEADERS);
+        Predecessors { leaders, unknown, active_for: limits.activity(!unknown) }
     }
 
     /// Leaders of which nothing is known.
--- a/components/entry/tests/predecessors.rs
+++ b/components/entry/tests/predecessors.rs
@@ -78,6 +78,28 @@
     }
 }
 
+/// Otherwise the record would grow with each claim while leaders follow each other quickly.
+#[tokio::test]
+async fn a_series_of_short_lived_leaders_is_remembered_in_bounded_space() {
+    const CLAIMS: usize = 12;
+    const MAX_LEADERS: usize = 8;
+    let cell = Cell::new(config(1));
+    let mut hosts = Vec::new();
+    for number in 0..CLAIMS {
+        let name = format!("host-{number}");
+        let host = cell.start_host(&name).await.expect("a free port");
+        wait_until("it leads", || leads(&host)).await;
+        cell.set_store_unavailable(&name, true);
+        cell.delete_key("walkhook/leader");
+        hosts.push(host);
+    }
+    type Recorded = (Leader, (Vec<Leader>, bool, Duration));
+    let (last, (leaders, unknown, _)) =
+        postcard::from_bytes::<Recorded>(&cell.values("walkhook/last")[0]).expect("a record of the last leader");
+    assert_eq!(last.term, CLAIMS as u64);
+    assert!(leaders.len() <= MAX_LEADERS && unknown, "{} leaders", leaders.len());
+}
+
 /// Hosts of the version before take all earlier leaders for ended.
 #[test]
 fn messages_and_records_of_the_version_before_are_understood() {
