--- a/components/clock/src/lib.rs
+++ b/components/clock/src/lib.rs
@@ -39,6 +39,14 @@
     }
 }
 
+/// Processor time that this process has used so far, of all its threads.
+///
+/// # Panics
+/// Panics on a system without `CLOCK_PROCESS_CPUTIME_ID`; Linux has it since 2.6.12.
+pub fn process_cpu_time() -> Duration {
+    ClockId::CLOCK_PROCESS_CPUTIME_ID.now().expect("the system has CLOCK_PROCESS_CPUTIME_ID").into()
+}
+
 /// Measures the time since its start, including suspensions.
 #[derive(Clone)]
 pub struct Stopwatch {
--- a/components/entry/src/leadership/activity.rs
+++ b/components/entry/src/leadership/activity.rs
@@ -1,5 +1,5 @@
-//! What the leader does, as one log line a second. A leader that is short of processor time shows long passes, deferred
-//! units, and starts that are rejected because their tickets have expired.
+//! What the leader does, as one log line a second. A leader that is short of processor time shows a long scheduling lag,
+//! long passes, deferred units, and starts that are rejected because their tickets have expired.
 
 use std::time::Duration;
 
@@ -24,9 +24,21 @@
     /// Starts that were rejected because their tickets had expired.
     expired_tickets: u32,
     questions: u32,
+    /// Sum and maximum of the scheduling lag, and the number of samples.
+    lag: Duration,
+    longest_lag: Duration,
+    lag_samples: u32,
 }
 
 impl Activity {
+    /// Records how long after its due time a timer of the leader ran.
+    pub(crate) fn note_lag(&self, lag: Duration) {
+        let mut counts = self.0.lock();
+        counts.lag += lag;
+        counts.longest_lag = counts.longest_lag.max(lag);
+        counts.lag_samples += 1;
+    }
+
     pub(crate) fn note_pass(&self, pass: &Pass, took: Duration) {
         let mut counts = self.0.lock();
         counts.passes += 1;
@@ -46,14 +58,17 @@
     }
 }
 
-/// Logs the counts and starts anew. `pass` is the last pass.
-pub(crate) fn log(leadership: &Leadership, pass: &Pass) {
+/// Logs the counts and starts anew. `pass` is the last pass, `cpu` the processor time of the process since the last line,
+/// and `starting` the number of starts that are decided and not answered yet.
+pub(crate) fn log(leadership: &Leadership, pass: &Pass, cpu: Duration, starting: usize) {
     let counts = std::mem::take(&mut *leadership.activity.0.lock());
     let host = &leadership.host;
     emit!(host.log, events::LEADER_ACTIVITY, "term" => leadership.term, "passes" => counts.passes,
         "planning_ms" => counts.planning.as_millis() as u64, "longest_us" => counts.longest_pass.as_micros() as u64,
         "examined" => counts.examined, "deferred" => pass.deferred(),
         "deferred_ms" => pass.longest_wait.as_millis() as u64, "starts" => counts.starts,
-        "expired_tickets" => counts.expired_tickets, "questions" => counts.questions,
+        "starting" => starting, "expired_tickets" => counts.expired_tickets, "questions" => counts.questions,
+        "cpu_ms" => cpu.as_millis() as u64, "longest_lag_us" => counts.longest_lag.as_micros() as u64,
+        "mean_lag_us" => counts.lag.checked_div(counts.lag_samples).unwrap_or_default().as_micros() as u64,
         "followers" => host.followers.lock().len(), "unconfirmed_ms" => leadership.unconfirmed_for().as_millis() as u64);
 }
--- a/components/entry/src/leadership/loops.rs
+++ b/components/entry/src/leadership/loops.rs
@@ -40,7 +40,7 @@
 
 /// Runs a scheduling pass after each event.
 pub(crate) async fn plan(leadership: Arc<Leadership>) {
-    let mut upkeep = Upkeep::default();
+    let mut upkeep = Upkeep { cpu_time: clock::process_cpu_time(), ..Upkeep::default() };
     let mut interval = MAX_PLAN_INTERVAL;
     loop {
         // Wakes up for an event or at the timeout.
@@ -78,16 +78,25 @@
         }
         upkeep.run(&leadership, clock);
         let took = leadership.host.started.elapsed() - clock.now;
-        tokio::time::sleep(MIN_PLAN_INTERVAL.max(took * PAUSE_PER_PASS)).await;
+        pause(&leadership, MIN_PLAN_INTERVAL.max(took * PAUSE_PER_PASS)).await;
     }
 }
 
+/// Waits, and records how late this ends: everything else that is ready to run waits as long.
+async fn pause(leadership: &Leadership, pause: Duration) {
+    let due = Instant::now() + pause;
+    tokio::time::sleep(pause).await;
+    leadership.activity.note_lag(due.elapsed());
+}
+
 /// Work at long intervals. It takes the engine's lock after a pass has released it, so that accepting a job waits for
 /// one of them at most.
 #[derive(Default)]
 struct Upkeep {
     forgotten: Duration,
     checked: Duration,
+    /// Processor time of the process when the activity was last logged.
+    cpu_time: Duration,
 }
 
 impl Upkeep {
@@ -98,12 +107,14 @@
         }
         if clock.now.saturating_sub(self.checked) > STALL_CHECK_INTERVAL {
             self.checked = clock.now;
-            let (stalls, stalled, pass) = {
+            let (stalls, stalled, pass, starting) = {
                 let mut engine = leadership.engine.lock();
                 usage::show(leadership, &engine);
-                (engine.stalls(clock), engine.stalled_count(), engine.last_pass())
+                (engine.stalls(clock), engine.stalled_count(), engine.last_pass(), engine.unanswered_starts())
             };
-            activity::log(leadership, &pass);
+            let cpu_time = clock::process_cpu_time();
+            let cpu = cpu_time.saturating_sub(std::mem::replace(&mut self.cpu_time, cpu_time));
+            activity::log(leadership, &pass, cpu, starting);
             leadership.host.metrics.stalled_jobs.set(stalled as i64);
             stalls.iter().for_each(|stall| report_stall(leadership, stall));
         }
--- a/components/sched/examples/flow.rs
+++ b/components/sched/examples/flow.rs
@@ -3,7 +3,8 @@
 //! The first table has a steady rate of jobs by number of workers, and prints the CPU time per simulated second. The
 //! second part has 350 workers, filled by a less urgent queue, 1,000 waiting jobs of three queues with advice, and 40 hosts that ask, first with
 //! a steady rate of urgent jobs and then with a burst. It prints the CPU time of an accepted job, of a start and of a
-//! pass with its parts. With the argument `overload` only this part runs.
+//! pass with its parts. With the argument `overload` only this part runs, and with `large` only a cell of 1,100 workers
+//! and 147 hosts with wide gangs and steps, at two thirds of its cores and beyond them.
 
 mod cell;
 
@@ -34,8 +35,13 @@
 const PERCENT_MS: u128 = 20;
 /// Id of the first waiting job of an overload; lower ids belong to jobs that arrive later.
 const FIRST_WAITING: JobId = 1_000_000;
-/// One in this many of the workers that a question names may run a job.
-const ALLOWED_INTERVAL: usize = 2;
+
+/// Number of workers and of hosts in the large cell, and jobs per second that need two thirds of its cores, and more than
+/// all.
+const LARGE_WORKERS: usize = 1100;
+const LARGE_HOSTS: usize = 147;
+const LARGE_PER_SECOND: u64 = 109;
+const LARGE_BURST_PER_SECOND: u64 = 220;
 
 /// Number of workers, of hosts that ask the advice service, and of waiting jobs at the start of an overload.
 const OVERLOAD_WORKERS: usize = 350;
@@ -93,7 +99,13 @@
 }
 
 fn main() {
-    if std::env::args().nth(1).as_deref() != Some("overload") {
+    let part = std::env::args().nth(1);
+    if part.as_deref() == Some("large") {
+        large("steady", LARGE_PER_SECOND);
+        large("burst", LARGE_BURST_PER_SECOND);
+        return;
+    }
+    if part.as_deref() != Some("overload") {
         cells();
     }
     for (name, jobs_per_second) in [("steady", URGENT_PER_SECOND), ("burst", BURST_PER_SECOND)] {
@@ -128,12 +140,25 @@
     // The first pass opens all of these jobs, which in a leader arrive one after another or are replayed.
     cell.plan();
     cell::parts::reset();
-    let cpu_time = cell.run_load();
-    let us = |time: Duration, count: u32| time.as_secs_f64() * 1e6 / f64::from(count.max(1));
-    let passes = cpu_time.passes;
     println!(
         "{name}: {OVERLOAD_WORKERS} workers, {OVERLOAD_BACKLOG} waiting jobs, {jobs_per_second} urgent jobs a second"
     );
+    print_costs(&cell.run_load());
+}
+
+/// Measures a large cell and prints its costs.
+fn large(name: &str, jobs_per_second: u64) {
+    let load = Load { jobs_per_second, job: cell::wide::job, hosts: Some(LARGE_HOSTS) };
+    let cell = Cell::new(LARGE_WORKERS, load);
+    cell::parts::reset();
+    println!("{name}: {LARGE_WORKERS} workers, {jobs_per_second} jobs a second");
+    print_costs(&cell.run_load());
+}
+
+/// Prints the costs of a load.
+fn print_costs(cpu_time: &CpuTime) {
+    let us = |time: Duration, count: u32| time.as_secs_f64() * 1e6 / f64::from(count.max(1));
+    let passes = cpu_time.passes;
     println!(
         "    {} units wait and {} are examined in a mean pass, at most {} in one; {} starts, {} questions",
         cpu_time.waiting / passes as usize,
@@ -330,7 +355,7 @@
     /// Answers a question.
     fn advise(&mut self, question: &Question) {
         self.cpu_time.questions += 1;
-        let healthy = question.workers.iter().step_by(ALLOWED_INTERVAL);
+        let healthy = question.workers.iter().filter(|worker| cell::may_run(question.unit, worker));
         let tickets = cell::tickets(healthy, self.clock.now + question.validity);
         timed(&mut self.cpu_time.advice, || self.engine.advice_received(question.unit, &question.workers, tickets));
     }
@@ -347,6 +372,7 @@
         validity: Duration::from_secs(2),
     };
     let mut queues = cell::mixed::queues();
+    queues.extend(cell::wide::queues());
     let plain = Queue { priority: 3, objective: Duration::from_secs(60), ..cell::queue("plain", None) };
     queues.extend([cell::queue("checks", Some(advice)), plain]);
     queues
--- a/components/sched/src/pass.rs
+++ b/components/sched/src/pass.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::engine::Engine;
+use crate::worker::Worker;
 
 /// A part of a planning pass.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -71,6 +72,11 @@
         (self.probe)(part);
     }
 
+    /// Number of starts that are decided and not answered yet.
+    pub fn unanswered_starts(&self) -> usize {
+        self.workers.values().map(Worker::starting).sum()
+    }
+
     /// Numbers of units in the last pass.
     pub fn last_pass(&self) -> Pass {
         self.last_pass
--- a/components/sched/src/worker.rs
+++ b/components/sched/src/worker.rs
@@ -287,6 +287,11 @@
         !self.runs.is_empty() && !self.runs.values().any(moves)
     }
 
+    /// Number of runs whose start isn't answered yet.
+    pub(crate) fn starting(&self) -> usize {
+        self.runs.values().filter(|run| run.phase == Phase::Starting).count()
+    }
+
     /// Adds a run and takes its room.
     pub(crate) fn add_run(&mut self, task: Task, attempt: Attempt, run: Run) {
         self.free = self.free.saturating_sub(&run.need);
