Workers are known by number in the advice state, and expectations are only computed for queues that may ask

A profile of the leader shows planning as a quarter of its time, most of it in comparing and hashing names of workers: for each open question and each worker named in it, in each pass.

What the advice service said is now kept in bit sets and maps by number, as the ranking does already. All tests of sched pass.

--- a/components/sched/examples/cell/mod.rs
+++ b/components/sched/examples/cell/mod.rs
@@ -2,16 +2,14 @@
 
 pub mod mixed;
 pub mod parts;
-pub mod wide;
 
 use std::collections::BTreeMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
 use model::Resources;
 use sched::{Clock, Engine, Limits, Ticket, WorkerInfo};
-use work::{Advice, Config, Job, Queue, Step, Unit, WorkerId};
+use work::{Advice, Config, Job, Queue, Step, WorkerId};
 
 /// CPU of a worker, in thousandths of a core.
 const WORKER_CPU_MILLI: u32 = 16_000;
@@ -76,13 +74,6 @@
     workers.map(|worker| (worker.clone(), Ticket { text: "ticket".to_owned(), until })).collect()
 }
 
-/// Whether the advice service allows a unit on a worker: a fixed half of all workers for each unit.
-pub fn may_run(unit: Unit, worker: &WorkerId) -> bool {
-    let mut hasher = DefaultHasher::new();
-    (unit, worker).hash(&mut hasher);
-    hasher.finish() % 2 == 0
-}
-
 /// Writes all pending records.
 pub fn write(engine: &mut Engine, clock: Clock) {
     let (_, upto) = engine.take_records(usize::MAX);
--- a/components/sched/examples/cell/wide.rs
+++ b/components/sched/examples/cell/wide.rs
@@ -1,9 +1,12 @@
 //! A load of wide gangs, wide patient steps and small urgent jobs, each in a queue with advice.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
 use model::Resources;
-use work::{Advice, Job, JobId, Queue, Step};
+use work::{Advice, Job, JobId, Queue, Step, Unit, WorkerId};
+
+use crate::cell;
 
 /// Of [`MIX_LEN`] jobs, the number of wide gangs and of wide patient steps. The others are small and urgent.
 const GANGS_OF_MIX: u64 = 7;
@@ -23,7 +26,7 @@
         priority,
         stretch,
         objective: Duration::from_millis(target_ms),
-        ..super::queue(name, Some(advice))
+        ..cell::queue(name, Some(advice))
     };
     vec![
         queue("gangs", 1, 2.2, 1000, advice(390_000, 5600)),
@@ -45,6 +48,13 @@
     }
 }
 
+/// Whether the advice service allows a unit on a worker: a fixed half of all workers for each unit.
+pub fn may_run(unit: Unit, worker: &WorkerId) -> bool {
+    let mut hasher = DefaultHasher::new();
+    (unit, worker).hash(&mut hasher);
+    hasher.finish() % 2 == 0
+}
+
 fn step(count: u32, cpu_milli: u32, estimate_ms: u64, step: Step) -> Job {
     let need = Resources { cpu_milli, memory_mib: 1024, accelerators: 0 };
     let step = Step { count, need, estimate: Duration::from_millis(estimate_ms), ..step };
--- a/components/sched/examples/flow.rs
+++ b/components/sched/examples/flow.rs
@@ -7,6 +7,8 @@
 //! and 147 hosts with wide gangs and steps, at two thirds of its cores and beyond them.
 
 mod cell;
+#[path = "cell/wide.rs"]
+mod wide;
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -148,7 +150,7 @@
 
 /// Measures a large cell and prints its costs.
 fn large(name: &str, jobs_per_second: u64) {
-    let load = Load { jobs_per_second, job: cell::wide::job, hosts: Some(LARGE_HOSTS) };
+    let load = Load { jobs_per_second, job: wide::job, hosts: Some(LARGE_HOSTS) };
     let cell = Cell::new(LARGE_WORKERS, load);
     cell::parts::reset();
     println!("{name}: {LARGE_WORKERS} workers, {jobs_per_second} jobs a second");
@@ -355,7 +357,7 @@
     /// Answers a question.
     fn advise(&mut self, question: &Question) {
         self.cpu_time.questions += 1;
-        let healthy = question.workers.iter().filter(|worker| cell::may_run(question.unit, worker));
+        let healthy = question.workers.iter().filter(|worker| wide::may_run(question.unit, worker));
         let tickets = cell::tickets(healthy, self.clock.now + question.validity);
         timed(&mut self.cpu_time.advice, || self.engine.advice_received(question.unit, &question.workers, tickets));
     }
@@ -372,7 +374,7 @@
         validity: Duration::from_secs(2),
     };
     let mut queues = cell::mixed::queues();
-    queues.extend(cell::wide::queues());
+    queues.extend(wide::queues());
     let plain = Queue { priority: 3, objective: Duration::from_secs(60), ..cell::queue("plain", None) };
     queues.extend([cell::queue("checks", Some(advice)), plain]);
     queues
--- a/components/sched/src/advice.rs
+++ b/components/sched/src/advice.rs
@@ -2,12 +2,13 @@
 //!
 //! The set of workers that may run a unit never changes; only tickets expire.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use work::{QueueName, Unit, WorkerId};
 
 use crate::engine::Engine;
+use crate::worker_set::WorkerSet;
 
 /// Permission to start the tasks of a unit on one worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -25,15 +26,16 @@
     }
 }
 
-/// What the advice service said about the workers for a unit.
+/// What the advice service said about the workers for a unit. Workers are given by number; see
+/// [`crate::room::Room::number`].
 #[derive(Clone, Debug, Default)]
 pub(crate) struct UnitAdvice {
     /// Workers that were named in answered questions.
-    pub asked: BTreeSet<WorkerId>,
+    pub asked: WorkerSet,
     /// Workers that may run the unit, each with its last ticket.
-    pub healthy: BTreeMap<WorkerId, Ticket>,
+    pub healthy: BTreeMap<usize, Ticket>,
     /// Workers that are named in unanswered questions.
-    pub asking: BTreeSet<WorkerId>,
+    pub asking: WorkerSet,
     /// No further question is considered before this time, unless an answer arrives.
     pub ask_at: Duration,
 }
@@ -62,14 +64,14 @@
 
 impl UnitAdvice {
     /// Whether a start that arrives at this worker by `until` may be sent.
-    pub(crate) fn allows(&self, worker: &str, until: Duration) -> bool {
-        self.healthy.get(worker).is_some_and(|ticket| ticket.holds(until))
+    pub(crate) fn allows(&self, worker: usize, until: Duration) -> bool {
+        self.healthy.get(&worker).is_some_and(|ticket| ticket.holds(until))
     }
 
     /// The probability that a worker named in an unanswered question may run the unit. `share` is that of a worker that
     /// wasn't asked about before.
-    pub(crate) fn chance(&self, worker: &str, share: f64) -> f64 {
-        if self.healthy.contains_key(worker) { 1.0 } else { share }
+    pub(crate) fn chance(&self, worker: usize, share: f64) -> f64 {
+        if self.healthy.contains_key(&worker) { 1.0 } else { share }
     }
 
     /// Whether nothing was asked yet.
@@ -78,44 +80,46 @@
     }
 
     /// Records that a question about these workers has ended.
-    fn answered(&mut self, asked: &[WorkerId]) {
-        asked.iter().for_each(|worker| {
-            self.asking.remove(worker);
-        });
+    fn answered(&mut self, asked: &[usize]) {
+        asked.iter().for_each(|worker| self.asking.remove(*worker));
         self.ask_at = Duration::ZERO;
     }
 
     /// Workers whose tickets are still valid at `until`.
-    pub(crate) fn tickets(&self, until: Duration) -> impl Iterator<Item = &WorkerId> {
-        self.healthy.iter().filter(move |(_, ticket)| ticket.holds(until)).map(|(worker, _)| worker)
+    pub(crate) fn tickets(&self, until: Duration) -> impl Iterator<Item = usize> {
+        self.healthy.iter().filter(move |(_, ticket)| ticket.holds(until)).map(|(worker, _)| *worker)
     }
 }
 
 impl Engine {
     /// Processes the advice service's answer: the workers among `asked` that may run the unit.
     pub fn advice_received(&mut self, unit: Unit, asked: &[WorkerId], healthy: Vec<(WorkerId, Ticket)>) {
-        self.count_shares(unit, asked, &healthy);
+        let asked: Vec<usize> = asked.iter().map(|worker| self.room.assign_number(worker)).collect();
+        let healthy: Vec<(usize, Ticket)> =
+            healthy.into_iter().map(|(worker, ticket)| (self.room.assign_number(&worker), ticket)).collect();
+        self.count_shares(unit, &asked, &healthy);
         self.count_advice(unit, asked.len());
         let Some(state) = self.unit_mut(unit) else { return };
-        state.advice.answered(asked);
+        state.advice.answered(&asked);
         state.retry_at = Duration::ZERO;
-        state.advice.asked.extend(asked.iter().cloned());
+        asked.iter().for_each(|worker| state.advice.asked.insert(*worker));
         state.advice.healthy.extend(healthy);
     }
 
     /// Processes that a question about `asked` got no answer.
     pub fn advice_failed(&mut self, unit: Unit, asked: &[WorkerId]) {
         self.count_advice(unit, asked.len());
+        let asked: Vec<usize> = asked.iter().map(|worker| self.room.assign_number(worker)).collect();
         if let Some(state) = self.unit_mut(unit) {
-            state.advice.answered(asked);
+            state.advice.answered(&asked);
         }
     }
 
     /// Updates the share of the queue with the workers that weren't asked about before.
-    fn count_shares(&mut self, unit: Unit, asked: &[WorkerId], healthy: &[(WorkerId, Ticket)]) {
+    fn count_shares(&mut self, unit: Unit, asked: &[usize], healthy: &[(usize, Ticket)]) {
         let Some(entry) = self.jobs.get(&unit.job) else { return };
         let Some(state) = entry.units.get(&(unit.round, unit.step)) else { return };
-        let new = |worker: &&WorkerId| !state.advice.asked.contains(*worker);
+        let new = |worker: &&usize| !state.advice.asked.contains(**worker);
         let named = asked.iter().filter(new).count();
         let allowed = healthy.iter().map(|(worker, _)| worker).filter(new).count();
         let queue = entry.queue.clone();
@@ -123,8 +127,9 @@
     }
 
     pub(crate) fn drop_ticket(&mut self, unit: Unit, worker: &str) {
+        let number = self.room.number(worker);
         if let Some(state) = self.unit_mut(unit)
-            && let Some(ticket) = state.advice.healthy.get_mut(worker)
+            && let Some(ticket) = number.and_then(|number| state.advice.healthy.get_mut(&number))
         {
             ticket.until = Duration::ZERO;
         }
--- a/components/sched/src/advice_order.rs
+++ b/components/sched/src/advice_order.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use model::Resources;
-use work::{Advice, Queue, QueueName, Step, Unit, WorkerId};
+use work::{Advice, Queue, QueueName, Step, Unit};
 
 use crate::engine::{Action, Clock, Engine};
 use crate::entry::UnitState;
@@ -157,7 +157,7 @@
     /// run the unit, but no more in total than wait for a place. `share` is that chance for a worker that wasn't asked
     /// about before. A gang that isn't expected to find room for all its tasks uses none.
     fn add(&mut self, unit: Unit, state: &UnitState, step: &Step, queue: &Queue, share: f64, room: &mut Room) {
-        let fitting = |worker: &WorkerId| {
+        let fitting = |worker: usize| {
             let index = room.position(worker)?;
             let place = &room.places[index];
             let tasks = place.tasks_in(&place.uncontended(&Resources::ZERO, queue.priority), state, step);
@@ -207,8 +207,12 @@
         }
         self.requests.retain(|unit, _| self.live.contains(&unit.job));
         self.host_time.decay(clock.now);
-        let mut expectations = self.expectations(room);
         let mut queues = by_queue(self.requests.values());
+        queues.retain(|queue| self.may_ask(&queue.queue));
+        if queues.is_empty() {
+            return;
+        }
+        let mut expectations = self.expectations(room);
         while self.askers.is_none_or(|hosts| hosts.free > 0) {
             let Some(Requests { queue, units }) = self.host_time.next(&queues).map(|next| &mut queues[next]) else {
                 return;
@@ -265,11 +269,14 @@
         expectations.remove(unit, &queue, room);
         let inquiry = Inquiry { unit, advice, queue: &queue, room, count_preemptible: assembles };
         let questions = self.questions(clock, &inquiry);
+        let named: Vec<usize> =
+            questions.iter().flat_map(|question| &question.workers).map(|worker| room.assign_number(worker)).collect();
         room.claim(&claims, &taken_room(step));
         let hosts = self.askers;
         if questions.iter().all(|question| hosts.is_none_or(|hosts| hosts.allows(question))) {
             if let Some(state) = self.unit_mut_unmarked(unit) {
                 state.advice.ask_at = clock.now + ASK_INTERVAL;
+                named.into_iter().for_each(|worker| state.advice.asking.insert(worker));
             }
             questions.into_iter().for_each(|question| self.send_question(clock, &queue, question));
         }
@@ -281,9 +288,6 @@
     }
 
     fn send_question(&mut self, clock: Clock, queue: &Queue, question: Question) {
-        if let Some(state) = self.unit_mut_unmarked(question.unit) {
-            state.advice.asking.extend(question.workers.iter().cloned());
-        }
         self.open_questions.insert(question.unit);
         self.host_time.add(clock.now, &queue.name, question.cost);
         if let Some(hosts) = &mut self.askers {
--- a/components/sched/src/assemble.rs
+++ b/components/sched/src/assemble.rs
@@ -149,13 +149,15 @@
         let suitable = |place: &&Place| place.health <= Health::Degraded && place.is_suitable(queue, step);
         let places: Vec<&Place> = match queue.advice {
             None => room.places.iter().filter(suitable).collect(),
-            Some(_) => state.advice.healthy.keys().filter_map(|id| room.place(id)).filter(suitable).collect(),
+            Some(_) => {
+                state.advice.healthy.keys().filter_map(|number| room.numbered(*number)).filter(suitable).collect()
+            }
         };
         let offer = |place: &'a Place| {
             let worker = self.workers.get(&place.id)?;
             let free = place.free_after(&ending(worker));
             let tasks = place.tasks_in(&free, state, step);
-            let ticket = queue.advice.is_none() || state.advice.allows(&place.id, start_arrival);
+            let ticket = queue.advice.is_none() || state.advice.allows(place.number, start_arrival);
             Some(Offer { place, free, tasks, ticket, preemptible: Vec::new(), stops: Vec::new() })
         };
         places.into_iter().filter_map(offer).collect()
--- a/components/sched/src/explain.rs
+++ b/components/sched/src/explain.rs
@@ -120,7 +120,7 @@
             workers += 1;
             let slots = place.tasks(unit, step);
             fitting += slots;
-            if queue.advice.is_none() || unit.advice.allows(&place.id, start_arrival) {
+            if queue.advice.is_none() || unit.advice.allows(place.number, start_arrival) {
                 with_ticket += slots;
             }
         }
--- a/components/sched/src/fill.rs
+++ b/components/sched/src/fill.rs
@@ -94,7 +94,7 @@
         };
         match queue.advice {
             None => (0..self.places.len()).filter(fits).collect(),
-            Some(_) => state.advice.tickets(now).filter_map(|id| self.position(id)).filter(fits).collect(),
+            Some(_) => state.advice.tickets(now).filter_map(|number| self.position(number)).filter(fits).collect(),
         }
     }
 
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -255,7 +255,7 @@
         for (index, place) in choices {
             let worker = room.places[place].id.clone();
             let task = Task { unit, index: index as u32 };
-            let Some(order) = self.start_order(task, step, gang_attempt, &worker) else { continue };
+            let Some(order) = self.start_order(task, step, gang_attempt, room.places[place].number) else { continue };
             let phase = worker::Phase::Starting;
             let suspect = self.is_suspect(task);
             let now = clock.now;
@@ -330,16 +330,18 @@
         let unit = start.task.unit;
         let starting = self.is_start_wanted(worker, start.task, start.attempt);
         let allowed = start.ticket.is_none()
-            || self.unit(unit).is_some_and(|state| state.advice.allows(worker, clock.now + TICKET_MARGIN));
+            || self.room.number(worker).is_some_and(|number| {
+                self.unit(unit).is_some_and(|state| state.advice.allows(number, clock.now + TICKET_MARGIN))
+            });
         starting && allowed && self.live.contains(&unit.job)
     }
 
-    fn start_order(&mut self, task: Task, step: &Step, gang_attempt: Option<u64>, worker: &str) -> Option<Start> {
+    fn start_order(&mut self, task: Task, step: &Step, gang_attempt: Option<u64>, worker: usize) -> Option<Start> {
         let job = self.jobs.get(&task.unit.job)?.job.clone();
         let term_attempt = self.unit(task.unit)?.tasks.get(task.index as usize).map(|state| state.starts)?;
         let attempt = if step.gang { gang_attempt? } else { self.attempt(term_attempt) };
         let state = self.unit_mut(task.unit)?;
-        let ticket = state.advice.healthy.get(worker).map(|ticket| ticket.text.clone());
+        let ticket = state.advice.healthy.get(&worker).map(|ticket| ticket.text.clone());
         let gang_checkpoint = state.checkpoint.clone();
         let own = state.tasks.get_mut(task.index as usize)?;
         own.starts += 1;
--- a/components/sched/src/preempt.rs
+++ b/components/sched/src/preempt.rs
@@ -71,7 +71,7 @@
         let places = room.places.iter().filter(|place| need.dominant_share(&place.info.capacity) > LARGE_SHARE);
         let places = places.filter(|place| place.health == Health::Good && place.tasks(state, step) == 0);
         let start_arrival = self.start_arrival(clock);
-        let with_ticket = |place: &Place| queue.advice.is_none() || state.advice.allows(&place.id, start_arrival);
+        let with_ticket = |place: &Place| queue.advice.is_none() || state.advice.allows(place.number, start_arrival);
         let places = places.filter(|place| place.is_suitable(queue, step) && with_ticket(place));
         let places = places.filter(|place| state.claims.iter().all(|claim| claim.worker != place.id));
         let found = places.filter_map(|place| self.victims(&place.id, &need, queue.priority));
--- a/components/sched/src/questions.rs
+++ b/components/sched/src/questions.rs
@@ -96,7 +96,7 @@
     pub(crate) fn questions(&self, clock: Clock, inquiry: &Inquiry) -> Vec<Question> {
         let Inquiry { unit, advice, count_preemptible, .. } = *inquiry;
         let most = max_questions(self.askers.map_or(1, Hosts::free_for_long));
-        let claimed = self.claimed(clock, unit).filter(|_| count_preemptible);
+        let claimed = self.claimed(clock, unit, inquiry.room).filter(|_| count_preemptible);
         let others = || self.named(clock, inquiry, most).unwrap_or_default();
         let workers = claimed.unwrap_or_else(others);
         let question = |workers: &[WorkerId]| Question {
@@ -109,10 +109,13 @@
     }
 
     /// If room is reserved for a gang, the workers there whose tickets expire before the room is free.
-    fn claimed(&self, clock: Clock, unit: Unit) -> Option<Vec<WorkerId>> {
+    fn claimed(&self, clock: Clock, unit: Unit, room: &Room) -> Option<Vec<WorkerId>> {
         let state = self.unit(unit).filter(|state| !state.claims.is_empty())?;
         let until = self.start_arrival(clock) + MAX_STOP_TIME;
-        let short = |worker: &&WorkerId| !state.advice.allows(worker, until) && !state.advice.asking.contains(*worker);
+        let short = |worker: &&WorkerId| {
+            let number = room.number(worker);
+            number.is_none_or(|number| !state.advice.allows(number, until) && !state.advice.asking.contains(number))
+        };
         Some(state.claims.iter().map(|claim| &claim.worker).filter(short).cloned().collect())
     }
 
@@ -175,18 +178,18 @@
     slots: impl Fn(&Place) -> Option<usize>,
 ) -> Supply<'a> {
     let mut supply = Supply { held: 0.0, outstanding: 0.0, expired: Vec::new() };
-    let places = |worker: &WorkerId| {
-        let place = room.place(worker)?;
+    let places = |worker: usize| {
+        let place = room.numbered(worker)?;
         Some((place, slots(place).filter(|slots| *slots > 0)? as f64))
     };
-    for (worker, _) in known.healthy.iter().filter(|(worker, _)| !known.asking.contains(*worker)) {
+    for worker in known.healthy.keys().copied().filter(|worker| !known.asking.contains(*worker)) {
         let Some((place, slots)) = places(worker) else { continue };
         match known.allows(worker, until) {
             true => supply.held += slots,
             false => supply.expired.push(Named { id: &place.id, expected: slots }),
         }
     }
-    for worker in &known.asking {
+    for worker in known.asking.iter() {
         let chance = known.chance(worker, share);
         supply.outstanding += places(worker).map_or(0.0, |(_, slots)| chance * slots);
     }
@@ -207,7 +210,7 @@
     if missing <= 0.0 {
         return workers;
     }
-    let asked = |place: &Place| known.asked.contains(&place.id) || known.asking.contains(&place.id);
+    let asked = |place: &Place| known.asked.contains(place.number) || known.asking.contains(place.number);
     // Room is checked first: that is cheaper, and while many units wait there is little room.
     let open = room.places.iter().enumerate().filter_map(|(index, place)| Some((index, slots(place)?)));
     let open = open.filter(|(index, _)| !asked(&room.places[*index])).collect();
--- a/components/sched/src/ranking.rs
+++ b/components/sched/src/ranking.rs
@@ -217,7 +217,7 @@
             return earlier.clone();
         }
         let mut workers = WorkerSet::default();
-        state.advice.healthy.keys().filter_map(|id| self.room.number(id)).for_each(|number| workers.insert(number));
+        state.advice.healthy.keys().for_each(|number| workers.insert(*number));
         Allowed { tickets, workers }
     }
 }
--- a/components/sched/src/room.rs
+++ b/components/sched/src/room.rs
@@ -21,7 +21,7 @@
 pub(crate) struct Place {
     pub id: WorkerId,
     /// The worker's number; see [`Room::number`].
-    number: usize,
+    pub number: usize,
     /// Free room that the last pass knew of; any more has become free since.
     known: Resources,
     /// Free room when the pass began.
@@ -49,7 +49,7 @@
     pub places: Vec<Place>,
     /// Index of each worker in `places`.
     index: HashMap<WorkerId, usize>,
-    /// Numbers of all workers that were ever usable in this term.
+    /// Numbers of all workers that were ever usable or asked about in this term.
     numbers: HashMap<WorkerId, usize>,
     /// Index in `places` by number.
     by_number: Vec<Option<usize>>,
@@ -160,6 +160,7 @@
         }
         let slots = self.slots_in(free, &taken_room(step));
         match step.max_per_worker {
+            _ if slots == 0 => 0,
             0 => slots,
             most => slots.min(most.saturating_sub(held_on(state, &self.id)) as usize),
         }
@@ -231,11 +232,7 @@
     fn number_places(&mut self) {
         self.by_number.fill(None);
         for (index, place) in self.places.iter_mut().enumerate() {
-            let next = self.numbers.len();
-            place.number = match self.numbers.get(&place.id) {
-                Some(number) => *number,
-                None => *self.numbers.entry(place.id.clone()).or_insert(next),
-            };
+            place.number = number_of(&mut self.numbers, &place.id);
             if place.number >= self.by_number.len() {
                 self.by_number.resize(place.number + 1, None);
             }
@@ -243,6 +240,11 @@
         }
     }
 
+    /// The number of a worker, which gets the next one if it has none.
+    pub(crate) fn assign_number(&mut self, worker: &WorkerId) -> usize {
+        number_of(&mut self.numbers, worker)
+    }
+
     /// The number of a worker, for [`WorkerSet`].
     pub(crate) fn number(&self, worker: &str) -> Option<usize> {
         self.numbers.get(worker).copied()
@@ -250,7 +252,12 @@
 
     /// The place of a worker by its number, if it may get new work.
     pub(crate) fn numbered(&self, number: usize) -> Option<&Place> {
-        self.by_number.get(number).copied().flatten().map(|index| &self.places[index])
+        self.position(number).map(|index| &self.places[index])
+    }
+
+    /// The position of a worker by its number, if it may get new work.
+    pub(crate) fn position(&self, number: usize) -> Option<usize> {
+        self.by_number.get(number).copied().flatten()
     }
 
     /// Workers on which room has become free since the last pass.
@@ -326,21 +333,11 @@
         self.cores.iter().find(|(name, _)| name == pool).map_or(Cores::default(), |(_, cores)| *cores)
     }
 
-    /// The position of a worker, if it may get new work.
-    pub(crate) fn position(&self, worker: &str) -> Option<usize> {
-        self.index.get(worker).copied()
-    }
-
     /// The most free cores beyond the headroom of any pool, in thousandths.
     pub(crate) fn most_headroom(&self) -> u64 {
         self.cores.iter().map(|(_, cores)| cores.beyond_headroom()).max().unwrap_or(0)
     }
 
-    /// The place of a worker, if it may get new work.
-    pub(crate) fn place(&self, worker: &str) -> Option<&Place> {
-        self.index.get(worker).map(|index| &self.places[*index])
-    }
-
     /// Takes the room of one task at each chosen place.
     pub(crate) fn take(&mut self, choices: &[Choice], need: &Resources) {
         for (_, place) in choices {
@@ -401,6 +398,15 @@
     }
 }
 
+/// The number of a worker, which gets the next one if it has none.
+fn number_of(numbers: &mut HashMap<WorkerId, usize>, worker: &WorkerId) -> usize {
+    let next = numbers.len();
+    match numbers.get(worker) {
+        Some(number) => *number,
+        None => *numbers.entry(worker.clone()).or_insert(next),
+    }
+}
+
 fn held_on(state: &UnitState, worker: &str) -> u32 {
     let there = |task: &&TaskState| matches!(&task.phase, Phase::Held(id, _) if id == worker);
     state.tasks.iter().filter(there).count() as u32
--- a/components/sched/src/selection.rs
+++ b/components/sched/src/selection.rs
@@ -194,7 +194,7 @@
         let Some(state) = entry.units.get(&(unit.round, unit.step)) else { return false };
         let tasks = |place: &Place| {
             let may_run = place.is_suitable(queue, step)
-                && (waiting.allowed.is_none() || state.advice.allows(&place.id, start_arrival));
+                && (waiting.allowed.is_none() || state.advice.allows(place.number, start_arrival));
             if may_run { place.tasks(state, step) } else { 0 }
         };
         match waiting.gang {
--- a/components/sched/src/worker_set.rs
+++ b/components/sched/src/worker_set.rs
@@ -16,6 +16,21 @@
         self.0[word] |= 1 << (number % WORD);
     }
 
+    pub(crate) fn remove(&mut self, number: usize) {
+        if let Some(word) = self.0.get_mut(number / WORD) {
+            *word &= !(1 << (number % WORD));
+        }
+    }
+
+    pub(crate) fn contains(&self, number: usize) -> bool {
+        self.0.get(number / WORD).is_some_and(|word| word >> (number % WORD) & 1 == 1)
+    }
+
+    /// Number of members.
+    pub(crate) fn len(&self) -> usize {
+        self.0.iter().map(|word| word.count_ones() as usize).sum()
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.0.iter().all(|word| *word == 0)
     }
