Fix: a leader short of processor time starts what is most urgent first

Cause: a planning pass decided as many starts as had room.

The starts under way are now limited by a window that adapts to the scheduling lag. What is beyond it waits in the order of units, and units behind the first one that is held back neither start nor ask. Passes examine fewer units when units take long, since everything waits for a pass, too.

Evidence: the new test has an engine with costs for each kind of work.

--- a/components/entry/src/leadership.rs
+++ b/components/entry/src/leadership.rs
@@ -15,7 +15,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use events::emit;
@@ -99,6 +99,8 @@
     pub(crate) advice_queue: AdviceQueue,
     admission: admission::State,
     activity: activity::Activity,
+    /// Starts that are to be sent or whose answers are outstanding.
+    starts_under_way: AtomicUsize,
     loops: Mutex<Vec<AbortHandle>>,
 }
 
@@ -146,6 +148,7 @@
             advice_queue: AdviceQueue::default(),
             admission: admission::State::default(),
             activity: activity::Activity::default(),
+            starts_under_way: AtomicUsize::new(0),
             loops: Mutex::new(Vec::new()),
             host,
         });
@@ -253,6 +256,11 @@
         Duration::from_millis(self.busy_renewal_interval.load(Ordering::Relaxed))
     }
 
+    /// Number of starts that are to be sent or whose answers are outstanding.
+    pub(crate) fn starts_under_way(&self) -> usize {
+        self.starts_under_way.load(Ordering::Relaxed)
+    }
+
     /// For how long the store hasn't answered this host.
     pub(crate) fn store_silence(&self) -> Duration {
         self.store_answered_at.age(self.host.started.elapsed())
--- a/components/entry/src/leadership/activity.rs
+++ b/components/entry/src/leadership/activity.rs
@@ -5,7 +5,7 @@
 
 use events::emit;
 use parking_lot::Mutex;
-use sched::{OrderOutcome, Pass};
+use sched::{OrderOutcome, Pace, Pass};
 
 use crate::leadership::Leadership;
 
@@ -60,14 +60,14 @@
 
 /// Logs the counts and starts anew. `pass` is the last pass, `cpu` the processor time of the process since the last line,
 /// and `starting` the number of starts that are decided and not answered yet.
-pub(crate) fn log(leadership: &Leadership, pass: &Pass, cpu: Duration, starting: usize) {
+pub(crate) fn log(leadership: &Leadership, pass: &Pass, pace: &Pace, cpu: Duration, starting: usize) {
     let counts = std::mem::take(&mut *leadership.activity.0.lock());
     let host = &leadership.host;
     emit!(host.log, events::LEADER_ACTIVITY, "term" => leadership.term, "passes" => counts.passes,
         "planning_ms" => counts.planning.as_millis() as u64, "longest_us" => counts.longest_pass.as_micros() as u64,
         "examined" => counts.examined, "deferred" => pass.deferred(),
         "deferred_ms" => pass.longest_wait.as_millis() as u64, "starts" => counts.starts,
-        "starting" => starting, "expired_tickets" => counts.expired_tickets, "questions" => counts.questions,
+        "starting" => starting, "under_way" => leadership.starts_under_way(), "window" => pace.window(), "expired_tickets" => counts.expired_tickets, "questions" => counts.questions,
         "cpu_ms" => cpu.as_millis() as u64, "longest_lag_us" => counts.longest_lag.as_micros() as u64,
         "mean_lag_us" => counts.lag.checked_div(counts.lag_samples).unwrap_or_default().as_micros() as u64,
         "followers" => host.followers.lock().len(), "unconfirmed_ms" => leadership.unconfirmed_for().as_millis() as u64);
--- a/components/entry/src/leadership/loops.rs
+++ b/components/entry/src/leadership/loops.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use events::emit;
-use sched::{Clock, EndedWorker, Engine, Pass, Stall, WorkerEndReason, WorkerInfo};
+use sched::{Clock, EndedWorker, Engine, Pace, Pass, Stall, WorkerEndReason, WorkerInfo};
 use tokio_util::task::AbortOnDropHandle;
 use work::{Evidence, WorkerId};
 
@@ -42,6 +42,7 @@
 pub(crate) async fn plan(leadership: Arc<Leadership>) {
     let mut upkeep = Upkeep { cpu_time: clock::process_cpu_time(), ..Upkeep::default() };
     let mut interval = MAX_PLAN_INTERVAL;
+    let mut pace = Pace::default();
     loop {
         // Wakes up for an event or at the timeout.
         let _ = tokio::time::timeout(interval, leadership.plan.notified()).await;
@@ -55,12 +56,16 @@
         let (actions, made_room, ended_workers, load) = {
             let mut engine = leadership.engine.lock();
             engine.set_askers(hosts);
+            engine.set_budget(pace.budget(leadership.starts_under_way()));
             let started_at = Instant::now();
             engine.plan(clock);
             let took = started_at.elapsed();
             let pass = engine.last_pass();
             record_pass(&leadership, &pass, took);
-            interval = if pass.deferred() > 0 { BACKLOG_PLAN_INTERVAL } else { MAX_PLAN_INTERVAL };
+            pace.note_pass(&pass, took);
+            // An answer to a start wakes the loop, and so does everything else that changes what may start.
+            let is_waiting_for_turn = pass.deferred() > 0 && !pass.held_back;
+            interval = if is_waiting_for_turn { BACKLOG_PLAN_INTERVAL } else { MAX_PLAN_INTERVAL };
             leadership.set_busy_renewal_interval(engine.busy_renewal_interval());
             update_metrics(&leadership, &engine);
             let load = leadership.take_load(clock, &mut engine);
@@ -76,17 +81,19 @@
         if leadership.engine.lock().has_pending_records() {
             leadership.write.notify_one();
         }
-        upkeep.run(&leadership, clock);
+        upkeep.run(&leadership, clock, &pace);
         let took = leadership.host.started.elapsed() - clock.now;
-        pause(&leadership, MIN_PLAN_INTERVAL.max(took * PAUSE_PER_PASS)).await;
+        let lag = pause(MIN_PLAN_INTERVAL.max(took * PAUSE_PER_PASS)).await;
+        leadership.activity.note_lag(lag);
+        pace.note_lag(leadership.host.started.elapsed(), lag, leadership.starts_under_way());
     }
 }
 
-/// Waits, and records how late this ends: everything else that is ready to run waits as long.
-async fn pause(leadership: &Leadership, pause: Duration) {
+/// Waits, and returns how late this ends: everything else that is ready to run waits as long.
+async fn pause(pause: Duration) -> Duration {
     let due = Instant::now() + pause;
     tokio::time::sleep(pause).await;
-    leadership.activity.note_lag(due.elapsed());
+    due.elapsed()
 }
 
 /// Work at long intervals. It takes the engine's lock after a pass has released it, so that accepting a job waits for
@@ -100,7 +107,7 @@
 }
 
 impl Upkeep {
-    fn run(&mut self, leadership: &Leadership, clock: Clock) {
+    fn run(&mut self, leadership: &Leadership, clock: Clock, pace: &Pace) {
         if clock.now.saturating_sub(self.forgotten) > FORGET_INTERVAL {
             self.forgotten = clock.now;
             leadership.engine.lock().forget_ended_jobs(clock.now);
@@ -114,7 +121,7 @@
             };
             let cpu_time = clock::process_cpu_time();
             let cpu = cpu_time.saturating_sub(std::mem::replace(&mut self.cpu_time, cpu_time));
-            activity::log(leadership, &pass, cpu, starting);
+            activity::log(leadership, &pass, pace, cpu, starting);
             leadership.host.metrics.stalled_jobs.set(stalled as i64);
             stalls.iter().for_each(|stall| report_stall(leadership, stall));
         }
--- a/components/entry/src/leadership/orders.rs
+++ b/components/entry/src/leadership/orders.rs
@@ -1,6 +1,7 @@
 //! Carries out the scheduler's actions: starts, stops and questions to the advice service.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use events::emit;
@@ -23,6 +24,7 @@
 pub(crate) fn carry_out(leadership: &Arc<Leadership>, action: Action) {
     match action {
         Action::Start(worker, start) => {
+            leadership.starts_under_way.fetch_add(1, Ordering::Relaxed);
             tokio::spawn(start_run(leadership.clone(), worker, start));
         }
         Action::Stop(worker, task, attempt) => {
@@ -43,6 +45,7 @@
 
 async fn start_run(leadership: Arc<Leadership>, worker: WorkerId, start: Start) {
     let outcome = send_start(&leadership, &worker, start.clone()).await;
+    leadership.starts_under_way.fetch_sub(1, Ordering::Relaxed);
     emit!(leadership.host.log, events::RUN_STARTED, "task" => start.task.to_string(), "attempt" => start.attempt,
         "worker" => &worker, "outcome" => format!("{outcome:?}"), "term" => leadership.term);
     leadership.host.metrics.starts.get_or_create(&metrics::OutcomeLabels { outcome: outcome.name() }).inc();
--- a/components/sched/examples/cell/wide.rs
+++ b/components/sched/examples/cell/wide.rs
@@ -41,7 +41,7 @@
     match id * 31 % MIX_LEN {
         place if place < GANGS_OF_MIX => ("gangs", step(48, 4500, 4000, Step { gang: true, ..Step::default() })),
         place if place < GANGS_OF_MIX + PATIENT_OF_MIX => {
-            let max_per_worker = u32::from(id % SPREAD_INTERVAL == 0);
+            let max_per_worker = u32::from(id.is_multiple_of(SPREAD_INTERVAL));
             ("steps", step(60, 2700, 2700, Step { checkpoints: true, max_per_worker, ..Step::default() }))
         }
         _ => ("checks-wide", step(4, 3900, 1000, Step { gang: id % 10 < 3, ..Step::default() })),
@@ -52,7 +52,7 @@
 pub fn may_run(unit: Unit, worker: &WorkerId) -> bool {
     let mut hasher = DefaultHasher::new();
     (unit, worker).hash(&mut hasher);
-    hasher.finish() % 2 == 0
+    hasher.finish().is_multiple_of(2)
 }
 
 fn step(count: u32, cpu_milli: u32, estimate_ms: u64, step: Step) -> Job {
--- a/components/sched/src/advice_order.rs
+++ b/components/sched/src/advice_order.rs
@@ -207,7 +207,9 @@
         }
         self.requests.retain(|unit, _| self.live.contains(&unit.job));
         self.host_time.decay(clock.now);
-        let mut queues = by_queue(self.requests.values());
+        // A unit behind one that the budget of starts holds back can't start soon, and its tickets would expire.
+        let is_next = |request: &&Request| self.held_back.is_none_or(|first| request.key <= first);
+        let mut queues = by_queue(self.requests.values().filter(is_next));
         queues.retain(|queue| self.may_ask(&queue.queue));
         if queues.is_empty() {
             return;
--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -17,11 +17,12 @@
 use crate::limits::{AUTHORITY_TIMEOUT, Limits};
 use crate::load::Served;
 use crate::lost_runs::{EndedWorker, WorkerEndReason};
+use crate::pace::{self, Budget};
 use crate::pass::{Part, Pass};
 use crate::preempt::Preemption;
 use crate::questions::Question;
 use crate::quota::Quota;
-use crate::rank::objective;
+use crate::rank::{Key, objective};
 use crate::ranking::Ranking;
 use crate::room::Room;
 use crate::share::{self, Buckets};
@@ -155,6 +156,10 @@
     /// Waiting units as of the last pass, which the next pass updates.
     pub(crate) ranking: Ranking,
     pub(crate) last_pass: Pass,
+    /// What the next pass may do, less what it has done.
+    pub(crate) budget: Budget,
+    /// Place in the order of the first unit that the budget kept from starting in this pass.
+    pub(crate) held_back: Option<Key>,
     /// Called at the end of each part of a pass.
     pub(crate) probe: fn(Part),
     pub(crate) actions: Vec<Action>,
@@ -211,6 +216,8 @@
             room: Room::default(),
             ranking: Ranking::default(),
             last_pass: Pass::default(),
+            budget: pace::UNLIMITED,
+            held_back: None,
             probe: |_| {},
             actions: Vec::new(),
             preemptions: Vec::new(),
--- a/components/sched/src/pass.rs
+++ b/components/sched/src/pass.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::engine::Engine;
+use crate::pace::Budget;
 use crate::worker::Worker;
 
 /// A part of a planning pass.
@@ -52,6 +53,8 @@
     pub examined: usize,
     /// The longest time for which one of the others has been waiting to be examined.
     pub longest_wait: Duration,
+    /// Whether the budget of starts kept a unit from starting.
+    pub held_back: bool,
 }
 
 impl Pass {
@@ -77,6 +80,11 @@
         self.workers.values().map(Worker::starting).sum()
     }
 
+    /// Sets what the next passes may do.
+    pub fn set_budget(&mut self, budget: Budget) {
+        self.budget = budget;
+    }
+
     /// Numbers of units in the last pass.
     pub fn last_pass(&self) -> Pass {
         self.last_pass
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -39,6 +39,7 @@
         self.update_ranking(clock, changed);
         self.finish_part(Part::Selection);
         self.last_pass = Pass { waiting: self.ranking.len(), ..Pass::default() };
+        self.held_back = None;
         if self.ranking.is_empty() {
             return;
         }
@@ -176,19 +177,22 @@
         let start_arrival = self.start_arrival(clock);
         let mut choices = room.choose(clock.now, start_arrival, state, step, &queue);
         choices.truncate(most.min(left));
+        let held_back = self.limit_starts(candidate, step, &mut choices);
         self.finish_part(Part::Units);
-        if choices.is_empty() {
+        if held_back {
+            self.defer(clock, unit, Obstacle::Room, Duration::ZERO);
+        } else if choices.is_empty() {
             self.defer(clock, unit, Obstacle::Room, EXAMINE_INTERVAL);
         } else {
             self.start(clock, unit, step, choices, room);
         }
         self.finish_part(Part::Starts);
         // Before the job is durable it asks only once: a store outage may be long.
-        let may_ask = is_durable || self.unit(unit).is_some_and(|state| state.advice.is_new());
-        if is_durable && candidate.on_time() {
+        let may_ask = !held_back && (is_durable || self.unit(unit).is_some_and(|state| state.advice.is_new()));
+        if is_durable && !held_back && candidate.on_time() {
             self.preempt_for(clock, unit, step, &queue, room);
         }
-        if is_durable && self.should_assemble(clock, unit, step) {
+        if is_durable && !held_back && self.should_assemble(clock, unit, step) {
             self.assemble(clock, unit, step, &queue, room);
         }
         self.finish_part(Part::Preemption);
@@ -197,6 +201,20 @@
         self.update_request(clock, candidate, &queue, may_ask);
     }
 
+    /// Limits the starts of a unit to the budget, and returns whether it kept the unit from starting.
+    fn limit_starts(&mut self, candidate: &Candidate, step: &Step, choices: &mut Vec<Choice>) -> bool {
+        let held_back = !choices.is_empty() && self.budget.starts == 0;
+        if held_back {
+            self.held_back = Some(candidate.key());
+            self.last_pass.held_back = true;
+        }
+        if held_back || !step.gang {
+            choices.truncate(self.budget.starts);
+        }
+        self.budget.starts = self.budget.starts.saturating_sub(choices.len());
+        held_back
+    }
+
     /// Reserves a gang's share of its workspace's limit while room is assembled for it. Otherwise it would hit the
     /// limit once there is room.
     fn reserve_claimed_quota(&mut self, unit: Unit) {
--- a/components/sched/src/selection.rs
+++ b/components/sched/src/selection.rs
@@ -1,9 +1,10 @@
 //! Chooses which waiting units a planning pass examines.
 //!
 //! With few waiting units each pass examines all of them. With many, it examines in their order those that changed
-//! or that may use room that has become free, and a bounded number of others, so that each of them is examined from
-//! time to time: tickets expire and gangs become late without an event. A pass that examined all would take more of
-//! the leader's CPU time than everything else it does.
+//! or that may use room that has become free, those whose interval is over, and those that have waited longest, a bounded
+//! number of each, so that each of them is examined from time to time: tickets expire and gangs become late without an
+//! event. A pass that examined all would take more of the leader's CPU time than everything else it does. Behind a unit
+//! that the budget of starts keeps from starting no unit is examined.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -29,15 +30,8 @@
 /// waiting units and crashing tasks gave up more jobs because of others.
 const HEAD: usize = 64;
 /// Units that weren't examined for this long don't compete with more urgent ones, so that each is examined within
-/// 100 ms as long as the passes of 100 ms examine [`MAX_DUE`] units each and that is enough for all.
+/// 100 ms as long as passes examine enough units for that; see [`crate::pace::Budget::units`].
 const OVERDUE_AFTER: Duration = Duration::from_millis(80);
-/// Maximum number of units that a pass examines in their order because they changed or may start now.
-const MAX_READY: usize = 64;
-/// Maximum number of units that a pass examines in their order because their interval is over: with 1,000 waiting units
-/// and a pass every 2 ms, 33 of them in each.
-const MAX_DUE: usize = 64;
-/// Maximum number of further units that a pass examines because they haven't been for [`OVERDUE_AFTER`].
-const MAX_OVERDUE: usize = 64;
 
 /// Maximum number of units for which a pass looks up whether they may use room that became free. When a wide job ends,
 /// thousands of units may fit into its room; a look-up takes about 1 us.
@@ -68,10 +62,10 @@
 
 impl Overdue {
     /// Chooses the units that have waited longest.
-    fn new(now: Duration, ranking: &Ranking) -> Overdue {
+    fn new(now: Duration, ranking: &Ranking, most: usize) -> Overdue {
         let overdue = |waiting: &&Waiting| now.saturating_sub(waiting.examined_at) >= OVERDUE_AFTER;
         let mut times: Vec<Duration> = ranking.waiting().filter(overdue).map(|waiting| waiting.examined_at).collect();
-        let Some(last) = times.len().min(MAX_OVERDUE).checked_sub(1) else {
+        let Some(last) = times.len().min(most).checked_sub(1) else {
             return Overdue { before: Duration::ZERO, at: 0 };
         };
         let (earlier, before, _) = times.select_nth_unstable(last);
@@ -95,6 +89,10 @@
         let mut claiming = std::mem::take(&mut ranking.claiming);
         if ranking.len() <= DEFERRAL_THRESHOLD {
             for (candidate, waiting) in ranking.iter_mut() {
+                if self.held_back.is_some() {
+                    self.reserve_quota(waiting);
+                    continue;
+                }
                 self.examine(clock, &candidate, waiting, &mut claiming, room);
             }
         } else {
@@ -106,24 +104,34 @@
 
     fn examine_some(&mut self, clock: Clock, ranking: &mut Ranking, claiming: &mut BTreeSet<Unit>, room: &mut Room) {
         let mut growth = Growth { workers: room.grown(), lookups: MAX_LOOKUPS };
-        let mut overdue = Overdue::new(clock.now, ranking);
-        let (mut ready, mut due) = (MAX_READY, MAX_DUE);
+        let most = self.budget.units;
+        let mut overdue = Overdue::new(clock.now, ranking, most);
+        let (mut ready, mut due) = (most, most);
         for (index, (candidate, waiting)) in ranking.iter_mut().enumerate() {
             let short = index < HEAD && clock.now >= waiting.examined_at + SHORT_EXAMINE_INTERVAL;
+            if self.held_back.is_some() {
+                self.leave(clock, waiting);
+                continue;
+            }
             if ready > 0 && self.is_ready(clock, candidate.unit, waiting, &mut growth, room) {
                 ready -= 1;
             } else if due > 0 && (short || clock.now >= waiting.retry_at) {
                 due -= 1;
             } else if !overdue.take(waiting) {
-                let waited = clock.now.saturating_sub(waiting.examined_at);
-                self.last_pass.longest_wait = self.last_pass.longest_wait.max(waited);
-                self.reserve_quota(waiting);
+                self.leave(clock, waiting);
                 continue;
             }
             self.examine(clock, &candidate, waiting, claiming, room);
         }
     }
 
+    /// Leaves a unit for a later pass.
+    fn leave(&mut self, clock: Clock, waiting: &Waiting) {
+        let waited = clock.now.saturating_sub(waiting.examined_at);
+        self.last_pass.longest_wait = self.last_pass.longest_wait.max(waited);
+        self.reserve_quota(waiting);
+    }
+
     fn examine(
         &mut self,
         clock: Clock,
--- a/components/sched/tests/decisions/main.rs
+++ b/components/sched/tests/decisions/main.rs
@@ -15,6 +15,7 @@
 mod quota;
 mod restart;
 mod shares;
+mod short_of_processor;
 mod stale_list;
 mod stall;
 mod usage;
