Fix: urgent units ask for tickets while an equally urgent one is held back

Units as urgent as the one that is held back may now ask their first questions; less urgent ones still don't, since their tickets would expire.

The new test failed before (no question of job 2).

Tried and not kept: no starts decided while the log can't be written.

--- a/components/sched/src/advice_order.rs
+++ b/components/sched/src/advice_order.rs
@@ -13,7 +13,7 @@
 use crate::engine::{Action, Clock, Engine};
 use crate::entry::UnitState;
 use crate::questions::{Inquiry, Question};
-use crate::rank::{Candidate, Key};
+use crate::rank::{Candidate, Key, urgency};
 use crate::reports::taken_room;
 use crate::room::Room;
 
@@ -207,8 +207,9 @@
         }
         self.requests.retain(|unit, _| self.live.contains(&unit.job));
         self.host_time.decay(clock.now);
-        // A unit behind one that the budget of starts holds back can't start soon, and its tickets would expire.
-        let is_next = |request: &&Request| self.held_back.is_none_or(|first| request.key <= first);
+        // A unit that is less urgent than one that the budget of starts holds back can't start soon, and its tickets would
+        // expire.
+        let is_next = |request: &&Request| self.held_back.is_none_or(|first| urgency(request.key) <= first);
         let mut queues = by_queue(self.requests.values().filter(is_next));
         queues.retain(|queue| self.may_ask(&queue.queue));
         if queues.is_empty() {
--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -22,7 +22,7 @@
 use crate::preempt::Preemption;
 use crate::questions::Question;
 use crate::quota::Quota;
-use crate::rank::{Key, objective};
+use crate::rank::{Urgency, objective};
 use crate::ranking::Ranking;
 use crate::room::Room;
 use crate::share::{self, Buckets};
@@ -158,8 +158,8 @@
     pub(crate) last_pass: Pass,
     /// What the next pass may do, less what it has done.
     pub(crate) budget: Budget,
-    /// Place in the order of the first unit that the budget kept from starting in this pass.
-    pub(crate) held_back: Option<Key>,
+    /// Urgency of the first unit that the budget kept from starting in this pass.
+    pub(crate) held_back: Option<Urgency>,
     /// Called at the end of each part of a pass.
     pub(crate) probe: fn(Part),
     pub(crate) actions: Vec<Action>,
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -205,7 +205,7 @@
     fn limit_starts(&mut self, candidate: &Candidate, step: &Step, choices: &mut Vec<Choice>) -> bool {
         let held_back = !choices.is_empty() && self.budget.starts == 0;
         if held_back {
-            self.held_back = Some(candidate.key());
+            self.held_back.get_or_insert(candidate.urgency());
             self.last_pass.held_back = true;
         }
         if held_back || !step.gang {
--- a/components/sched/src/rank.rs
+++ b/components/sched/src/rank.rs
@@ -32,6 +32,13 @@
 /// What units are ordered by, the most urgent first: tier, share of the workspace, priority of the queue, and age.
 pub(crate) type Key = (Tier, share::Class, u32, Duration);
 
+/// A key without its age.
+pub(crate) type Urgency = (Tier, share::Class, u32);
+
+pub(crate) fn urgency(key: Key) -> Urgency {
+    (key.0, key.1, key.2)
+}
+
 impl Candidate {
     pub(crate) fn new(unit: Unit, key: Key) -> Candidate {
         Candidate { unit, key }
@@ -41,6 +48,10 @@
         self.key
     }
 
+    pub(crate) fn urgency(&self) -> Urgency {
+        urgency(self.key)
+    }
+
     /// Whether its job can meet its objective.
     pub(crate) fn on_time(&self) -> bool {
         self.key.0 == Tier::OnTime
--- a/components/sched/src/selection.rs
+++ b/components/sched/src/selection.rs
@@ -4,7 +4,7 @@
 //! or that may use room that has become free, those whose interval is over, and those that have waited longest, a bounded
 //! number of each, so that each of them is examined from time to time: tickets expire and gangs become late without an
 //! event. A pass that examined all would take more of the leader's CPU time than everything else it does. Behind a unit
-//! that the budget of starts keeps from starting no unit is examined.
+//! that the budget of starts keeps from starting, only equally urgent ones that haven't asked yet are examined.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -89,7 +89,7 @@
         let mut claiming = std::mem::take(&mut ranking.claiming);
         if ranking.len() <= DEFERRAL_THRESHOLD {
             for (candidate, waiting) in ranking.iter_mut() {
-                if self.held_back.is_some() {
+                if self.is_behind(&candidate) {
                     self.reserve_quota(waiting);
                     continue;
                 }
@@ -109,7 +109,7 @@
         let (mut ready, mut due) = (most, most);
         for (index, (candidate, waiting)) in ranking.iter_mut().enumerate() {
             let short = index < HEAD && clock.now >= waiting.examined_at + SHORT_EXAMINE_INTERVAL;
-            if self.held_back.is_some() {
+            if self.is_behind(&candidate) {
                 self.leave(clock, waiting);
                 continue;
             }
@@ -125,6 +125,14 @@
         }
     }
 
+    /// Whether a unit isn't examined because an earlier one is held back. An equally urgent one may ask its first questions,
+    /// so that it has tickets when its turn comes.
+    fn is_behind(&self, candidate: &Candidate) -> bool {
+        let Some(first) = self.held_back else { return false };
+        let is_new = || self.unit(candidate.unit).is_some_and(|state| state.advice.is_new());
+        candidate.urgency() > first || !is_new()
+    }
+
     /// Leaves a unit for a later pass.
     fn leave(&mut self, clock: Clock, waiting: &Waiting) {
         let waited = clock.now.saturating_sub(waiting.examined_at);
--- a/components/sched/tests/decisions/short_of_processor.rs
+++ b/components/sched/tests/decisions/short_of_processor.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sched::{Action, End, Engine, Limits, OrderOutcome, Pace, Pass, RunOutcome, Start};
+use sched::{Action, Budget, End, Engine, Limits, OrderOutcome, Pace, Pass, Question, RunOutcome, Start, Ticket};
 use work::{Config, JobId, Queue, Step, WorkerId};
 
 use crate::cell::{Cell, running, step};
@@ -289,3 +289,25 @@
         assert!(on_time >= 0.95, "slowness {slowness}: {on_time}");
     }
 }
+
+/// Guards against an urgent unit that first asks for tickets when its turn to start has come.
+#[test]
+fn an_equally_urgent_unit_asks_while_the_one_before_it_is_held_back() {
+    let mut cell = Cell::new(4).ready();
+    let asked = |actions: Vec<Action>| -> Vec<Question> {
+        actions
+            .into_iter()
+            .filter_map(|action| if let Action::Ask(question) = action { Some(question) } else { None })
+            .collect()
+    };
+    cell.submit(1, "advised-urgent", vec![step(1, 1)]);
+    let question = asked(cell.plan()).remove(0);
+    let ticket = |worker: &WorkerId| (worker.clone(), Ticket { text: "ticket".to_owned(), until: RUN_TIME });
+    let tickets = question.workers.iter().map(ticket).collect();
+    cell.engine.advice_received(question.unit, &question.workers, tickets);
+    cell.submit(2, "advised-urgent", vec![step(1, 1)]);
+    cell.submit(3, "advised-patient", vec![step(1, 1)]);
+    cell.engine.set_budget(Budget { starts: 0, ..Pace::default().budget(0) });
+    let jobs: Vec<JobId> = asked(cell.plan()).iter().map(|question| question.unit.job).collect();
+    assert_eq!(jobs, [2]);
+}
