--- a/components/entry/src/leadership/loops.rs
+++ b/components/entry/src/leadership/loops.rs
@@ -84,8 +84,8 @@
         upkeep.run(&leadership, clock, &pace);
         let took = leadership.host.started.elapsed() - clock.now;
         let lag = pause(MIN_PLAN_INTERVAL.max(took * PAUSE_PER_PASS)).await;
-        leadership.activity.note_lag(lag);
         pace.note_lag(leadership.host.started.elapsed(), lag, leadership.starts_under_way());
+        record_lag(&leadership, &pace, lag);
     }
 }
 
@@ -138,6 +138,15 @@
     metrics.units_deferred_ms.set(pass.longest_wait.as_millis() as i64);
 }
 
+/// Records how late a timer ran, and the window that follows from it.
+fn record_lag(leadership: &Leadership, pace: &Pace, lag: Duration) {
+    leadership.activity.note_lag(lag);
+    let metrics = &leadership.host.metrics;
+    metrics.scheduling_lag_seconds.observe(lag.as_secs_f64());
+    metrics.starts_under_way.set(leadership.starts_under_way() as i64);
+    metrics.start_window.set(pace.window() as i64);
+}
+
 /// Logs the runs lost with a worker. From a job's id, these lines lead to the workers that were lost while running
 /// its tasks, and from a worker to what had just started there.
 fn report_loss(leadership: &Leadership, ended: &EndedWorker) {
--- a/components/metrics/src/jobs.rs
+++ b/components/metrics/src/jobs.rs
@@ -118,6 +118,12 @@
     pub units_deferred: Gauge,
     /// The longest time for which one of these hasn't been examined, in milliseconds.
     pub units_deferred_ms: Gauge,
+    /// Seconds that a timer of the leader ran late, which is how long ready work waits for its turn.
+    pub scheduling_lag_seconds: Histogram,
+    /// Starts that are to be sent or whose answers are outstanding.
+    pub starts_under_way: Gauge,
+    /// How many of them there may be.
+    pub start_window: Gauge,
     /// Milliseconds since the leader's authority was last confirmed.
     pub leader_unconfirmed_ms: Gauge,
     /// Metrics of each queue on the leader.
@@ -164,6 +170,9 @@
             units_examined: Counter::default(),
             units_deferred: Gauge::default(),
             units_deferred_ms: Gauge::default(),
+            scheduling_lag_seconds: pass_histogram(),
+            starts_under_way: Gauge::default(),
+            start_window: Gauge::default(),
             leader_unconfirmed_ms: Gauge::default(),
             queues: queues::Metrics::default(),
         }
@@ -229,6 +238,13 @@
             "The longest that one of these hasn't been examined",
             self.units_deferred_ms.clone(),
         );
+        registry.register(
+            "scheduling_lag_seconds",
+            "How late a timer of the leader ran",
+            self.scheduling_lag_seconds.clone(),
+        );
+        registry.register("starts_under_way", "Starts without an answer", self.starts_under_way.clone());
+        registry.register("start_window", "How many starts may be under way", self.start_window.clone());
         registry.register(
             "leader_unconfirmed_ms",
             "Since the leader knew that it leads",
