--- a/components/entry/src/leadership/activity.rs
+++ b/components/entry/src/leadership/activity.rs
@@ -67,7 +67,8 @@
         "planning_ms" => counts.planning.as_millis() as u64, "longest_us" => counts.longest_pass.as_micros() as u64,
         "examined" => counts.examined, "deferred" => pass.deferred(),
         "deferred_ms" => pass.longest_wait.as_millis() as u64, "starts" => counts.starts,
-        "starting" => starting, "under_way" => leadership.starts_under_way(), "window" => pace.window(), "expired_tickets" => counts.expired_tickets, "questions" => counts.questions,
+        "starting" => starting, "under_way" => leadership.starts_under_way(), "window" => pace.window(),
+        "expired_tickets" => counts.expired_tickets, "questions" => counts.questions,
         "cpu_ms" => cpu.as_millis() as u64, "longest_lag_us" => counts.longest_lag.as_micros() as u64,
         "mean_lag_us" => counts.lag.checked_div(counts.lag_samples).unwrap_or_default().as_micros() as u64,
         "followers" => host.followers.lock().len(), "unconfirmed_ms" => leadership.unconfirmed_for().as_millis() as u64);
--- a/components/sched/src/pace.rs
+++ b/components/sched/src/pace.rs
@@ -2,9 +2,9 @@
 //!
 //! Orders and answers are handled in the order in which they became ready. Once more starts are decided than the process
 //! can carry out, an urgent start waits behind all earlier ones, and so does each further step of its job. A window of
-//! starts under way, which adapts to the scheduling lag by additive increase and multiplicative decrease, keeps that queue
-//! short; what is beyond it waits in the order of units instead. Everything also waits for a pass under way, so that passes
-//! examine fewer units when units take long.
+//! starts under way, which shrinks while the scheduling lag is long, keeps that queue short; what is beyond it waits in the
+//! order of units instead. Everything also waits for a pass under way, so that passes examine fewer units when units take
+//! long.
 
 use std::time::Duration;
 
@@ -34,8 +34,8 @@
 /// Passes that examine fewer units don't tell how long one takes.
 const MIN_MEASURED_UNITS: usize = 8;
 
-/// Scheduling lag above which the window shrinks. An urgent job passes through some ten steps of the leader with a
-/// quarter of a second to spare.
+/// Scheduling lag above which the window shrinks. An urgent job with a quarter of a second to spare waits for
+/// it at each of several steps.
 const TARGET_LAG: Duration = Duration::from_millis(10);
 /// Interval between two adjustments, long enough to see the effect of the last one.
 const ADJUST_INTERVAL: Duration = Duration::from_millis(50);
--- a/components/sched/tests/decisions/short_of_processor.rs
+++ b/components/sched/tests/decisions/short_of_processor.rs
@@ -311,3 +311,21 @@
     let jobs: Vec<JobId> = asked(cell.plan()).iter().map(|question| question.unit.job).collect();
     assert_eq!(jobs, [2]);
 }
+
+/// Guards against passes during which everything else waits for long.
+#[test]
+fn passes_examine_fewer_units_when_units_take_long() {
+    let mut cell = Cell::new(1).ready();
+    (1..200).for_each(|id| cell.submit(id, "patient", vec![step(1, 32)]));
+    let mut pace = Pace::default();
+    let mut examined = Vec::new();
+    for _ in 0..20 {
+        cell.now += Duration::from_millis(100);
+        cell.engine.set_budget(pace.budget(0));
+        cell.plan();
+        let pass = cell.engine.last_pass();
+        pace.note_pass(&pass, Duration::from_millis(1) * pass.examined as u32);
+        examined.push(pass.examined);
+    }
+    assert!(examined[0] > 100 && examined[19] <= 24, "{examined:?}");
+}
