--- a/components/sched/examples/cell/mixed.rs
+++ b/components/sched/examples/cell/mixed.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use model::Resources;
-use work::{Advice, Job, JobId, Queue, Step};
+use work::{Job, JobId, Queue, Step};
 
 /// Of ten urgent jobs, the number that are gangs.
 const URGENT_GANGS_OF_TEN: u64 = 3;
@@ -14,22 +14,11 @@
 
 /// The queues `large`, `patient` and `urgent`.
 pub fn queues() -> Vec<Queue> {
-    let advice = |base_us, per_worker_us| Advice {
-        base: Duration::from_micros(base_us),
-        per_worker: Duration::from_micros(per_worker_us),
-        validity: Duration::from_secs(2),
-    };
-    let queue = |name, priority, stretch, target_ms, advice| Queue {
-        priority,
-        max_attempts: 4,
-        stretch,
-        objective: Duration::from_millis(target_ms),
-        ..super::queue(name, Some(advice))
-    };
+    let queue = |name, terms, advice| Queue { max_attempts: 4, ..super::advised(name, terms, advice) };
     vec![
-        queue("large", 1, 2.0, 2_600, advice(715_000, 10_140)),
-        queue("patient", 2, 4.0, 8_000, advice(130_000, 1_820)),
-        queue("urgent", 0, 1.5, 250, advice(9_360, 130)),
+        queue("large", (1, 2.0, 2_600), (715_000, 10_140)),
+        queue("patient", (2, 4.0, 8_000), (130_000, 1_820)),
+        queue("urgent", (0, 1.5, 250), (9_360, 130)),
     ]
 }
 
--- a/components/sched/examples/cell/mod.rs
+++ b/components/sched/examples/cell/mod.rs
@@ -69,6 +69,20 @@
     }
 }
 
+/// A queue with advice. `base_us` and `per_worker_us` are the response times of the advice service in microseconds.
+pub fn advised(
+    name: &str,
+    (priority, stretch, target_ms): (u32, f64, u64),
+    (base_us, per_worker_us): (u64, u64),
+) -> Queue {
+    let advice = Advice {
+        base: Duration::from_micros(base_us),
+        per_worker: Duration::from_micros(per_worker_us),
+        validity: Duration::from_secs(2),
+    };
+    Queue { priority, stretch, objective: Duration::from_millis(target_ms), ..queue(name, Some(advice)) }
+}
+
 /// A ticket for each of these workers.
 pub fn tickets<'a>(workers: impl Iterator<Item = &'a WorkerId>, until: Duration) -> Vec<(WorkerId, Ticket)> {
     workers.map(|worker| (worker.clone(), Ticket { text: "ticket".to_owned(), until })).collect()
--- a/components/sched/examples/cell/wide.rs
+++ b/components/sched/examples/cell/wide.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use model::Resources;
-use work::{Advice, Job, JobId, Queue, Step, Unit, WorkerId};
+use work::{Job, JobId, Queue, Step, Unit, WorkerId};
 
 use crate::cell;
 
@@ -17,21 +17,10 @@
 
 /// The queues `gangs`, `steps` and `checks-wide`.
 pub fn queues() -> Vec<Queue> {
-    let advice = |base_us, per_worker_us| Advice {
-        base: Duration::from_micros(base_us),
-        per_worker: Duration::from_micros(per_worker_us),
-        validity: Duration::from_secs(2),
-    };
-    let queue = |name, priority, stretch, target_ms, advice| Queue {
-        priority,
-        stretch,
-        objective: Duration::from_millis(target_ms),
-        ..cell::queue(name, Some(advice))
-    };
     vec![
-        queue("gangs", 1, 2.2, 1000, advice(390_000, 5600)),
-        queue("steps", 2, 4.0, 3000, advice(140_000, 2000)),
-        queue("checks-wide", 0, 1.5, 300, advice(14_000, 200)),
+        cell::advised("gangs", (1, 2.2, 1000), (390_000, 5600)),
+        cell::advised("steps", (2, 4.0, 3000), (140_000, 2000)),
+        cell::advised("checks-wide", (0, 1.5, 300), (14_000, 200)),
     ]
 }
 
