--- a/components/sched/tests/decisions/short_of_processor.rs
+++ b/components/sched/tests/decisions/short_of_processor.rs
@@ -329,3 +329,12 @@
     }
     assert!(examined[0] > 100 && examined[19] <= 24, "{examined:?}");
 }
+
+/// Guards against passes that look through a long backlog and examine next to nothing.
+#[test]
+fn a_long_backlog_is_not_looked_through_for_a_few_units() {
+    let mut pace = Pace::default();
+    let pass = Pass { waiting: 5000, examined: 24, ..Pass::default() };
+    (0..20).for_each(|_| pace.note_pass(&pass, Duration::from_millis(40)));
+    assert!(pace.budget(0).units >= 30, "{:?}", pace.budget(0));
+}
