Review, case 2: a task on a minion that hangs for good is never started elsewhere (LOST)

Each renewal without an answer counts as a lease that may have been granted, so a silent minion whose port still takes connections is never given up.

--- a/review/stand/src/cases.rs
+++ b/review/stand/src/cases.rs
@@ -50,16 +50,21 @@
     ) -> Option<Cell> {
         let record = Arc::new(Record::create(folder).ok()?);
         let store = Store::start();
+        let store_address = store.address.clone();
         store.write("op/config", config);
-        let start = |number| {
-            // The last one is of another kind.
-            let kind = if number == minions { "b" } else { "a" };
-            Minion::start(&format!("w{number}"), SERVICE, kind, 16_000, 65_536, work, clock, &record, &store)
-        };
+        let start =
+            |number| Minion::start(&format!("w{number}"), SERVICE, 16_000, 65_536, work, clock, &record, &store);
         let minions: Vec<Arc<Minion>> = (1..=minions).map(start).collect();
-        let hosts = hosts::start(3, &store.address, root, &hosts::temporary_folder());
-        let cell = Cell { record, store, minions, hosts };
-        let ready = hosts::wait_ready(&cell.hosts);
+        let folder = hosts::temporary_folder();
+        let mut cell = Cell { record, store, minions, hosts: hosts::start(3, &store_address, root, &folder) };
+        let mut ready = hosts::wait_ready(&cell.hosts);
+        if !ready {
+            // Another process may have taken an address.
+            cell.record.line(&format!("the hosts don't get ready; once more. {}", hosts::last_lines(&folder)));
+            hosts::end_all();
+            cell.hosts = hosts::start(3, &cell.store.address, root, &hosts::temporary_folder());
+            ready = hosts::wait_ready(&cell.hosts);
+        }
         cell.record
             .line(&format!("hosts {:?}: ready {ready}", cell.hosts.iter().map(|host| host.id).collect::<Vec<_>>()));
         // The leader gets to know the minions.
@@ -101,7 +106,7 @@
     let outcome = match case {
         "ends" => ends(folder, root, trouble),
         "route" => dropped_route(folder, root, trouble),
-        "avoid" => avoided(folder, root, trouble),
+        "lost" => lost_minion(folder, root, trouble),
         "clock" => old_clock(folder, root, trouble),
         "crash" => crashes(folder, root, trouble),
         _ => None,
@@ -221,48 +226,44 @@
     Some(longest > limit)
 }
 
-/// Minions crash one after the other under a job that does no harm.
+/// Minions crash one after the other under a lasting task that does no harm.
 fn crashes(folder: &Path, root: &Path, trouble: bool) -> Option<bool> {
     const CRASHES: u32 = 5;
-    let work: Work = |_| Duration::from_secs(8);
+    /// For how long the task has been at work when its minion crashes.
+    const AT_WORK: Duration = Duration::from_secs(10);
+    /// The dose of the site: `srv_crash`, 4.5 s.
+    const DARK: Duration = Duration::from_millis(4500);
+    let work: Work = |_| Duration::from_secs(3600);
     let cell = Cell::start(folder, root, 10, work, &config(3, &[route("r-1", "/lohu930/")]))?;
     let job =
-        json!({"Specification": "plan", "Steps": [{"Count": 1, "Cpu": 4500, "MemMb": 17000, "EstimatedMs": 8000}]});
+        json!({"Specification": "reminder", "Steps": [{"Count": 1, "Cpu": 1000, "MemMb": 1024, "LongRunning": true}]});
     let id = "5c0e7a21d94b36f8";
     let path = format!("/lohu930/{id}");
     if !cell.submit(&path, &job) {
         return None;
     }
-    let until = Instant::now() + Duration::from_secs(85);
+    let until = Instant::now() + Duration::from_secs(if trouble { 100 } else { 25 });
     let mut crashed = 0;
     while trouble && crashed < CRASHES && Instant::now() < until {
-        let at_work =
-            cell.minions.iter().find(|minion| minion.runs(id).is_some_and(|age| age > Duration::from_secs(2)));
-        if let Some(minion) = at_work {
+        if let Some(minion) = cell.minions.iter().find(|minion| minion.runs(id).is_some_and(|age| age > AT_WORK)) {
             minion.crash();
             crashed += 1;
-            std::thread::sleep(Duration::from_millis(4500));
+            std::thread::sleep(DARK);
             minion.boot();
         }
         std::thread::sleep(Duration::from_millis(20));
     }
-    let mut state = None;
-    while Instant::now() < until {
-        state = cell.state(&path);
-        if matches!(state.as_deref(), Some("completed" | "failed" | "cancelled")) {
-            break;
-        }
+    let mut state = cell.state(&path);
+    while state.as_deref() != Some("failed") && Instant::now() < until {
         std::thread::sleep(Duration::from_millis(500));
+        state = cell.state(&path);
     }
-    let failed = cell
-        .record
-        .runs
-        .lock()
-        .expect("runs")
-        .iter()
-        .filter(|run| run.end.as_ref().is_some_and(|end| end.how == "failed"))
-        .count();
-    cell.record.line(&format!("{crashed} minions crashed; {failed} runs ended `failed`; the service shows {state:?}"));
+    let runs = cell.record.runs.lock().expect("runs").clone();
+    let failed = runs.iter().filter(|run| run.end.as_ref().is_some_and(|end| end.how == "failed")).count();
+    let alive = runs.iter().filter(|run| run.end.is_none()).count();
+    cell.record.line(&format!(
+        "VERDICT: {crashed} minions crashed; {failed} runs ended `failed`; {alive} runs now; the service shows {state:?}"
+    ));
     Some(state.as_deref() == Some("failed"))
 }
 
@@ -291,37 +292,32 @@
     Some(state.as_deref() != Some("completed"))
 }
 
-/// A job that can never be done fails on the only minion of a kind; then another job needs that kind.
-fn avoided(folder: &Path, root: &Path, trouble: bool) -> Option<bool> {
-    let work: Work = |_| Duration::from_secs(2);
+/// A minion is lost for good and says nothing any more.
+fn lost_minion(folder: &Path, root: &Path, trouble: bool) -> Option<bool> {
+    /// `HeartbeatMs`
+    const BEAT: Duration = Duration::from_millis(1500);
+    /// The longest lease and its slow clock, and 7 s: 3 s with nothing running and 4 s before them.
+    const BOUND: Duration = Duration::from_millis(6120 + 7000);
+    let work: Work = |_| Duration::from_secs(12);
     let cell = Cell::start(folder, root, 10, work, &config(3, &[route("r-1", "/lohu930/")]))?;
-    let steps = json!([{"Count": 8, "Cpu": 1000, "MemMb": 512, "EstimatedMs": 2000, "Requirements": "b"}]);
-    if trouble {
-        let path = "/lohu930/00000000000000aa";
-        if !cell.submit(path, &json!({"Specification": "hopeless", "Steps": steps})) {
-            return None;
-        }
-        let until = Instant::now() + Duration::from_secs(60);
-        while cell.state(path).as_deref() != Some("failed") && Instant::now() < until {
-            std::thread::sleep(Duration::from_millis(50));
-        }
-        cell.record.line(&format!("the job that can't be done is {:?}", cell.state(path)));
-    }
-    let quiet = cell.record.now();
-    let path = "/lohu930/5c0e7a21d94b36f8";
-    if !cell.submit(path, &json!({"Specification": "check", "Steps": steps})) {
+    let id = "5c0e7a21d94b36f8";
+    let path = format!("/lohu930/{id}");
+    let job =
+        json!({"Specification": "plan", "Steps": [{"Count": 1, "Cpu": 4500, "MemMb": 17000, "EstimatedMs": 12000}]});
+    if !cell.submit(&path, &job) {
         return None;
     }
-    cell.record.line("a job that can be done is accepted; nothing else runs in the cell");
-    std::thread::sleep(Duration::from_secs(20));
+    std::thread::sleep(Duration::from_secs(3));
+    let minion = cell.minions.iter().find(|minion| minion.runs(id).is_some())?;
+    let lost = cell.record.now();
+    if trouble {
+        minion.lose(BEAT);
+    }
+    let wait = Duration::from_secs(if trouble { 75 } else { 15 });
+    std::thread::sleep(wait.saturating_sub(cell.record.now() - lost));
     let runs = cell.record.runs.lock().expect("runs").clone();
-    let first = runs.iter().filter(|run| run.task.starts_with("5c0e7a21d94b36f8")).map(|run| run.began).min();
-    let waited = first.unwrap_or(cell.record.now()).saturating_sub(quiet);
-    cell.record.line(&format!(
-        "VERDICT: it had nothing running for {:.2} s since the other job ended; the service shows {:?}",
-        waited.as_secs_f64(),
-        cell.state(path)
-    ));
-    // 3 s with nothing running, and 4 s before them that are calm as well.
-    Some(waited > Duration::from_secs(7))
+    let again = runs.iter().filter(|run| run.began > lost).map(|run| run.began - lost).min();
+    let state = cell.state(&path);
+    cell.record.line(&format!("VERDICT: the task started again after {again:?}; the service shows {state:?}"));
+    Some(trouble && again.is_none_or(|after| after > BOUND))
 }
--- a/review/stand/src/hosts.rs
+++ b/review/stand/src/hosts.rs
@@ -47,12 +47,15 @@
     (1..=count).map(|number| start_one(&format!("127.{a}.{b}.{number}"), number, store, root, folder)).collect()
 }
 
-fn free_port(ip: &str) -> u16 {
-    TcpListener::bind((ip, 0)).and_then(|listener| listener.local_addr()).expect("a port").port()
+/// Four different ports that are free.
+fn free_ports(ip: &str) -> [u16; 4] {
+    // All are held until the last one is chosen.
+    let held = [(); 4].map(|()| TcpListener::bind((ip, 0)).expect("a port"));
+    held.each_ref().map(|listener| listener.local_addr().expect("an address").port())
 }
 
 fn start_one(ip: &str, number: u8, store: &str, root: &Path, folder: &Path) -> Host {
-    let (front, ready, control, link) = (free_port(ip), free_port(ip), free_port(ip), free_port(ip));
+    let [front, ready, control, link] = free_ports(ip);
     let settings = format!(
         "NodeName: \"front-z-{number}\"\nRole: \"entry\"\nMachineClass: \"front\"\nServes:\n  - \"front\"\nIp: \"{ip}\"\n\
          Zone: \"z-{number}\"\nRegion: \"z\"\nZones:\n  z-1: \"z\"\n  z-2: \"z\"\n  z-3: \"z\"\nListenAddresses:\n  \
@@ -95,7 +98,7 @@
 
 /// Waits until all hosts are ready. Returns whether they are.
 pub fn wait_ready(hosts: &[Host]) -> bool {
-    let end = Instant::now() + Duration::from_secs(20);
+    let end = Instant::now() + Duration::from_secs(10);
     while Instant::now() < end {
         if hosts.iter().all(Host::is_ready) {
             return true;
@@ -104,3 +107,10 @@
     }
     false
 }
+
+/// The last line of each host's log.
+pub fn last_lines(folder: &Path) -> String {
+    let logs =
+        (1..=3).map(|number| std::fs::read_to_string(folder.join(format!("log-{number}.txt"))).unwrap_or_default());
+    logs.map(|log| log.lines().last().unwrap_or_default().to_owned()).collect::<Vec<_>>().join("\n")
+}
--- a/review/stand/src/http.rs
+++ b/review/stand/src/http.rs
@@ -3,6 +3,7 @@
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// A request as received.
@@ -36,9 +37,22 @@
 
 /// Serves requests in a thread for each connection.
 pub fn serve<H: Fn(Request) -> Answer + Send + Sync + 'static>(listener: TcpListener, handler: H) {
+    serve_unless(listener, Arc::new(AtomicBool::new(false)), handler);
+}
+
+/// Serves requests until `hung`. Then no connection is accepted any more, as if the process were stopped: the system
+/// completes further ones as long as its queue has room.
+pub fn serve_unless<H: Fn(Request) -> Answer + Send + Sync + 'static>(
+    listener: TcpListener,
+    hung: Arc<AtomicBool>,
+    handler: H,
+) {
     let handler = Arc::new(handler);
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
+            while hung.load(Ordering::Relaxed) {
+                std::thread::sleep(Duration::from_millis(100));
+            }
             let handler = handler.clone();
             std::thread::spawn(move || serve_connection(stream, handler.as_ref()));
         }
--- a/review/stand/src/minion.rs
+++ b/review/stand/src/minion.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::TcpListener;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -20,9 +21,6 @@
 /// Interval at which due ends are looked for.
 const TICK: Duration = Duration::from_millis(5);
 
-/// After what time a task fails that can never be done.
-const TIME_TO_FAIL: Duration = Duration::from_millis(300);
-
 /// What the steady clock of a minion shows when it boots, unless the case says otherwise.
 pub const CLOCK: Duration = Duration::from_secs(1);
 
@@ -32,8 +30,6 @@
 struct Running {
     began: Instant,
     ends: Instant,
-    /// Whether it fails by the task's own fault.
-    fails: bool,
 }
 
 struct Ended {
@@ -96,9 +92,9 @@
     cpu: u32,
     memory: u32,
     service: String,
-    kind: String,
     work: Work,
     life: Mutex<Life>,
+    hung: Arc<AtomicBool>,
     record: Arc<Record>,
     store: Arc<Store>,
 }
@@ -107,7 +103,6 @@
     pub fn start(
         name: &str,
         service: &str,
-        kind: &str,
         cpu: u32,
         memory: u32,
         work: Work,
@@ -123,15 +118,15 @@
             cpu,
             memory,
             service: service.to_owned(),
-            kind: kind.to_owned(),
             work,
             life: Mutex::new(Life::new(1, clock)),
+            hung: Arc::new(AtomicBool::new(false)),
             record: record.clone(),
             store: store.clone(),
         });
         minion.register();
         let serving = minion.clone();
-        http::serve(listener, move |request| serving.answer(&request));
+        http::serve_unless(listener, minion.hung.clone(), move |request| serving.answer(&request));
         let ticking = minion.clone();
         std::thread::spawn(move || {
             loop {
@@ -150,7 +145,7 @@
         let id = self.id(self.life.lock().expect("life").number);
         let entry = json!({"Service": self.service, "Address": self.address, "Zone": "z-a", "Version": "v1", "Slots": 8,
             "State": "ready", "ColdRemainingMs": 0, "Sequence": 1, "Machine": format!("m-{}", self.name),
-            "Capacity": {"Cpu": self.cpu, "MemMb": self.memory, "Gpus": 0}, "Labels": [self.kind, "r1-1"]});
+            "Capacity": {"Cpu": self.cpu, "MemMb": self.memory, "Gpus": 0}, "Labels": ["a", "r1-1"]});
         self.store.write(&format!("servers/{id}"), &entry);
     }
 
@@ -173,6 +168,17 @@
         life.up = false;
     }
 
+    /// The minion is lost for good: nothing runs there any more and it says nothing, though its machine is up. Its entry
+    /// goes after three status reports, of which `beat` is the interval.
+    pub fn lose(&self, beat: Duration) {
+        let id = self.id(self.life.lock().expect("life").number);
+        self.hung.store(true, Ordering::Relaxed);
+        self.crash();
+        std::thread::sleep(3 * beat);
+        self.store.remove(&format!("servers/{id}"));
+        self.record.line(&format!("the entry of {id} goes"));
+    }
+
     /// The machine is back with a new life, which has a new id.
     pub fn boot(&self) {
         let before = {
@@ -190,15 +196,11 @@
         let now = Instant::now();
         let lapsed = now > life.lease;
         let due = life.runs.iter().filter(|(_, run)| run.ends <= now || lapsed);
-        let due: Vec<(String, u64, bool, bool)> =
-            due.map(|((task, attempt), run)| (task.clone(), *attempt, run.ends <= now, run.fails)).collect();
-        for (task, attempt, is_due, fails) in due {
+        let due: Vec<(String, u64, bool)> =
+            due.map(|((task, attempt), run)| (task.clone(), *attempt, run.ends <= now)).collect();
+        for (task, attempt, done) in due {
             life.runs.remove(&(task.clone(), attempt));
-            let how = match (is_due, fails) {
-                (false, _) => "lapsed",
-                (true, true) => "failed",
-                (true, false) => "done",
-            };
+            let how = if done { "done" } else { "lapsed" };
             self.end(life, task, attempt, how);
         }
     }
@@ -289,9 +291,7 @@
         if !life.runs.contains_key(&key) {
             self.record.started(&task, attempt, &self.id(life.number));
             let began = Instant::now();
-            let fails = body["Specification"].as_str().is_some_and(|text| text.starts_with("hopeless"));
-            let lasts = if fails { TIME_TO_FAIL } else { (self.work)(&task) };
-            life.runs.insert(key, Running { began, ends: began + lasts, fails });
+            life.runs.insert(key, Running { began, ends: began + (self.work)(&task) });
         }
         reply(200, &json!({"ClockMs": life.clock()}))
     }
