--- a/review/stand/src/cases.rs
+++ b/review/stand/src/cases.rs
@@ -319,5 +319,5 @@
     let again = runs.iter().filter(|run| run.began > lost).map(|run| run.began - lost).min();
     let state = cell.state(&path);
     cell.record.line(&format!("VERDICT: the task started again after {again:?}; the service shows {state:?}"));
-    Some(trouble && again.is_none_or(|after| after > BOUND))
+    Some(if trouble { again.is_none_or(|after| after > BOUND) } else { state.as_deref() != Some("completed") })
 }
