--- a/review/stand/src/http.rs
+++ b/review/stand/src/http.rs
@@ -37,21 +37,20 @@
 
 /// Serves requests in a thread for each connection.
 pub fn serve<H: Fn(Request) -> Answer + Send + Sync + 'static>(listener: TcpListener, handler: H) {
-    serve_unless(listener, Arc::new(AtomicBool::new(false)), handler);
+    serve_until(listener, Arc::new(AtomicBool::new(false)), handler);
 }
 
-/// Serves requests until `hung`. Then no connection is accepted any more, as if the process were stopped: the system
-/// completes further ones as long as its queue has room.
-pub fn serve_unless<H: Fn(Request) -> Answer + Send + Sync + 'static>(
+/// Serves requests until `ended` is set and one more connection comes. Then the port is dead: it resets.
+pub fn serve_until<H: Fn(Request) -> Answer + Send + Sync + 'static>(
     listener: TcpListener,
-    hung: Arc<AtomicBool>,
+    ended: Arc<AtomicBool>,
     handler: H,
 ) {
     let handler = Arc::new(handler);
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            while hung.load(Ordering::Relaxed) {
-                std::thread::sleep(Duration::from_millis(100));
+            if ended.load(Ordering::Relaxed) {
+                return;
             }
             let handler = handler.clone();
             std::thread::spawn(move || serve_connection(stream, handler.as_ref()));
