Event 413 tells how many ends the report held that proves a restart, and the highest number

A report that lacks a run and its end is taken for proof of a restart. The log didn't tell what the report held, so three causes looked alike: the worker restarted; an old answer came late; the list of ends was truncated. A restart shows a low newest_end, a late answer one below the last end logged before (615), a truncated list one at which the ends of the same worker go on.

No decision changes.

--- a/components/entry/src/leadership/loops.rs
+++ b/components/entry/src/leadership/loops.rs
@@ -155,7 +155,9 @@
     if ended.next.is_some() || ended.reason == WorkerEndReason::Restarted {
         emit!(leadership.host.log, events::WORKER_RESTARTED, "worker" => &ended.worker,
             "next" => ended.next.as_ref().unwrap_or(&ended.worker), "learnt" => ended.reason.name(),
-            "silent_ms" => ended.silent.as_millis() as u64, "runs" => ended.runs.len(), "term" => leadership.term);
+            "silent_ms" => ended.silent.as_millis() as u64, "runs" => ended.runs.len(),
+            "listed_ends" => ended.reported.map(|ends| ends.count), "newest_end" => ended.reported.map(|ends| ends.newest),
+            "term" => leadership.term);
         metrics.worker_restarts.inc();
     }
     if ended.reason != WorkerEndReason::Restarted {
--- a/components/sched/src/lib.rs
+++ b/components/sched/src/lib.rs
@@ -51,7 +51,7 @@
 pub use latency::Latency;
 pub use lease::Lease;
 pub use limits::{AUTHORITY_TIMEOUT, Limits, lease};
-pub use lost_runs::{EndedWorker, LostRun, WorkerEndReason};
+pub use lost_runs::{EndedWorker, LostRun, ReportedEnds, WorkerEndReason};
 pub use order::Outcome as OrderOutcome;
 pub use pace::{Budget, Pace};
 pub use pass::{Part, Pass};
--- a/components/sched/src/lost_runs.rs
+++ b/components/sched/src/lost_runs.rs
@@ -49,10 +49,20 @@
     pub draining: bool,
     /// Runs that were, or may have been, on the worker at its last answer or later.
     pub runs: Vec<LostRun>,
+    /// The ends in the report that proves a restart; `None` if the end was detected otherwise.
+    pub reported: Option<ReportedEnds>,
     /// The next incarnation under its name, if that is known.
     pub next: Option<WorkerId>,
 }
 
+/// The ends of runs in a worker's report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReportedEnds {
+    pub count: usize,
+    /// Highest end number in the report; 0 without ends.
+    pub newest: u64,
+}
+
 /// A run that was lost with its worker.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LostRun {
--- a/components/sched/src/restart.rs
+++ b/components/sched/src/restart.rs
@@ -43,6 +43,7 @@
             silent,
             draining,
             runs,
+            reported: Some(report.ends()),
             next: None,
         };
         let exhausted = self.attribute_end(&mut ended);
--- a/components/sched/src/worker.rs
+++ b/components/sched/src/worker.rs
@@ -7,7 +7,7 @@
 use model::Resources;
 use work::{Attempt, Task};
 
-use crate::lost_runs::LostRun;
+use crate::lost_runs::{LostRun, ReportedEnds};
 use crate::quota::Charge;
 
 /// How long a worker that answers is still used after it disappeared from the platform's list: its entry may come
@@ -124,6 +124,11 @@
 }
 
 impl Report {
+    /// Number of ends in the report, and the highest end number.
+    pub(crate) fn ends(&self) -> ReportedEnds {
+        ReportedEnds { count: self.ended.len(), newest: self.ended.iter().map(|end| end.number).max().unwrap_or(0) }
+    }
+
     /// All runs in the report, running or ended.
     pub(crate) fn listed(&self) -> BTreeSet<(Task, Attempt)> {
         let running = self.running.iter().map(|row| (row.task, row.attempt));
--- a/components/sched/src/worker_list.rs
+++ b/components/sched/src/worker_list.rs
@@ -164,7 +164,8 @@
         self.remove_silent(&runs);
         runs.extend(self.losses(id, last_heard));
         let next = self.latest_incarnation(id).filter(|next| next != id);
-        let mut ended = EndedWorker { worker: id.to_owned(), reason, silent, draining, runs, next: next.clone() };
+        let mut ended =
+            EndedWorker { worker: id.to_owned(), reason, silent, draining, runs, reported: None, next: next.clone() };
         let unsettled_runs = self.unsettled_runs(id);
         self.free_all_runs(clock, id);
         let exhausted = self.attribute_end(&mut ended);
