Fix: a run that a truncated list of ends lacks doesn't count as lost

The store is down for 4.5 s while 720 small tasks end on one worker; three of them start again after they had ended done. The run's task is also charged with the end of a worker that was up all the time.

Cause: a worker lists at most 500 unacknowledged ends. While the store is down none can be acknowledged. Engine::report took each run that was in neither list for proof of a restart, and freed its task.

Change: the boundary to the platform tells whether a list may be truncated (500 ends or more). Engine::report concludes nothing about the runs that such a report lacks. They keep task and room until a report with all ends, the end of the worker, or the expiry of its leases. Why it works: ends are listed in the order of their numbers, and acknowledged only once listed and recorded, so the next reports bring the others.

--- a/components/entry/src/leadership/renewal.rs
+++ b/components/entry/src/leadership/renewal.rs
@@ -83,6 +83,8 @@
     /// Whether its leases have certainly expired since its last answer.
     expired: bool,
     has_waited_idle: bool,
+    /// Whether its last report listed only a part of its ended runs.
+    truncated: bool,
 }
 
 /// Renews until the worker is replaced or the leadership ends.
@@ -113,6 +115,7 @@
             silent: false,
             expired: false,
             has_waited_idle: false,
+            truncated: false,
         }
     }
 
@@ -190,7 +193,10 @@
             Ok(Reply::Done(status)) => {
                 self.acknowledged = if self.silent { self.acknowledged } else { acked };
                 self.note_answer(status.clock);
-                if report(&self.leadership, &self.target, mark, status).await {
+                let WorkerStatus { running, ended, truncated, .. } = status;
+                let received = Report { mark, running, ended, truncated };
+                self.note_truncation(&received);
+                if report(&self.leadership, &self.target, received).await {
                     self.acknowledged = 0;
                 }
             }
@@ -258,6 +264,21 @@
         );
     }
 
+    /// Records whether the worker lists all its ended runs. If it doesn't, the runs that it lacks wait for further
+    /// reports, which come once the listed ends are acknowledged.
+    fn note_truncation(&mut self, report: &Report) {
+        let host = &self.leadership.host;
+        host.metrics.truncated_reports.inc_by(u64::from(report.truncated));
+        if report.truncated == std::mem::replace(&mut self.truncated, report.truncated) {
+            return;
+        }
+        let event = if report.truncated { events::WORKER_ENDS_TRUNCATED } else { events::WORKER_ENDS_COMPLETE };
+        let unlisted = self.leadership.engine.lock().unlisted_runs(&self.target.id, report);
+        emit!(host.log, event, "worker" => &self.target.id, "listed_ends" => report.ended.len(),
+            "newest_end" => report.ended.last().map(|end| end.number), "acked" => self.acknowledged,
+            "unlisted_runs" => unlisted, "term" => self.leadership.term);
+    }
+
     /// Whether another incarnation of the worker answers. An order names only the worker and reaches whichever
     /// incarnation is there.
     fn is_other_incarnation(&self, born: Option<u64>) -> bool {
@@ -297,9 +318,8 @@
 
 /// Passes a worker's report to the engine and waits briefly until its run ends can be acknowledged. Returns whether
 /// the worker has restarted.
-async fn report(leadership: &Arc<Leadership>, target: &Target, mark: u64, status: WorkerStatus) -> bool {
-    let newest = status.ended.last().map(|end| end.number);
-    let report = Report { mark, running: status.running, ended: status.ended };
+async fn report(leadership: &Arc<Leadership>, target: &Target, report: Report) -> bool {
+    let newest = report.ended.last().map(|end| end.number);
     let ended = report.ended.clone();
     let (restarted, taken) = {
         let mut engine = leadership.engine.lock();
--- a/components/entry/src/services.rs
+++ b/components/entry/src/services.rs
@@ -146,8 +146,10 @@
     pub born: Option<u64>,
     /// All current runs.
     pub running: Vec<Running>,
-    /// Run ends that aren't acknowledged yet.
+    /// Run ends that aren't acknowledged yet, by number.
     pub ended: Vec<End>,
+    /// Whether there may be further ones, which the worker lists once these are acknowledged.
+    pub truncated: bool,
 }
 
 /// A worker's response to a call.
--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -101,6 +101,9 @@
     RUN_LOST = 412, Warning, "run lost with its worker";
     /// Another incarnation has the worker's name, or the worker's lists show that it restarted.
     WORKER_RESTARTED = 413, Info, "worker restarted under its former id";
+    /// The worker has more unacknowledged ends than it lists at once.
+    WORKER_ENDS_TRUNCATED = 414, Info, "worker lists only a part of its ended runs";
+    WORKER_ENDS_COMPLETE = 415, Info, "worker lists all its ended runs again";
     PARTITION_OWNED = 501, Info, "partition owned";
     PARTITION_RELEASED = 502, Info, "partition released";
     /// The state of a partition is rebuilt.
--- a/components/fakes/src/cell/workers.rs
+++ b/components/fakes/src/cell/workers.rs
@@ -80,6 +80,7 @@
                 clock: now,
                 born,
                 running,
+                truncated: runner.is_truncated(ended.len()),
                 ended,
             })
         })?;
--- a/components/fakes/src/runner.rs
+++ b/components/fakes/src/runner.rs
@@ -8,6 +8,9 @@
 use sched::{End, RunOutcome, Running, WorkerInfo};
 use work::{Attempt, Task, Term};
 
+/// Most ends that a worker lists at once, unless a test sets another limit.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// A worker's reply to an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reply {
@@ -49,6 +52,8 @@
     pub ended: Vec<End>,
     /// Number of the last end.
     pub last_end_number: u64,
+    /// Most ends that it lists at once.
+    pub max_listed_ends: usize,
     /// Highest attempt of each task that was stopped or has ended here. It and earlier ones are not started again.
     pub settled: BTreeMap<Task, Attempt>,
 }
@@ -74,6 +79,7 @@
             runs: BTreeMap::new(),
             ended: Vec::new(),
             last_end_number: 0,
+            max_listed_ends: MAX_LISTED_ENDS,
             settled: BTreeMap::new(),
         }
     }
@@ -115,7 +121,7 @@
     }
 
     /// Renews the leases of all runs and drops the ends that the caller acknowledges. Returns the runs in progress and
-    /// the ends that have not been acknowledged.
+    /// the first ends that have not been acknowledged.
     ///
     /// # Errors
     /// [`Reply::Fenced`] if a leader with a higher term has called before.
@@ -136,7 +142,12 @@
             checkpoint: String::new(),
             percent: 50,
         });
-        Ok((running.collect(), self.ended.clone()))
+        Ok((running.collect(), self.ended.iter().take(self.max_listed_ends).cloned().collect()))
+    }
+
+    /// Whether a list of this many ends may lack some.
+    pub fn is_truncated(&self, listed: usize) -> bool {
+        listed >= self.max_listed_ends
     }
 
     fn record_end(&mut self, task: Task, attempt: Attempt, outcome: RunOutcome) {
--- a/components/metrics/src/jobs.rs
+++ b/components/metrics/src/jobs.rs
@@ -80,6 +80,7 @@
     pub worker_ends: Family<OutcomeLabels, Counter>,
     /// Workers that restarted under their former id.
     pub worker_restarts: Counter,
+    pub truncated_reports: Counter,
     /// Runs lost with their workers: `shown` if the worker had listed the run before, else `new`.
     pub lost_runs: Family<OutcomeLabels, Counter>,
     /// Tasks given up because their workers went down.
@@ -151,6 +152,7 @@
             ends: Family::default(),
             worker_ends: Family::default(),
             worker_restarts: Counter::default(),
+            truncated_reports: Counter::default(),
             lost_runs: Family::default(),
             tasks_given_up: Counter::default(),
             stalled_jobs: Gauge::default(),
@@ -203,6 +205,11 @@
             "Workers that were back under their former ids",
             self.worker_restarts.clone(),
         );
+        registry.register(
+            "truncated_reports",
+            "Workers' reports that list only a part of the ended runs",
+            self.truncated_reports.clone(),
+        );
         registry.register("lost_runs", "Runs that went with their workers, new or shown", self.lost_runs.clone());
         registry.register(
             "tasks_given_up",
--- a/components/sched/examples/backlog.rs
+++ b/components/sched/examples/backlog.rs
@@ -82,7 +82,7 @@
     let infos = cell::workers(workers);
     engine.update_workers(clock, infos.clone());
     cell::write(&mut engine, clock);
-    let empty = Report { mark: engine.mark(), running: Vec::new(), ended: Vec::new() };
+    let empty = Report { mark: engine.mark(), running: Vec::new(), ended: Vec::new(), truncated: false };
     for id in infos.keys() {
         engine.report(clock, id, empty.clone());
     }
--- a/components/sched/examples/flow.rs
+++ b/components/sched/examples/flow.rs
@@ -317,7 +317,7 @@
             checkpoint: String::new(),
             percent: (now.as_millis() / PERCENT_MS % 100) as u8,
         });
-        let report = Report { mark, running: running.collect(), ended };
+        let report = Report { mark, running: running.collect(), ended, truncated: false };
         let clock = self.clock;
         timed(&mut self.cpu_time.report, || self.engine.report(clock, id, report));
     }
--- a/components/sched/src/reports.rs
+++ b/components/sched/src/reports.rs
@@ -1,8 +1,6 @@
 //! Processes the reports of workers: adopts unknown runs, handles ended ones and releases those that have
 //! disappeared.
 
-use std::collections::BTreeSet;
-
 use model::Resources;
 use work::{Attempt, JobId, Outcome, Record, Step, Task, Unit};
 
@@ -18,8 +16,9 @@
         let last_heard = std::mem::replace(&mut worker.last_heard, clock.now);
         let first = std::mem::replace(&mut worker.contact, Contact::Held) == Contact::Unknown;
         let left = std::mem::take(&mut worker.possibly_lost);
+        let gone = worker.gone(&report);
         self.remove_silent(&left);
-        let restarted = self.look_for_restart(clock, id, last_heard, left, &report);
+        let restarted = self.look_for_restart(clock, id, last_heard, left, &gone, &report);
         if first {
             self.stop_handed_over(id);
         }
@@ -30,7 +29,7 @@
         for running in &report.running {
             self.running(clock, id, running);
         }
-        self.release_unlisted(clock, id, &report);
+        gone.into_iter().for_each(|(task, attempt)| self.release(clock, id, task, attempt));
         restarted
     }
 
@@ -226,19 +225,6 @@
         entry.charge(task.unit.step).or_else(|| Some(Charge { workspace: entry.workspace?, need }))
     }
 
-    /// Releases runs that must be reflected in this report and aren't listed.
-    fn release_unlisted(&mut self, clock: Clock, id: &str, report: &Report) {
-        let shown: BTreeSet<(Task, Attempt)> = report.running.iter().map(|row| (row.task, row.attempt)).collect();
-        let Some(worker) = self.workers.get(id) else { return };
-        let lost: Vec<(Task, Attempt)> = worker
-            .runs
-            .iter()
-            .filter(|(key, run)| !shown.contains(*key) && must_show(run.phase, report.mark))
-            .map(|(key, _)| *key)
-            .collect();
-        lost.into_iter().for_each(|(task, attempt)| self.release(clock, id, task, attempt));
-    }
-
     /// Stops the remaining members of gangs that lost a member, among jobs that changed and those known to have one.
     pub(crate) fn stop_broken_gangs(&mut self, changed: &[JobId]) {
         let mut broken = std::mem::take(&mut self.ranking.broken);
--- a/components/sched/src/restart.rs
+++ b/components/sched/src/restart.rs
@@ -2,7 +2,7 @@
 //!
 //! A worker reports its running runs and, until they are acknowledged, its ended ones. A run that had started and is
 //! in neither list was lost with an earlier incarnation of the worker. Nothing else may reveal the restart, since the
-//! worker can be back before its leases expire.
+//! worker can be back before its leases expire. A truncated list of ends proves nothing about the runs that it lacks.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -17,19 +17,21 @@
 impl Engine {
     /// Checks whether a worker has restarted since `last_heard`, and if so, records that as a worker's end. `left`
     /// holds the runs that were there when its leases expired: each is either reported as ended or was lost with an
-    /// earlier incarnation.
+    /// earlier incarnation. `gone` holds the runs that the report proves to have gone.
     pub(crate) fn look_for_restart(
         &mut self,
         clock: Clock,
         id: &str,
         last_heard: Duration,
         left: Vec<LostRun>,
+        gone: &BTreeSet<(Task, Attempt)>,
         report: &Report,
     ) -> bool {
         let Some(worker) = self.workers.get(id) else { return false };
         let draining = worker.info.draining;
-        let listed = report.listed();
-        let vanished = worker.vanished(&listed, report.mark);
+        let started = |key: &&(Task, Attempt)| worker.runs.get(key).is_some_and(|run| run.started_at.is_some());
+        let vanished: BTreeSet<(Task, Attempt)> = gone.iter().filter(started).copied().collect();
+        let listed = if left.is_empty() { BTreeSet::new() } else { report.listed() };
         let mut runs: Vec<LostRun> =
             left.into_iter().filter(|lost| lost.started && !listed.contains(&lost.key())).collect();
         if vanished.is_empty() && runs.is_empty() && !worker.has_repeated_end_number(report) {
@@ -56,13 +58,32 @@
     }
 }
 
+impl Engine {
+    /// Number of runs that a worker's report must reflect and that are in neither of its lists.
+    pub fn unlisted_runs(&self, id: &str, report: &Report) -> usize {
+        self.workers.get(id).map_or(0, |worker| worker.unlisted(report).len())
+    }
+}
+
 impl Worker {
-    /// Runs that had started, must be reflected in a report with this mark, and aren't listed there.
-    fn vanished(&self, listed: &BTreeSet<(Task, Attempt)>, mark: u64) -> BTreeSet<(Task, Attempt)> {
-        let went = |(key, run): &(&(Task, Attempt), &Run)| {
-            run.started_at.is_some() && must_show(run.phase, mark) && !listed.contains(*key)
-        };
-        self.runs.iter().filter(went).map(|(key, _)| *key).collect()
+    /// Runs that a report proves to have gone without an end: it must reflect them and lacks them. A run that a truncated
+    /// report lacks may be listed as ended by the next one.
+    pub(crate) fn gone(&self, report: &Report) -> BTreeSet<(Task, Attempt)> {
+        match report.truncated {
+            true => BTreeSet::new(),
+            false => self.unlisted(report),
+        }
+    }
+
+    /// Runs that a report must reflect and that are in neither of its lists.
+    pub(crate) fn unlisted(&self, report: &Report) -> BTreeSet<(Task, Attempt)> {
+        if self.runs.is_empty() {
+            return BTreeSet::new();
+        }
+        let listed = report.listed();
+        let is_unlisted =
+            |(key, run): &(&(Task, Attempt), &Run)| must_show(run.phase, report.mark) && !listed.contains(*key);
+        self.runs.iter().filter(is_unlisted).map(|(key, _)| *key).collect()
     }
 
     /// Whether a run that is still held is reported as ended under a number that was already processed. Within one
--- a/components/sched/src/worker.rs
+++ b/components/sched/src/worker.rs
@@ -121,6 +121,9 @@
     pub running: Vec<Running>,
     /// Ends that aren't acknowledged yet, by sequence number.
     pub ended: Vec<End>,
+    /// Whether there may be further unacknowledged ends, with higher numbers: workers list a limited number at once. A
+    /// run that is in neither list may then have ended, with any outcome.
+    pub truncated: bool,
 }
 
 impl Report {
--- a/components/sched/tests/decisions/cell/mod.rs
+++ b/components/sched/tests/decisions/cell/mod.rs
@@ -94,7 +94,14 @@
 
     pub fn report(&mut self, id: &str, running: &[Running], ended: &[End]) {
         let mark = self.engine.mark();
-        let report = Report { mark, running: running.to_vec(), ended: ended.to_vec() };
+        let report = Report { mark, running: running.to_vec(), ended: ended.to_vec(), truncated: false };
+        self.engine.report(self.clock(), id, report);
+    }
+
+    /// The worker lists these ends and as many as it can at once; there may be more.
+    pub fn report_truncated(&mut self, id: &str, running: &[Running], ended: &[End]) {
+        let mark = self.engine.mark();
+        let report = Report { mark, running: running.to_vec(), ended: ended.to_vec(), truncated: true };
         self.engine.report(self.clock(), id, report);
     }
 
--- a/components/sched/tests/decisions/main.rs
+++ b/components/sched/tests/decisions/main.rs
@@ -18,6 +18,7 @@
 mod short_of_processor;
 mod stale_list;
 mod stall;
+mod truncated_ends;
 mod usage;
 mod wide_gangs;
 mod worker_list;
--- /dev/null
+++ b/components/sched/tests/decisions/truncated_ends.rs
@@ -0,0 +1,126 @@
+//! Workers with more unacknowledged ends than they list at once.
+//!
+//! Guards against taking a run for lost whose end is merely not listed yet. While the store is down no end can be
+//! acknowledged, so ends accumulate on the workers, which list only the first ones. Tasks that had completed were
+//! started again, and the end of a worker that was up all the time was held against them.
+//!
+//! Cause: a run in neither list of a report counted as lost with an earlier incarnation of the worker, although the
+//! list of ends may be truncated.
+
+use std::time::Duration;
+
+use sched::{End, OrderOutcome, RunOutcome, Start};
+use work::{Outcome, Record, State, Step};
+
+use crate::cell::{Cell, running, step};
+
+/// The end of a run that is done, under this number.
+fn done(number: u64, start: &Start) -> End {
+    let (task, attempt) = (start.task, start.attempt);
+    End { number, task, attempt, outcome: RunOutcome::Done, checkpoint: String::new() }
+}
+
+/// A cell in which a job of three tasks runs on `w0`, and its starts.
+fn three_runs(workers: usize, step: Step) -> (Cell, Vec<Start>) {
+    let mut cell = Cell::new(workers).ready();
+    cell.submit(1, "urgent", vec![step]);
+    let starts = cell.starts();
+    assert!(starts.iter().all(|(worker, _)| worker == "w0"), "{starts:?}");
+    let starts: Vec<Start> = starts.into_iter().map(|(_, start)| start).collect();
+    starts.iter().for_each(|start| cell.confirm_start("w0", start));
+    cell.now += Duration::from_secs(1);
+    let all: Vec<_> = starts.iter().map(running).collect();
+    cell.report("w0", &all, &[]);
+    (cell, starts)
+}
+
+/// Number of worker ends that the log attributes to tasks.
+fn attributed_ends(cell: &Cell) -> usize {
+    cell.log.iter().filter(|record| matches!(record, Record::RunLost { .. })).count()
+}
+
+/// Guards against starting a task again that is done, after an outage of the store (TWICE).
+#[test]
+fn a_run_that_a_truncated_list_of_ends_lacks_is_not_lost() {
+    let (mut cell, starts) = three_runs(1, step(3, 1));
+    cell.report_truncated("w0", &[], &[done(1, &starts[0])]);
+    assert!(cell.starts().is_empty(), "the other two may be done");
+    assert_eq!(cell.engine.state(1), Some(State::Running));
+    cell.report_truncated("w0", &[], &[done(2, &starts[1])]);
+    cell.report("w0", &[], &[done(3, &starts[2])]);
+    assert!(cell.starts().is_empty(), "all are done");
+    assert_eq!(cell.engine.state(1), Some(State::Ended(Outcome::Completed)));
+}
+
+/// Guards against holding the end of a worker against tasks although it was up all the time.
+#[test]
+fn a_truncated_list_of_ends_is_no_evidence_of_a_restart() {
+    let (mut cell, starts) = three_runs(1, step(3, 1));
+    cell.report_truncated("w0", &[], &[done(1, &starts[0])]);
+    cell.report("w0", &[], &[done(2, &starts[1]), done(3, &starts[2])]);
+    cell.plan();
+    assert!(cell.engine.take_ended_workers().is_empty());
+    assert_eq!(attributed_ends(&cell), 0);
+}
+
+/// Guards against a task that stays behind because the last list of its worker was truncated (LOST).
+#[test]
+fn a_run_that_the_next_full_list_lacks_starts_again() {
+    let (mut cell, starts) = three_runs(1, step(3, 1));
+    cell.report_truncated("w0", &[], &[done(1, &starts[0])]);
+    cell.report("w0", &[], &[done(2, &starts[1])]);
+    let again = cell.starts();
+    assert_eq!(again.len(), 1);
+    assert_eq!(again[0].1.task, starts[2].task);
+}
+
+/// Guards against tasks that stay behind on a worker that ends with a truncated list (LOST).
+#[test]
+fn runs_on_a_worker_that_ends_with_a_truncated_list_start_again() {
+    let (mut cell, starts) = three_runs(2, step(3, 1));
+    cell.report_truncated("w0", &[], &[done(1, &starts[0])]);
+    cell.engine.worker_replaced(cell.clock(), "w0", None);
+    let again = cell.starts();
+    assert_eq!(again.len(), 2, "{again:?}");
+    assert!(again.iter().all(|(worker, _)| worker == "w1"));
+}
+
+/// Guards against tasks that stay behind on a worker that falls silent with a truncated list (LOST).
+#[test]
+fn runs_whose_leases_expire_behind_a_truncated_list_start_again() {
+    let (mut cell, starts) = three_runs(2, step(3, 1));
+    cell.report_truncated("w0", &[], &[done(1, &starts[0])]);
+    cell.now += Duration::from_secs(10);
+    cell.engine.leases_expired(cell.clock(), "w0");
+    cell.report("w1", &[], &[]);
+    assert_eq!(cell.starts().len(), 2);
+}
+
+/// Guards against starting a task again that was done before the stop of its run arrived (TWICE).
+#[test]
+fn a_stopped_run_that_a_truncated_list_lacks_keeps_its_task() {
+    let mut cell = Cell::new(1).ready();
+    cell.submit(1, "urgent", vec![step(2, 1)]);
+    let starts: Vec<Start> = cell.starts().into_iter().map(|(_, start)| start).collect();
+    cell.confirm_start("w0", &starts[0]);
+    cell.engine.start_answered(cell.clock(), "w0", starts[1].task, starts[1].attempt, OrderOutcome::Unknown);
+    cell.engine.stop_accepted("w0", starts[1].task, starts[1].attempt);
+    cell.now += Duration::from_secs(2);
+    cell.report_truncated("w0", &[], &[done(1, &starts[0])]);
+    assert!(cell.starts().is_empty());
+    cell.report("w0", &[], &[done(2, &starts[1])]);
+    assert!(cell.starts().is_empty());
+    assert_eq!(cell.engine.state(1), Some(State::Ended(Outcome::Completed)));
+}
+
+/// Guards against stopping a gang at work because one member's end isn't listed yet.
+#[test]
+fn a_gang_goes_on_while_a_truncated_list_lacks_a_member() {
+    let (mut cell, starts) = three_runs(1, Step { gang: true, ..step(3, 1) });
+    let others = [running(&starts[0]), running(&starts[1])];
+    cell.report_truncated("w0", &others, &[]);
+    assert!(cell.plan().is_empty(), "nothing is stopped or started");
+    cell.report("w0", &others, &[done(1, &starts[2])]);
+    cell.write();
+    assert_eq!(cell.engine.state(1), Some(State::Ended(Outcome::Completed)));
+}
--- a/components/sched/tests/world/mod.rs
+++ b/components/sched/tests/world/mod.rs
@@ -367,7 +367,8 @@
                 Ok(_) if other.is_some() => leader.engine.worker_replaced(clock, &id, other),
                 Ok((running, ended)) => {
                     lease.observe_clock(self.now, self.now, MAX_LEASE);
-                    leader.engine.report(clock, &id, Report { mark, running, ended });
+                    let truncated = worker.is_truncated(ended.len());
+                    leader.engine.report(clock, &id, Report { mark, running, ended, truncated });
                 }
                 Err(_) => return false,
             }
