Fix: a new leader doesn't take a worker's truncated first report for an account of all inherited runs

What callers would see: after a crash of the leader behind an outage of the store, tasks that were done start again (TWICE).

Cause: Engine::unresolved let a task start that an earlier leader had placed on a worker as soon as that worker had answered, or 14 s after the takeover. With over 500 ends waiting, the first answers list a part of them only.

Change: a worker is fully reported once a report of this term had a full list of ends. While it answers and isn't, tasks placed there wait; job why names it. The end of the worker or the expiry of its leases frees them as before. Limits and usage don't change: the list of running tasks is always full.

The model's new check, that no task starts again behind an end that is acknowledged later, applies to all its worlds; it excuses ends on workers whose leases have expired since, as the rule does. WORKSPACES and with_workspaces moved to world/jobs.rs unchanged.

--- a/components/sched/src/explain.rs
+++ b/components/sched/src/explain.rs
@@ -100,7 +100,10 @@
             return "steps that it depends on aren't done".to_owned();
         }
         if let Some(worker) = self.unresolved(unit) {
-            return format!("a task may still run on {worker}, which hasn't answered since the last takeover");
+            return match self.may_have_unlisted_ends(worker) {
+                true => format!("a task may have ended on {worker}, which lists only a part of its ended runs"),
+                false => format!("a task may still run on {worker}, which hasn't answered since the last takeover"),
+            };
         }
         if unit.awaits_worker_ends() {
             return "too many workers on which a task ran have ended or are silent; it waits until the silent ones answer or have ended".to_owned();
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -306,20 +306,24 @@
         }
     }
 
-    /// Whether no pending task of a unit may still run where an earlier leader placed it.
+    /// Whether it is known of each pending task of a unit what became of the run that an earlier leader placed.
     pub(crate) fn resolved(&self, state: &UnitState) -> bool {
         self.unresolved(state).is_none()
     }
 
-    /// A worker that hasn't answered yet and on which an earlier leader placed a task that is pending now.
+    /// A worker on which an earlier leader placed a task that is pending now, where that run may go on, or may have
+    /// ended without being listed.
     pub(crate) fn unresolved<'a>(&self, state: &'a UnitState) -> Option<&'a WorkerId> {
-        if self.settled {
-            return None;
-        }
-        let open = |worker: &&WorkerId| may_run_unseen(&self.workers, &self.departed, worker);
+        let may_run = |worker: &WorkerId| !self.settled && may_run_unseen(&self.workers, &self.departed, worker);
+        let open = |worker: &&WorkerId| may_run(worker) || self.may_have_unlisted_ends(worker);
         state.tasks.iter().filter_map(|task| task.inherited.as_ref()).map(|run| &run.worker).find(open)
     }
 
+    /// Whether runs that earlier leaders ordered may have ended on a worker without being listed yet.
+    pub(crate) fn may_have_unlisted_ends(&self, worker: &str) -> bool {
+        self.workers.get(worker).is_some_and(Worker::may_have_unlisted_ends)
+    }
+
     /// Sends the starts whose records are durable, unless they have become pointless.
     pub(crate) fn send_durable_starts(&mut self, clock: Clock) {
         while let Some((position, worker, start)) = self.unsent_starts.pop_front() {
--- a/components/sched/src/reports.rs
+++ b/components/sched/src/reports.rs
@@ -15,6 +15,7 @@
         let Some(worker) = self.workers.get_mut(id) else { return false };
         let last_heard = std::mem::replace(&mut worker.last_heard, clock.now);
         let first = std::mem::replace(&mut worker.contact, Contact::Held) == Contact::Unknown;
+        worker.fully_reported |= !report.truncated;
         let left = std::mem::take(&mut worker.possibly_lost);
         let gone = worker.gone(&report);
         self.remove_silent(&left);
--- a/components/sched/src/worker.rs
+++ b/components/sched/src/worker.rs
@@ -215,6 +215,9 @@
 pub(crate) struct Worker {
     pub info: Arc<WorkerInfo>,
     pub contact: Contact,
+    /// Whether a report in this term had a full list of ends. Until then, runs that earlier leaders ordered may have ended
+    /// there without being listed.
+    pub fully_reported: bool,
     /// Since when the platform's list lacks it; `None` while it is listed.
     pub unlisted_since: Option<Duration>,
     /// Position of the record that names the worker, which gets orders once this is durable.
@@ -252,6 +255,7 @@
             free: info.capacity,
             info: Arc::new(info),
             contact: Contact::Unknown,
+            fully_reported: false,
             unlisted_since,
             position,
             last_heard: now,
@@ -300,6 +304,11 @@
         self.runs.values().filter(|run| run.phase == Phase::Starting).count()
     }
 
+    /// Whether runs that earlier leaders ordered may have ended there, with any outcome, without being listed yet.
+    pub(crate) fn may_have_unlisted_ends(&self) -> bool {
+        self.contact == Contact::Held && !self.fully_reported
+    }
+
     /// Adds a run and takes its room.
     pub(crate) fn add_run(&mut self, task: Task, attempt: Attempt, run: Run) {
         self.free = self.free.saturating_sub(&run.need);
--- a/components/sched/tests/decisions/truncated_ends.rs
+++ b/components/sched/tests/decisions/truncated_ends.rs
@@ -5,7 +5,8 @@
 //! started again, and the end of a worker that was up all the time was held against them.
 //!
 //! Cause: a run in neither list of a report counted as lost with an earlier incarnation of the worker, although the
-//! list of ends may be truncated.
+//! list of ends may be truncated. A new leader took the same for proof that the run had never started or had ended
+//! without completing its task.
 
 use std::time::Duration;
 
@@ -14,6 +15,9 @@
 
 use crate::cell::{Cell, running, step};
 
+/// Longer than leases and the authority of an earlier leader last together.
+const LONG_AFTER_TAKEOVER: Duration = Duration::from_secs(60);
+
 /// The end of a run that is done, under this number.
 fn done(number: u64, start: &Start) -> End {
     let (task, attempt) = (start.task, start.attempt);
@@ -34,6 +38,15 @@
     (cell, starts)
 }
 
+/// A leader that takes over while three runs of an earlier one have ended on `w0`, whose records aren't written.
+fn takeover(workers: usize) -> (Cell, Vec<Start>) {
+    let (cell, starts) = three_runs(workers, step(3, 1));
+    let mut next = Cell::from_log(workers, 2, &cell.log);
+    next.engine.update_workers(next.clock(), next.infos.clone());
+    next.write();
+    (next, starts)
+}
+
 /// Number of worker ends that the log attributes to tasks.
 fn attributed_ends(cell: &Cell) -> usize {
     cell.log.iter().filter(|record| matches!(record, Record::RunLost { .. })).count()
@@ -124,3 +137,48 @@
     cell.write();
     assert_eq!(cell.engine.state(1), Some(State::Ended(Outcome::Completed)));
 }
+
+/// Guards against starting tasks again after a takeover whose ends the first report doesn't list (TWICE).
+#[test]
+fn an_inherited_run_that_a_truncated_list_lacks_keeps_its_task() {
+    let (mut cell, starts) = takeover(2);
+    cell.report("w1", &[], &[]);
+    cell.report_truncated("w0", &[], &[done(1, &starts[0])]);
+    assert!(cell.starts().is_empty(), "the other two may be done");
+    let why = &cell.engine.explain(cell.clock(), 1).expect("a known job").steps[0].why;
+    assert!(why.contains("w0"), "it names the worker: {why}");
+    cell.report("w0", &[], &[done(2, &starts[1]), done(3, &starts[2])]);
+    assert!(cell.starts().is_empty(), "all are done");
+    assert_eq!(cell.engine.state(1), Some(State::Ended(Outcome::Completed)));
+}
+
+/// Guards against the same while ends can't be acknowledged for long after a takeover (TWICE).
+#[test]
+fn an_inherited_run_keeps_its_task_as_long_as_lists_are_truncated() {
+    let (mut cell, starts) = takeover(2);
+    cell.report_truncated("w0", &[], &[done(1, &starts[0])]);
+    cell.now += LONG_AFTER_TAKEOVER;
+    cell.report("w1", &[], &[]);
+    cell.report_truncated("w0", &[], &[done(1, &starts[0])]);
+    assert!(cell.starts().is_empty(), "the other two may be done");
+}
+
+/// Guards against tasks that stay behind after a takeover because one list was truncated (LOST).
+#[test]
+fn an_inherited_run_that_the_next_full_list_lacks_starts_again() {
+    let (mut cell, starts) = takeover(2);
+    cell.report("w1", &[], &[]);
+    cell.report_truncated("w0", &[], &[done(1, &starts[0])]);
+    cell.report("w0", &[], &[]);
+    assert_eq!(cell.starts().len(), 2);
+}
+
+/// Guards against tasks that stay behind after a takeover on a worker that ends with a truncated list (LOST).
+#[test]
+fn inherited_runs_on_a_worker_that_ends_with_a_truncated_list_start_again() {
+    let (mut cell, starts) = takeover(2);
+    cell.report("w1", &[], &[]);
+    cell.report_truncated("w0", &[], &[done(1, &starts[0])]);
+    cell.engine.worker_replaced(cell.clock(), "w0", None);
+    assert_eq!(cell.starts().len(), 2);
+}
--- a/components/sched/tests/model.rs
+++ b/components/sched/tests/model.rs
@@ -95,6 +95,26 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { cases: cases(), ..ProptestConfig::default() })]
+
+    /// Guards against taking a run for lost whose end isn't listed yet, on all paths together.
+    #[test]
+    fn guarantees_hold_if_workers_list_few_ends_at_once(seed: u64, max_listed_ends in 1..4_usize) {
+        simulate(World::new(seed).with_short_lists(max_listed_ends), QUIET_STEPS)?;
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: cases(), ..ProptestConfig::default() })]
+
+    /// Guards against the same where a list of few ends may come from the next incarnation.
+    #[test]
+    fn guarantees_hold_if_restarted_workers_list_few_ends_at_once(seed: u64, max_listed_ends in 1..4_usize) {
+        simulate(World::new(seed).with_stable_names().with_short_lists(max_listed_ends), QUIET_STEPS)?;
+    }
+}
+
 /// Runs a simulation with faults, then without, and checks the guarantees that must hold at the end.
 fn simulate(mut world: World, quiet_steps: usize) -> Result<(), TestCaseError> {
     (0..FAULT_STEPS).for_each(|_| world.step(true));
--- a/components/sched/tests/world/jobs.rs
+++ b/components/sched/tests/world/jobs.rs
@@ -1,15 +1,31 @@
-//! Random jobs that are submitted, cancelled, or withdrawn.
+//! Random jobs that are submitted, cancelled, or withdrawn, and the workspaces that they may belong to.
 
 use std::time::Duration;
 
 use model::Resources;
 use rand::Rng;
 use sched::Owner;
-use work::{Job, JobId, Step};
+use work::{Job, JobId, Step, Workspace};
 
-use super::{WORKSPACES, World};
+use super::{World, config};
+
+/// Names of the workspaces: the first one is limited in running cores, the second one in memory.
+const WORKSPACES: [&str; 2] = ["cores", "memory"];
 
 impl World {
+    /// The same, with workspaces, whose limits hold at any moment.
+    pub fn with_workspaces(seed: u64) -> World {
+        let limits =
+            [Resources { cpu_milli: 5000, ..Resources::ZERO }, Resources { memory_mib: 500, ..Resources::ZERO }];
+        let workspace = |(name, limit): (&&str, Resources)| Workspace {
+            name: (*name).to_owned(),
+            keys: Vec::new(),
+            weight: 1.0,
+            limit,
+        };
+        World::with(seed, config().with_workspaces(WORKSPACES.iter().zip(limits).map(workspace).collect()))
+    }
+
     pub(super) fn submit_random_job(&mut self) {
         let id = self.rng.random();
         let steps = (0..self.rng.random_range(1..3u16)).map(|number| self.random_step(number)).collect();
--- a/components/sched/tests/world/mod.rs
+++ b/components/sched/tests/world/mod.rs
@@ -5,6 +5,7 @@
 mod jobs;
 mod leader;
 mod list_faults;
+mod short_lists;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -14,20 +15,17 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use sched::{Action, Clock, OrderOutcome, Report, RunOutcome, Start, Ticket};
-use work::{
-    Advice, Attempt, Config, Job, JobId, Outcome, Queue, Record, Task, Term, WorkerId, WorkerIncarnation, Workspace,
-};
+use work::{Advice, Attempt, Config, Job, JobId, Outcome, Queue, Record, Task, Term, WorkerId, WorkerIncarnation};
 
 use crashes::Crashes;
 use fakes::runner::{Reply, Run, Runner};
 use leader::Leader;
 use list_faults::ListFaults;
+use short_lists::check_acknowledgement;
 
 const STEP: Duration = Duration::from_millis(20);
 const MAX_LEASE: Duration = Duration::from_secs(6);
 const MAX_ATTEMPTS: u32 = 3;
-/// Names of the workspaces: the first one is limited in running cores, the second one in memory.
-const WORKSPACES: [&str; 2] = ["cores", "memory"];
 /// Priority of a queue whose tasks may be preempted.
 const PREEMPTIBLE_PRIORITY: u32 = 2;
 
@@ -77,6 +75,12 @@
     stable_names: bool,
     /// Faults of the list of workers, if it has any.
     list_faults: Option<ListFaults>,
+    /// Most ends that a worker lists at once, if the limit is a small one.
+    max_listed_ends: Option<usize>,
+    /// Starts of tasks that had ended as done: the worker that is still to have that end acknowledged, and its number.
+    repeated: Vec<(WorkerId, u64, Task)>,
+    /// By worker, the highest number of an end whose task may be started again since its leases have expired.
+    excused: BTreeMap<WorkerId, u64>,
 }
 
 impl World {
@@ -112,6 +116,9 @@
             crashes: None,
             stable_names: false,
             list_faults: None,
+            max_listed_ends: None,
+            repeated: Vec::new(),
+            excused: BTreeMap::new(),
         };
         for place in 0..4 {
             world.boot(place);
@@ -137,19 +144,6 @@
         World { large_tasks: true, ..World::with(seed, config) }
     }
 
-    /// The same, with workspaces, whose limits hold at any moment.
-    pub fn with_workspaces(seed: u64) -> World {
-        let limits =
-            [Resources { cpu_milli: 5000, ..Resources::ZERO }, Resources { memory_mib: 500, ..Resources::ZERO }];
-        let workspace = |(name, limit): (&&str, Resources)| Workspace {
-            name: (*name).to_owned(),
-            keys: Vec::new(),
-            weight: 1.0,
-            limit,
-        };
-        World::with(seed, config().with_workspaces(WORKSPACES.iter().zip(limits).map(workspace).collect()))
-    }
-
     fn clock(&self) -> Clock {
         Clock { now: self.now, wall: self.now }
     }
@@ -166,7 +160,9 @@
         let capacity = Resources { cpu_milli: 8000, memory_mib: 8000, accelerators: 0 };
         let born = u64::from(self.incarnations);
         let id = if self.stable_names { format!("m{place}@{born}") } else { format!("life-{born}") };
-        self.workers.insert(id, Runner::new(address, capacity));
+        let runner = Runner::new(address, capacity);
+        let max_listed_ends = self.max_listed_ends.unwrap_or(runner.max_listed_ends);
+        self.workers.insert(id, Runner { max_listed_ends, ..runner });
     }
 
     /// Simulates one time step, with random faults if `with_faults` is set.
@@ -180,6 +176,7 @@
         self.deliver_delayed_starts();
         self.tick_workers();
         self.crash_workers();
+        self.excuse_expired_ends();
         let leader = std::mem::replace(&mut self.leader, Leader::new(Clock::default(), 0, self.config.clone(), &[]));
         self.leader = self.run(leader, true, with_faults).expect("the newest leader isn't dropped");
         if let Some(previous_leader) = self.previous_leader.take() {
@@ -356,13 +353,16 @@
             if let Some(until) = until {
                 lease.grant(until);
             }
-            let other = incarnation.filter(|incarnation| *incarnation != id);
+            let other = incarnation.clone().filter(|incarnation| *incarnation != id);
             // After the silence of a restarted worker nothing is acknowledged, and its leases are
             // shortened to the longest that it accepts.
             let (acked, until) = match other.is_some() {
                 true => (0, until.map(|until| until.min(self.now + MAX_LEASE))),
                 false => (acked, until),
             };
+            if let Some(incarnation) = &incarnation {
+                check_acknowledgement(&self.repeated, incarnation, acked);
+            }
             match worker.renew(leader.term, until, acked) {
                 Ok(_) if other.is_some() => leader.engine.worker_replaced(clock, &id, other),
                 Ok((running, ended)) => {
@@ -441,6 +441,7 @@
         let reply = worker.start(self.now, term, until, key, run);
         if reply == Reply::Done && !known {
             self.check_start(sent, term, start, &job);
+            self.note_repeated(start.task);
             self.schedule_crash(&incarnation, term, start.task);
         }
         reply
