Fix: runs whose leases have expired aren't taken for lost because a truncated list lacks them

What callers would see: a job may be shown as failed although no worker went down under it. A worker that was cut off until its leases expired, and that answers with more ends than it lists at once, counted as restarted; the unlisted runs were charged to their tasks as ends of a worker, and five of these fail a job.

Cause: Engine::report settled all possibly lost runs by the first answer, whether its list of ends was full or not.

Change: a truncated report settles those that it lists; the others stay until a full one, or until the worker has ended.

Tests, on the code before: an_expired_run_that_a_truncated_list_lacks_is_no_evidence_of_a_restart failed. Guards that held before as well: an_expired_run_that_no_full_list_shows_proves_a_restart, a_restart_behind_a_truncated_list_is_settled_by_the_next_full_one.

--- a/components/sched/src/reports.rs
+++ b/components/sched/src/reports.rs
@@ -16,7 +16,7 @@
         let last_heard = std::mem::replace(&mut worker.last_heard, clock.now);
         let first = std::mem::replace(&mut worker.contact, Contact::Held) == Contact::Unknown;
         worker.fully_reported |= !report.truncated;
-        let left = std::mem::take(&mut worker.possibly_lost);
+        let left = worker.take_settled(&report);
         let gone = worker.gone(&report);
         self.remove_silent(&left);
         let restarted = self.look_for_restart(clock, id, last_heard, left, &gone, &report);
--- a/components/sched/src/restart.rs
+++ b/components/sched/src/restart.rs
@@ -75,6 +75,19 @@
         }
     }
 
+    /// Takes the possibly lost runs whose fate a report tells: those that it lists, and all others if its list of ends is
+    /// full.
+    pub(crate) fn take_settled(&mut self, report: &Report) -> Vec<LostRun> {
+        let left = std::mem::take(&mut self.possibly_lost);
+        if !report.truncated || left.is_empty() {
+            return left;
+        }
+        let listed = report.listed();
+        let (settled, open) = left.into_iter().partition(|lost| listed.contains(&lost.key()));
+        self.possibly_lost = open;
+        settled
+    }
+
     /// Runs that a report must reflect and that are in neither of its lists.
     pub(crate) fn unlisted(&self, report: &Report) -> BTreeSet<(Task, Attempt)> {
         if self.runs.is_empty() {
--- a/components/sched/src/worker.rs
+++ b/components/sched/src/worker.rs
@@ -230,8 +230,8 @@
     pub new_runs: u32,
     /// Number of these whose tasks are suspects.
     pub suspects: u32,
-    /// Runs whose leases have expired or that an earlier leader placed. They count as lost if the worker turns out to
-    /// have ended.
+    /// Runs whose leases have expired or that an earlier leader placed, and whose fate no report has told yet. They count
+    /// as lost if the worker turns out to have ended.
     pub possibly_lost: Vec<LostRun>,
     /// Whether it follows an earlier incarnation of the same name; see [`crate::handover`].
     pub follows_earlier_incarnation: bool,
--- a/components/sched/tests/decisions/truncated_ends.rs
+++ b/components/sched/tests/decisions/truncated_ends.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use sched::{End, OrderOutcome, RunOutcome, Start};
-use work::{Outcome, Record, State, Step};
+use work::{Outcome, Record, State, Step, WorkerId};
 
 use crate::cell::{Cell, running, step};
 
@@ -138,6 +138,31 @@
     assert_eq!(cell.engine.state(1), Some(State::Ended(Outcome::Completed)));
 }
 
+/// Guards against taking the answer of a worker whose leases had expired for that of a restarted one.
+#[test]
+fn an_expired_run_that_a_truncated_list_lacks_is_no_evidence_of_a_restart() {
+    let (mut cell, starts) = three_runs(2, step(3, 1));
+    cell.now += Duration::from_secs(10);
+    cell.engine.leases_expired(cell.clock(), "w0");
+    cell.report_truncated("w0", &[], &[done(1, &starts[0])]);
+    cell.report("w0", &[], &[done(2, &starts[1]), done(3, &starts[2])]);
+    cell.plan();
+    assert!(cell.engine.take_ended_workers().is_empty());
+    assert_eq!(attributed_ends(&cell), 0);
+}
+
+/// Guards against overlooking the restart of a worker that crashed in silence and is back with many ends.
+#[test]
+fn an_expired_run_that_no_full_list_shows_proves_a_restart() {
+    let (mut cell, starts) = three_runs(2, step(3, 1));
+    cell.now += Duration::from_secs(10);
+    cell.engine.leases_expired(cell.clock(), "w0");
+    cell.report_truncated("w0", &[], &[done(1, &starts[0])]);
+    cell.report("w0", &[], &[]);
+    let ended: Vec<WorkerId> = cell.engine.take_ended_workers().into_iter().map(|ended| ended.worker).collect();
+    assert_eq!(ended, ["w0"]);
+}
+
 /// Guards against starting tasks again after a takeover whose ends the first report doesn't list (TWICE).
 #[test]
 fn an_inherited_run_that_a_truncated_list_lacks_keeps_its_task() {
@@ -182,3 +207,28 @@
     cell.engine.worker_replaced(cell.clock(), "w0", None);
     assert_eq!(cell.starts().len(), 2);
 }
+
+/// Guards against losing track of tasks if a worker restarts under its id and its first list is truncated (LOST, TWICE).
+#[test]
+fn a_restart_behind_a_truncated_list_is_settled_by_the_next_full_one() {
+    let mut cell = Cell::new(1).ready();
+    cell.submit(1, "urgent", vec![step(2, 1)]);
+    let earlier: Vec<Start> = cell.starts().into_iter().map(|(_, start)| start).collect();
+    earlier.iter().for_each(|start| cell.confirm_start("w0", start));
+    cell.report("w0", &[], &[done(1, &earlier[0]), done(2, &earlier[1])]);
+    cell.submit(2, "urgent", vec![step(3, 1)]);
+    let lost: Vec<Start> = cell.starts().into_iter().map(|(_, start)| start).collect();
+    lost.iter().for_each(|start| cell.confirm_start("w0", start));
+    let all: Vec<_> = lost.iter().map(running).collect();
+    cell.report("w0", &all, &[]);
+    // It restarts here, and numbers its ends anew.
+    cell.submit(3, "urgent", vec![step(2, 1)]);
+    let later: Vec<Start> = cell.starts().into_iter().map(|(_, start)| start).collect();
+    later.iter().for_each(|start| cell.confirm_start("w0", start));
+    cell.report_truncated("w0", &[], &[done(1, &later[0])]);
+    assert!(cell.starts().is_empty(), "the others may be done");
+    cell.report("w0", &[], &[done(1, &later[0]), done(2, &later[1])]);
+    let again: Vec<_> = cell.starts().into_iter().map(|(_, start)| start.task).collect();
+    assert_eq!(again, lost.iter().map(|start| start.task).collect::<Vec<_>>());
+    assert_eq!(cell.engine.state(3), Some(State::Ended(Outcome::Completed)));
+}
