Fix: an entry that can't be read doesn't hide the list of hosts from walkhookd

What operators would see: after another writer has left one odd entry in the platform's list of hosts (a port out of range, a number too large, deep nesting), hosts that are added or removed later go unnoticed, for as long as the entry is there. No process ends.

Cause: store::ListClient decoded the whole answer into typed hosts, so one entry failed the call, once a second (301).

Change: the entries are taken as raw JSON values, which are read without recursion and without evaluating numbers, and decoded one by one. One that can't be read is logged (332); if it names a known host, that host stays as it was.

Evidence and tests, real processes: invalid_entries_of_the_list_do_not_affect_the_other_hosts (12 entries) and a_worker_whose_entry_becomes_invalid_is_still_used failed on the code before after 60 s each; the latter also failed without the rule for known hosts ("still not so: show tasks where state = running: 16 rows"). Both pass in 2 s now.

--- a/bins/walkhookd/tests/support/mod.rs
+++ b/bins/walkhookd/tests/support/mod.rs
@@ -116,6 +116,12 @@
         process.wait().expect("a child process of the test");
     }
 
+    /// Whether the process runs.
+    pub fn is_running(&mut self) -> bool {
+        let process = self.process.as_mut().expect("the process was started");
+        process.try_wait().expect("a child process of the test").is_none()
+    }
+
     /// Suspends the process with SIGSTOP.
     pub fn pause(&self) {
         self.signal(Signal::SIGSTOP);
--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -80,6 +80,8 @@
     LEADER_RECORD_MISSING = 330, Info, "the leader's record is missing";
     /// What the leader did since the last such line.
     LEADER_ACTIVITY = 331, Info, "activity of the leader";
+    /// An entry of the platform's list of hosts could not be interpreted as a host.
+    HOST_ENTRY_INVALID = 332, Warning, "invalid entry in the list of hosts; ignoring it";
     WORKER_HELD = 401, Info, "worker held by this host";
     /// Another entry host holds the worker.
     WORKER_SUPERSEDED = 402, Info, "worker is held by another entry host";
--- a/components/events/src/lib.rs
+++ b/components/events/src/lib.rs
@@ -49,6 +49,14 @@
     Logger::root(filtered, o!("host" => host.to_owned()))
 }
 
+/// Longest text from another writer in a log line, in characters.
+const MAX_EXCERPT_CHARS: usize = 200;
+
+/// The beginning of a text from another writer, which may be of any length.
+pub fn excerpt(text: &str) -> &str {
+    text.char_indices().nth(MAX_EXCERPT_CHARS).map_or(text, |(end, _)| &text[..end])
+}
+
 /// Returns a logger that discards everything.
 pub fn silent() -> Logger {
     Logger::root(slog::Discard, o!())
--- a/components/fakes/src/platform.rs
+++ b/components/fakes/src/platform.rs
@@ -15,6 +15,7 @@
 use parking_lot::Mutex;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use serde_json::value::{RawValue, to_raw_value};
 use store::gateway::{
     Base64, ErrorBody, Header, KeyValue, LeaseRequest, LeaseResponse, Number, Operation, RangeRequest, RangeResponse,
     TxnRequest, TxnResponse, WatchEvent, WatchLine, WatchRequest, WatchResult,
@@ -79,10 +80,19 @@
     leases: BTreeMap<u64, Lease>,
     last_lease: u64,
     list: List,
+    /// Further entries of the list, as raw JSON.
+    raw_hosts: Vec<Box<RawValue>>,
     control: Control,
     counts: Counts,
 }
 
+/// The list of hosts in an answer.
+#[derive(Serialize)]
+struct ListBody {
+    version: u64,
+    hosts: Vec<Box<RawValue>>,
+}
+
 /// Another address of a platform, which can be cut off on its own.
 pub struct Endpoint {
     /// The address that it listens on.
@@ -161,6 +171,26 @@
         add_to_list(&self.shared, host);
     }
 
+    /// Adds an entry to the list as it is.
+    ///
+    /// # Errors
+    /// If it isn't JSON.
+    pub fn add_raw_host(&self, json: String) -> serde_json::Result<()> {
+        let mut state = self.shared.state.lock();
+        state.raw_hosts.push(RawValue::from_string(json)?);
+        state.list.version += 1;
+        Ok(())
+    }
+
+    /// Replaces the entry of a host by one that can't be read.
+    pub fn invalidate_host(&self, name: &str) {
+        let entry = to_raw_value(&serde_json::json!({"name": name, "address": "127.0.0.1:70000"}));
+        let mut state = self.shared.state.lock();
+        state.list.hosts.retain(|known| known.name != name);
+        state.raw_hosts.extend(entry);
+        state.list.version += 1;
+    }
+
     /// Removes a host from the list.
     pub fn remove_host(&self, name: &str) {
         let mut state = self.shared.state.lock();
@@ -307,9 +337,11 @@
     let state = shared.state.lock();
     let known = query.and_then(|query| query.strip_prefix("known=")).and_then(|known| known.parse::<u64>().ok());
     if known == Some(state.list.version) {
-        return web::json(StatusCode::OK, &List { version: state.list.version, hosts: Vec::new() });
+        return web::json(StatusCode::OK, &ListBody { version: state.list.version, hosts: Vec::new() });
     }
-    web::json(StatusCode::OK, &state.list)
+    let hosts = state.list.hosts.iter().map(|host| to_raw_value(host).expect("a host is serializable"));
+    let hosts: Vec<Box<RawValue>> = hosts.chain(state.raw_hosts.iter().cloned()).collect();
+    web::json(StatusCode::OK, &ListBody { version: state.list.version, hosts })
 }
 
 fn in_range(key: &[u8], request: &RangeRequest) -> bool {
--- a/components/node/src/listing.rs
+++ b/components/node/src/listing.rs
@@ -38,13 +38,17 @@
         (state.version, state.hosts.iter().map(|(name, host)| (name.clone(), host.clone())).collect())
     }
 
-    /// Replaces the list, unless `version` is not newer. Returns whether the list was replaced.
-    fn replace(&self, version: u64, hosts: Vec<(HostId, ListedHost)>, now: Instant) -> bool {
+    /// Replaces the list, unless `version` is not newer. Returns whether the list was replaced. Hosts whose entries are
+    /// `unreadable` stay as they were: their entries don't tell that they are gone.
+    fn replace(&self, version: u64, hosts: Vec<(HostId, ListedHost)>, unreadable: &[HostId], now: Instant) -> bool {
         let mut state = self.state.lock();
         if version <= state.version {
             return false;
         }
-        let hosts: BTreeMap<HostId, ListedHost> = hosts.into_iter().collect();
+        let mut hosts: BTreeMap<HostId, ListedHost> = hosts.into_iter().collect();
+        for name in unreadable.iter().filter_map(|name| state.hosts.get_key_value(name)) {
+            hosts.entry(name.0.clone()).or_insert_with(|| name.1.clone());
+        }
         let missing: Vec<HostId> = state.hosts.keys().filter(|name| !hosts.contains_key(*name)).cloned().collect();
         for name in missing {
             state.missing_since.entry(name).or_insert(now);
@@ -107,8 +111,13 @@
     let list = shared.lister.list(shared.listing.version()).await;
     shared.record_platform_result(&list);
     let Ok(list) = list else { return false };
+    for entry in &list.invalid {
+        events::emit!(shared.log, events::HOST_ENTRY_INVALID, "name" => entry.name.as_deref().map(events::excerpt),
+            "why" => events::excerpt(&entry.reason), "version" => list.version);
+    }
+    let unreadable: Vec<HostId> = list.invalid.into_iter().filter_map(|entry| entry.name).collect();
     let hosts = list.hosts.into_iter().map(|host| (host.name.clone(), to_listed(host)));
-    shared.listing.replace(list.version, hosts.collect(), Instant::now())
+    shared.listing.replace(list.version, hosts.collect(), &unreadable, Instant::now())
 }
 
 fn to_listed(host: store::Host) -> ListedHost {
@@ -131,5 +140,5 @@
     let Some(member) = shared.membership.get(&reader) else { return false };
     let answer = shared.peer_client.call(member.peer.peers, &Request::List { since: shared.listing.version() }).await;
     let Ok(Answer::List(version, hosts)) = answer else { return false };
-    shared.listing.replace(version, hosts, Instant::now())
+    shared.listing.replace(version, hosts, &[], Instant::now())
 }
--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -14,5 +14,5 @@
 pub use budget::{Budget, Counts, Purpose};
 pub use etcd::Client;
 pub use gateway::{Compare, Entry, Event, Lease, MAX_VALUE, Put, Range, Txn, TxnOutcome};
-pub use list::{Host, HostKind, HostLister, List, ListClient};
+pub use list::{Host, HostKind, HostLister, InvalidEntry, List, ListClient};
 pub use store::{Store, StoreError, WatchUpdate};
--- a/components/store/src/list.rs
+++ b/components/store/src/list.rs
@@ -7,6 +7,7 @@
 use async_trait::async_trait;
 use model::{DataCentreId, HostId, RackId, Resources};
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 use crate::budget::{Budget, Purpose};
 use crate::store::StoreError;
@@ -39,11 +40,53 @@
 }
 
 /// The list of hosts.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct List {
     /// Increases with each change of the list.
     pub version: u64,
     pub hosts: Vec<Host>,
+    /// Entries that can't be read as hosts.
+    #[serde(skip)]
+    pub invalid: Vec<InvalidEntry>,
+}
+
+/// An entry of the list that can't be read as a host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InvalidEntry {
+    /// Name of the host, if that can be read.
+    pub name: Option<HostId>,
+    /// Why it can't be read.
+    pub reason: String,
+}
+
+/// The platform's answer. Anybody may add hosts, so entries are parsed one by one: an invalid one must not affect the
+/// others. Raw values are read without recursion and without evaluating numbers.
+#[derive(Deserialize)]
+struct Response {
+    version: u64,
+    hosts: Vec<Box<RawValue>>,
+}
+
+/// The part of an entry that names its host.
+#[derive(Deserialize)]
+struct Name {
+    name: HostId,
+}
+
+impl From<Response> for List {
+    fn from(response: Response) -> List {
+        let mut list = List { version: response.version, ..List::default() };
+        for entry in &response.hosts {
+            match serde_json::from_str::<Host>(entry.get()) {
+                Ok(host) => list.hosts.push(host),
+                Err(error) => list.invalid.push(InvalidEntry {
+                    name: serde_json::from_str::<Name>(entry.get()).ok().map(|entry| entry.name),
+                    reason: error.to_string(),
+                }),
+            }
+        }
+        list
+    }
 }
 
 /// Reads the list of hosts. This is a trait because platforms may provide the list over different protocols.
@@ -77,9 +120,11 @@
         if !self.budget.try_take(Purpose::Hosts, Instant::now()) {
             return Err(StoreError::OverBudget);
         }
-        self.http
+        let response: Response = self
+            .http
             .get(&format!("{}?known={known}", self.url))
             .await
-            .map_err(|error| StoreError::Unknown(error.to_string()))
+            .map_err(|error| StoreError::Unknown(error.to_string()))?;
+        Ok(response.into())
     }
 }
