--- a/components/entry/src/leadership/renewal.rs
+++ b/components/entry/src/leadership/renewal.rs
@@ -273,10 +273,10 @@
             return;
         }
         let event = if report.truncated { events::WORKER_ENDS_TRUNCATED } else { events::WORKER_ENDS_COMPLETE };
-        let unlisted = self.leadership.engine.lock().unlisted_runs(&self.target.id, report);
+        let unreported = self.leadership.engine.lock().unreported_runs(&self.target.id, report);
         emit!(host.log, event, "worker" => &self.target.id, "listed_ends" => report.ended.len(),
             "newest_end" => report.ended.last().map(|end| end.number), "acked" => self.acknowledged,
-            "unlisted_runs" => unlisted, "term" => self.leadership.term);
+            "unreported_runs" => unreported, "term" => self.leadership.term);
     }
 
     /// Whether another incarnation of the worker answers. An order names only the worker and reaches whichever
--- a/components/metrics/src/jobs.rs
+++ b/components/metrics/src/jobs.rs
@@ -80,6 +80,7 @@
     pub worker_ends: Family<OutcomeLabels, Counter>,
     /// Workers that restarted under their former id.
     pub worker_restarts: Counter,
+    /// Reports of workers that list only a part of their ended runs.
     pub truncated_reports: Counter,
     /// Runs lost with their workers: `shown` if the worker had listed the run before, else `new`.
     pub lost_runs: Family<OutcomeLabels, Counter>,
--- a/components/node/src/listing.rs
+++ b/components/node/src/listing.rs
@@ -46,8 +46,8 @@
             return false;
         }
         let mut hosts: BTreeMap<HostId, ListedHost> = hosts.into_iter().collect();
-        for name in unreadable.iter().filter_map(|name| state.hosts.get_key_value(name)) {
-            hosts.entry(name.0.clone()).or_insert_with(|| name.1.clone());
+        for (name, host) in unreadable.iter().filter_map(|name| state.hosts.get_key_value(name)) {
+            hosts.entry(name.clone()).or_insert_with(|| host.clone());
         }
         let missing: Vec<HostId> = state.hosts.keys().filter(|name| !hosts.contains_key(*name)).cloned().collect();
         for name in missing {
--- a/components/sched/src/reports.rs
+++ b/components/sched/src/reports.rs
@@ -15,7 +15,7 @@
         let Some(worker) = self.workers.get_mut(id) else { return false };
         let last_heard = std::mem::replace(&mut worker.last_heard, clock.now);
         let first = std::mem::replace(&mut worker.contact, Contact::Held) == Contact::Unknown;
-        worker.fully_reported |= !report.truncated;
+        worker.has_complete_report |= !report.truncated;
         let left = worker.take_settled(&report);
         let gone = worker.gone(&report);
         self.remove_silent(&left);
--- a/components/sched/src/restart.rs
+++ b/components/sched/src/restart.rs
@@ -56,12 +56,10 @@
         self.fail_jobs(clock, exhausted);
         true
     }
-}
 
-impl Engine {
     /// Number of runs that a worker's report must reflect and that are in neither of its lists.
-    pub fn unlisted_runs(&self, id: &str, report: &Report) -> usize {
-        self.workers.get(id).map_or(0, |worker| worker.unlisted(report).len())
+    pub fn unreported_runs(&self, id: &str, report: &Report) -> usize {
+        self.workers.get(id).map_or(0, |worker| worker.unreported(report).len())
     }
 }
 
@@ -71,12 +69,12 @@
     pub(crate) fn gone(&self, report: &Report) -> BTreeSet<(Task, Attempt)> {
         match report.truncated {
             true => BTreeSet::new(),
-            false => self.unlisted(report),
+            false => self.unreported(report),
         }
     }
 
     /// Takes the possibly lost runs whose fate a report tells: those that it lists, and all others if its list of ends is
-    /// full.
+    /// complete.
     pub(crate) fn take_settled(&mut self, report: &Report) -> Vec<LostRun> {
         let left = std::mem::take(&mut self.possibly_lost);
         if !report.truncated || left.is_empty() {
@@ -89,14 +87,14 @@
     }
 
     /// Runs that a report must reflect and that are in neither of its lists.
-    pub(crate) fn unlisted(&self, report: &Report) -> BTreeSet<(Task, Attempt)> {
+    pub(crate) fn unreported(&self, report: &Report) -> BTreeSet<(Task, Attempt)> {
         if self.runs.is_empty() {
             return BTreeSet::new();
         }
         let listed = report.listed();
-        let is_unlisted =
+        let is_unreported =
             |(key, run): &(&(Task, Attempt), &Run)| must_show(run.phase, report.mark) && !listed.contains(*key);
-        self.runs.iter().filter(is_unlisted).map(|(key, _)| *key).collect()
+        self.runs.iter().filter(is_unreported).map(|(key, _)| *key).collect()
     }
 
     /// Whether a run that is still held is reported as ended under a number that was already processed. Within one
--- a/components/sched/src/worker.rs
+++ b/components/sched/src/worker.rs
@@ -215,9 +215,9 @@
 pub(crate) struct Worker {
     pub info: Arc<WorkerInfo>,
     pub contact: Contact,
-    /// Whether a report in this term had a full list of ends. Until then, runs that earlier leaders ordered may have ended
-    /// there without being listed.
-    pub fully_reported: bool,
+    /// Whether a report in this term had a complete list of ends. Until then, runs that earlier leaders ordered may have
+    /// ended there without being listed.
+    pub has_complete_report: bool,
     /// Since when the platform's list lacks it; `None` while it is listed.
     pub unlisted_since: Option<Duration>,
     /// Position of the record that names the worker, which gets orders once this is durable.
@@ -255,7 +255,7 @@
             free: info.capacity,
             info: Arc::new(info),
             contact: Contact::Unknown,
-            fully_reported: false,
+            has_complete_report: false,
             unlisted_since,
             position,
             last_heard: now,
@@ -306,7 +306,7 @@
 
     /// Whether runs that earlier leaders ordered may have ended there, with any outcome, without being listed yet.
     pub(crate) fn may_have_unlisted_ends(&self) -> bool {
-        self.contact == Contact::Held && !self.fully_reported
+        self.contact == Contact::Held && !self.has_complete_report
     }
 
     /// Adds a run and takes its room.
--- a/components/sched/tests/decisions/truncated_ends.rs
+++ b/components/sched/tests/decisions/truncated_ends.rs
@@ -78,7 +78,7 @@
 
 /// Guards against a task that stays behind because the last list of its worker was truncated (LOST).
 #[test]
-fn a_run_that_the_next_full_list_lacks_starts_again() {
+fn a_run_that_the_next_complete_list_lacks_starts_again() {
     let (mut cell, starts) = three_runs(1, step(3, 1));
     cell.report_truncated("w0", &[], &[done(1, &starts[0])]);
     cell.report("w0", &[], &[done(2, &starts[1])]);
@@ -153,7 +153,7 @@
 
 /// Guards against overlooking the restart of a worker that crashed in silence and is back with many ends.
 #[test]
-fn an_expired_run_that_no_full_list_shows_proves_a_restart() {
+fn an_expired_run_that_no_complete_list_shows_proves_a_restart() {
     let (mut cell, starts) = three_runs(2, step(3, 1));
     cell.now += Duration::from_secs(10);
     cell.engine.leases_expired(cell.clock(), "w0");
@@ -190,7 +190,7 @@
 
 /// Guards against tasks that stay behind after a takeover because one list was truncated (LOST).
 #[test]
-fn an_inherited_run_that_the_next_full_list_lacks_starts_again() {
+fn an_inherited_run_that_the_next_complete_list_lacks_starts_again() {
     let (mut cell, starts) = takeover(2);
     cell.report("w1", &[], &[]);
     cell.report_truncated("w0", &[], &[done(1, &starts[0])]);
@@ -210,7 +210,7 @@
 
 /// Guards against losing track of tasks if a worker restarts under its id and its first list is truncated (LOST, TWICE).
 #[test]
-fn a_restart_behind_a_truncated_list_is_settled_by_the_next_full_one() {
+fn a_restart_behind_a_truncated_list_is_settled_by_the_next_complete_one() {
     let mut cell = Cell::new(1).ready();
     cell.submit(1, "urgent", vec![step(2, 1)]);
     let earlier: Vec<Start> = cell.starts().into_iter().map(|(_, start)| start).collect();
