Fix: a late answer of a former leader doesn't end a leadership that was claimed meanwhile

What callers saw: 503 from every host, for good, after a suspended leader had resumed (LOST).

Cause: election::connect waits up to 0.8 s for a leader to accept this host as a follower, and then set the role without looking again. In that time the host claimed leadership; the answer "not leading" made it forget that. It kept the record of the leader alive, which names itself, so neither it nor any other host claimed again.

Evidence: front-2 leads term 6 at 00:58:01.868 (310), front-1 of term 5 resumes at 02.133, and at the same time front-2 logs 312 for term 5 and 311, with no 310 afterwards, while its events 331 go on.

Change: after the answer, and if the address can't be reached, a host that leads in that term or a later one, or follows a newer leader, leaves its role as it is.

--- a/components/entry/src/election.rs
+++ b/components/entry/src/election.rs
@@ -119,12 +119,11 @@
 
 /// Connects to a leader and keeps pinging it. `record_revision` is the revision of the record that names it.
 async fn connect(host: &Arc<Host>, leader: Leader, record_revision: Option<u64>) {
-    let leads = matches!(host.role(), Role::Leading(leadership) if leadership.term >= leader.term);
-    if leads || leader.incarnation == host.settings.incarnation {
+    if is_superseded(host, &leader) || leader.incarnation == host.settings.incarnation {
         return;
     }
     let Some(link) = dial(host, &leader).await else {
-        if !matches!(host.role(), Role::NoLeader | Role::Leading(_)) {
+        if matches!(host.role(), Role::Following(known, _) if known.term <= leader.term) {
             host.set_role(Role::NoLeader);
         }
         return;
@@ -136,7 +135,12 @@
         leader: leader.clone(),
         claim_delay: host.settings.claim_delay,
     };
-    match link.call(hello, CONNECT_TIMEOUT).await {
+    let answer = link.call(hello, CONNECT_TIMEOUT).await;
+    // This host may have begun to lead, or to follow a newer leader, while it waited for the answer.
+    if is_superseded(host, &leader) {
+        return link.close();
+    }
+    match answer {
         Ok(Answer::Done) => {
             notify_old_leader(host, &leader);
             host.set_role(Role::Following(leader.clone(), link.clone()));
@@ -155,6 +159,15 @@
     }
 }
 
+/// Whether this host knows a newer leader than this one, or leads itself in its term or a later one.
+fn is_superseded(host: &Host, leader: &Leader) -> bool {
+    match host.role() {
+        Role::Leading(leadership) => leadership.term >= leader.term,
+        Role::Following(known, _) => known.term > leader.term,
+        Role::NoLeader => false,
+    }
+}
+
 /// Tells the leader followed so far that another one has replaced it; it may be cut off from the store.
 fn notify_old_leader(host: &Host, leader: &Leader) {
     let Role::Following(old, link) = host.role() else { return };
