--- a/components/store/src/list.rs
+++ b/components/store/src/list.rs
@@ -40,13 +40,12 @@
 }
 
 /// The list of hosts.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct List {
     /// Increases with each change of the list.
     pub version: u64,
     pub hosts: Vec<Host>,
     /// Entries that can't be read as hosts.
-    #[serde(skip)]
     pub invalid: Vec<InvalidEntry>,
 }
 
