--- a/review/stand-2/src/crashloop.rs
+++ b/review/stand-2/src/crashloop.rs
@@ -15,7 +15,7 @@
 const JOB: &str = "5c0e7a21d94b36f8";
 const MINIONS: usize = 4;
 /// How long the task fails at each start, and how soon.
-const FAILING_TIME: Duration = Duration::from_secs(55);
+const FAILING_TIME: Duration = Duration::from_secs(62);
 const FAILS_AFTER: Duration = Duration::from_millis(10);
 const DOWN: Duration = Duration::from_millis(500);
 const WATCH_TIME: Duration = Duration::from_secs(20);
