--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -2,11 +2,10 @@
 //! case couldn't run. With `TROUBLE=0` in the environment it does the same without the disruption.
 
 mod crashloop;
-mod losses;
+mod gone;
 mod minion;
 mod parts;
 mod record;
-mod replaced;
 mod store;
 mod world;
 
@@ -34,9 +33,8 @@
 async fn play(name: &str, setting: &Setting) -> Case<bool> {
     match name {
         "crashloop" => crashloop::play(setting).await,
-        "losses" => losses::play(setting).await,
+        "gone" => gone::play(setting).await,
         "parts" => parts::play(setting).await,
-        "replaced" => replaced::play(setting).await,
         _ => Err(format!("there is no case `{name}`")),
     }
 }
--- a/review/stand-2/src/minion.rs
+++ b/review/stand-2/src/minion.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use web::Body;
 
 use crate::record::Record;
@@ -19,6 +20,8 @@
 /// Most ends in one answer.
 const MAX_ENDS: usize = 500;
 const MAX_REQUEST_BYTES: usize = 1 << 20;
+/// `HeartbeatMs` of the settings.
+const HEARTBEAT: Duration = Duration::from_millis(1500);
 const POLL: Duration = Duration::from_millis(10);
 pub const CPU: u64 = 16_000;
 const MEM_MB: u64 = 65_536;
@@ -56,19 +59,17 @@
 /// Something that was seen on a minion.
 #[derive(Clone, Debug)]
 pub struct Seen {
-    pub task: String,
     /// `start`, or how the run ended; `lost` with its minion.
     pub what: &'static str,
 }
 
 pub struct Minion {
-    number: usize,
     address: SocketAddr,
     rack: String,
     service: String,
     life: Mutex<Life>,
-    lives: Mutex<usize>,
-    down: Mutex<bool>,
+    /// Whether it is lost for good: its port is dead, and channels that were open say nothing more.
+    gone: watch::Sender<bool>,
     works: Arc<dyn Fn(&str) -> Work + Send + Sync>,
     seen: Arc<Mutex<Vec<Seen>>>,
     store: Arc<Store>,
@@ -114,13 +115,11 @@
     ) -> Arc<Minion> {
         let listener = TcpListener::bind((ip, 0)).await.expect("a free port for a minion");
         let minion = Arc::new(Minion {
-            number,
             address: listener.local_addr().expect("an address"),
             rack: format!("r1-{}", number / 3),
             service: service.to_owned(),
-            life: Mutex::new(Life::new(id(number, 0))),
-            lives: Mutex::new(0),
-            down: Mutex::new(false),
+            life: Mutex::new(Life::new(id(number))),
+            gone: watch::Sender::new(false),
             works,
             seen,
             store,
@@ -131,7 +130,12 @@
             let minion = serving.clone();
             async move { minion.answer(request).await }
         };
-        tokio::spawn(web::serve(listener, 400, std::future::pending(), Duration::ZERO, answer));
+        let mut stopped = minion.gone.subscribe();
+        let stop = async move {
+            // Ends as well when the minion is dropped.
+            let _ = stopped.wait_for(|gone| *gone).await;
+        };
+        tokio::spawn(web::serve(listener, 400, stop, Duration::ZERO, answer));
         tokio::spawn(tick(minion.clone()));
         minion.list();
         minion
@@ -160,40 +164,31 @@
         self.life.lock().expect("a life").runs.values().map(|run| run.work.cpu).sum()
     }
 
-    /// Crashes: everything that runs here is lost, and nothing answers for `down`. Then its machine runs a new minion
-    /// under a new id at the same address.
-    pub async fn crash(&self, down: Duration) {
-        let (old, lost) = {
+    /// Is lost for good with everything that runs here. Its entry goes after three status reports of silence.
+    pub async fn lose(&self) {
+        let lost: Vec<(String, u64)> = {
             let mut life = self.life.lock().expect("a life");
-            *self.down.lock().expect("down") = true;
-            let mut lives = self.lives.lock().expect("lives");
-            *lives += 1;
-            let old = std::mem::replace(&mut *life, Life::new(id(self.number, *lives)));
-            (old.id, old.runs.into_keys().collect::<Vec<_>>())
+            self.gone.send_replace(true);
+            std::mem::take(&mut life.runs).into_keys().collect()
         };
-        self.record.write(&format!("{old} crashes with {} runs", lost.len()));
+        let id = self.id();
+        self.record.write(&format!("{id} is lost for good with {} runs", lost.len()));
         for (task, attempt) in lost {
-            self.note(&old, &task, attempt, "lost");
-        }
-        tokio::time::sleep(down).await;
-        {
-            let mut life = self.life.lock().expect("a life");
-            life.born = Instant::now();
-            *self.down.lock().expect("down") = false;
+            self.note(&id, &task, attempt, "lost");
         }
-        self.store.remove(&format!("servers/{old}"));
-        self.list();
-        self.record.write(&format!("{} starts at the address of {old}", self.id()));
+        tokio::time::sleep(3 * HEARTBEAT).await;
+        self.store.remove(&format!("servers/{id}"));
+        self.record.write(&format!("the entry of {id} goes"));
     }
 
     fn note(&self, minion: &str, task: &str, attempt: u64, what: &'static str) {
         self.record.write(&format!("{minion}: {task} attempt {attempt} {what}"));
-        let seen = Seen { task: task.to_owned(), what };
+        let seen = Seen { what };
         self.seen.lock().expect("what was seen").push(seen);
     }
 
-    fn is_down(&self) -> bool {
-        *self.down.lock().expect("down")
+    fn is_gone(&self) -> bool {
+        *self.gone.borrow()
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
@@ -202,21 +197,20 @@
         let path = request.uri().path().to_owned();
         let body = web::read_limited(request.into_body(), MAX_REQUEST_BYTES).await.unwrap_or_default();
         let body: Value = serde_json::from_slice(&body).unwrap_or_default();
-        if self.is_down() || self.id() != called {
-            // The channel belongs to a minion that has crashed.
+        if self.is_gone() {
             std::future::pending::<()>().await;
         }
         if expected.is_some_and(|expected| expected.as_bytes() != called.as_bytes()) {
             return empty(StatusCode::MISDIRECTED_REQUEST);
         }
         let answer = match path.as_str() {
-            "/hold" => self.hold(&called, &body).await,
+            "/hold" => self.hold(&body).await,
             "/run-start" => self.run_start(&body),
             "/run-stop" => self.run_stop(&body),
             "/health" => empty(StatusCode::OK),
             _ => empty(StatusCode::NOT_FOUND),
         };
-        if self.id() != called {
+        if self.is_gone() {
             std::future::pending::<()>().await;
         }
         answer
@@ -235,7 +229,7 @@
         }
     }
 
-    async fn hold(&self, called: &str, body: &Value) -> Response<Body> {
+    async fn hold(&self, body: &Value) -> Response<Body> {
         {
             let mut life = self.life.lock().expect("a life");
             if Minion::is_fenced(&mut life, body) {
@@ -249,7 +243,7 @@
         loop {
             {
                 let life = self.life.lock().expect("a life");
-                if !life.ended.is_empty() || Instant::now() >= end || life.id != called {
+                if !life.ended.is_empty() || Instant::now() >= end {
                     let running = life.runs.iter().map(|((task, attempt), run)| {
                         let total = run.work.time.unwrap_or(Duration::from_secs(1)).as_millis().max(1);
                         let percent = (run.began.elapsed().as_millis() * 100 / total).min(100) as u64;
@@ -344,8 +338,8 @@
     }
 }
 
-fn id(number: usize, lives: usize) -> String {
-    format!("i-{:08x}", 0x51c0_a300 + number * 256 + lives)
+fn id(number: usize) -> String {
+    format!("i-{:08x}", 0x51c0_a300 + number * 256)
 }
 
 fn is_done(run: &Run) -> bool {
@@ -355,7 +349,7 @@
 async fn tick(minion: Arc<Minion>) {
     loop {
         tokio::time::sleep(POLL).await;
-        if !minion.is_down() {
+        if !minion.is_gone() {
             minion.end_due();
         }
     }
--- a/review/stand-2/src/world.rs
+++ b/review/stand-2/src/world.rs
@@ -175,12 +175,6 @@
         self.client.web.send(request, Duration::from_secs(1)).await.is_ok_and(|(status, _)| status == StatusCode::OK)
     }
 
-    /// Writes a configuration as the operator does.
-    pub fn write_config(&self, config: &Value, what: &str) {
-        self.store.write("op/config", config);
-        self.record.write(&format!("the operator's config {} is confirmed: {what}", config["Version"]));
-    }
-
     /// SIGKILL for the host that last wrote to the store under a condition; it is started again after `down`.
     pub async fn kill_last_writer(&mut self, down: Duration) -> Case<()> {
         let number = self.store.last_writer().ok_or("nobody wrote to the store")?;
@@ -193,6 +187,15 @@
         Ok(())
     }
 
+    /// Ends the process of the host that last wrote to the store under a condition, as if its machine was removed.
+    pub fn remove_last_writer(&mut self) -> Case<()> {
+        let number = self.store.last_writer().ok_or("nobody wrote to the store")?;
+        self.hosts[number].kill();
+        self.record
+            .write(&format!("{}, which last wrote to the store under a condition, is gone", self.hosts[number].name));
+        Ok(())
+    }
+
     /// What was seen on minions so far.
     pub fn seen(&self) -> Vec<Seen> {
         self.seen.lock().expect("what was seen").clone()
