Fix: a part of the log above the store's limit for a value doesn't halt the cell

Cause: the size of a part was estimated without the texts in a job's steps, so that a part cut at 256 KiB had 1,433,189 bytes. The store rejected it; the leader took the status for "outcome unknown" and sent the same transaction for ever, while its lease was renewed. Callers couldn't withdraw their jobs, since the part might have been written.

Why it works: records are measured by their encoding, so a part is within 256 KiB and `MaxValueBytes`. A job that no value can hold is rejected before it is accepted. A status of the 4xx range counts as not carried out: jobs can be withdrawn from such a part, and after 20 rejections the leadership ends.

--- a/components/console/src/server.rs
+++ b/components/console/src/server.rs
@@ -140,6 +140,9 @@
             None,
             format!("job not accepted, and it never runs; retry after {} s", retry_after.as_secs().max(1)),
         )),
+        Answer::TooLarge { size, limit } => {
+            Err(HttpError::for_bad_request(None, format!("the job takes {size} bytes, more than {limit}")))
+        }
         Answer::NotLeader => Err(no_leader()),
         _ => Err(unknown_outcome()),
     }
--- a/components/entry/src/access.rs
+++ b/components/entry/src/access.rs
@@ -59,12 +59,17 @@
         }
     }
 
-    /// Owner of a job submitted within this scope.
-    pub(crate) fn owner(self, queue: QueueName) -> Owner {
-        let workspace = match self {
+    /// Workspace of a job submitted within this scope.
+    pub(crate) fn workspace(&self) -> Option<&WorkspaceName> {
+        match self {
             Scope::All => None,
-            Scope::Only(workspace) => workspace,
-        };
+            Scope::Only(workspace) => workspace.as_ref(),
+        }
+    }
+
+    /// Owner of a job submitted within this scope.
+    pub(crate) fn owner(&self, queue: QueueName) -> Owner {
+        let workspace = self.workspace().cloned();
         Owner { queue, workspace }
     }
 }
--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -36,6 +36,8 @@
     pub limits: sched::Limits,
     /// Time to live of the leader's lease in the store.
     pub lease_ttl: Duration,
+    /// Maximum size of a value in the store, in bytes.
+    pub max_value: usize,
     /// How long a call may wait for a confirmed configuration. Calls that arrive meanwhile may be decided by the
     /// configuration in force, so a longer wait would let this host go back to an older one for its callers.
     pub max_admission_delay: Duration,
--- a/components/entry/src/leadership/accept.rs
+++ b/components/entry/src/leadership/accept.rs
@@ -4,10 +4,10 @@
 
 use events::emit;
 use tokio::time::Instant;
-use work::{Job, JobId, QueueName};
+use work::{Job, JobId, QueueName, Record};
 
 use crate::access::Scope;
-use crate::leadership::Leadership;
+use crate::leadership::{Leadership, parts};
 use crate::message::Answer;
 
 /// A job whose record isn't written within this time is refused, if it can still be withdrawn. Longer than a slow
@@ -42,14 +42,22 @@
 }
 
 impl Leadership {
-    /// Reasons to reject a job regardless of the store: another workspace has a job with this id, or the job can
-    /// never run.
-    fn rejection(&self, scope: &Scope, id: JobId, job: &Job) -> Option<Answer> {
+    /// Reasons to reject a job whatever the state of the store: another workspace has a job with this id, or the job
+    /// can never be recorded or run.
+    fn rejection(&self, scope: &Scope, queue: &str, id: JobId, job: &Job) -> Option<Answer> {
         let mut engine = self.engine.lock();
         if engine.has_job(id) {
             return (!scope.allows(engine.workspace(id))).then_some(Answer::IdTaken);
         }
-        let Scope::Only(Some(workspace)) = scope else { return None };
+        let workspace = scope.workspace();
+        let size = Record::max_accepted_size(queue, workspace.map(String::as_str), job);
+        let limit = parts::max_records_size(self.host.settings.max_value);
+        if size > limit {
+            emit!(self.host.log, events::JOB_REFUSED, "job" => work::format_job_id(id), "why" => "the job is too large",
+                "bytes" => size, "limit" => limit, "term" => self.term);
+            return Some(Answer::TooLarge { size, limit });
+        }
+        let workspace = workspace?;
         let excess = engine.excess(workspace, job)?;
         emit!(self.host.log, events::JOB_REFUSED, "job" => work::format_job_id(id), "why" => excess.to_string(),
             "workspace" => workspace, "config" => self.host.config().version, "term" => self.term);
@@ -71,7 +79,7 @@
 
     /// Accepts a job and waits until it is durable. Withdraws it if the store is too slow.
     pub(super) async fn submit(&self, scope: Scope, queue: QueueName, id: JobId, job: Job, wait: Duration) -> Answer {
-        if let Some(refusal) = self.rejection(&scope, id, &job) {
+        if let Some(refusal) = self.rejection(&scope, &queue, id, &job) {
             return refusal;
         }
         let objective = self.engine.lock().objective(&queue, &job);
--- a/components/entry/src/leadership/commit.rs
+++ b/components/entry/src/leadership/commit.rs
@@ -29,7 +29,8 @@
 /// Maximum number of parts in flight, large enough that a job waits only briefly for the next part even while the
 /// store is slow.
 const MAX_IN_FLIGHT: u32 = 8;
-/// Approximate maximum size of a part, well below the store's limit of 1 MiB for a value.
+/// Maximum size of a part with several records, if the store accepts values of this size. A new leader reads pages of
+/// up to 1 MB, and smaller parts are sent again sooner when a response is lost.
 const MAX_PART_BYTES: usize = 256 * 1024;
 /// A transaction without a response is sent again after a time derived from the observed latency, but not before
 /// this: a few times the usual latency, so that a pause of this process isn't mistaken for a lost response.
@@ -43,6 +44,9 @@
 const MAX_CONCURRENT_TRIES: usize = 3;
 /// Delay before a failed transaction is sent again.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
+/// Number of rejections of a transaction after which the leadership ends. Until then, callers that have waited for
+/// [`crate::leadership::accept`]'s timeout withdraw their jobs, which may make the part acceptable.
+const MAX_REJECTIONS: u32 = 20;
 
 /// Contents of one transaction.
 #[derive(Clone)]
@@ -127,7 +131,8 @@
     /// Takes the contents of the next transaction.
     fn batch(&mut self) -> Option<Batch> {
         parts::rewrite_old(&self.leadership);
-        let (records, up_to) = self.leadership.engine.lock().take_records(MAX_PART_BYTES);
+        let max_part = MAX_PART_BYTES.min(self.leadership.host.settings.max_value);
+        let (records, up_to) = self.leadership.engine.lock().take_records(parts::max_records_size(max_part));
         let write_leader_record = self.leadership.write_leader_record.swap(false, Ordering::AcqRel);
         if records.is_empty() && !write_leader_record {
             return None;
@@ -194,6 +199,7 @@
     let mut tries = FuturesUnordered::new();
     // Whether a try that has failed may have been committed.
     let mut maybe_written = false;
+    let mut rejections = 0;
     tries.push(attempt(leadership, transaction(leadership, batch)?, None));
     loop {
         let error = tokio::select! {
@@ -214,7 +220,16 @@
                     return Box::pin(commit_batch(leadership, &without_record)).await;
                 }
                 Err(error) => {
-                    maybe_written |= !matches!(error, ServiceError::NotDone(_));
+                    maybe_written |= !matches!(error, ServiceError::NotDone(_) | ServiceError::Rejected(_));
+                    if let ServiceError::Rejected(fault) = &error {
+                        rejections += 1;
+                        report_rejection(leadership, batch, fault, rejections);
+                    }
+                    if rejections >= MAX_REJECTIONS {
+                        leadership.step_down("the store rejects a part of the log");
+                        leadership.host.leadership_ended(leadership.term);
+                        return None;
+                    }
                     if tries.is_empty() && !maybe_written && let Some(part) = batch.part {
                         leadership.pending_parts.mark_unwritten(part.number);
                     }
@@ -236,6 +251,14 @@
     }
 }
 
+/// Logs that the store rejected a transaction, with the size of its part.
+fn report_rejection(leadership: &Leadership, batch: &Batch, fault: &str, rejections: u32) {
+    leadership.host.metrics.rejected_parts.inc();
+    let size = batch.part.and_then(|id| leadership.pending_parts.records_size(id.number));
+    emit!(leadership.host.log, events::LOG_PART_REJECTED, "key" => batch.part.map(part_key), "fault" => fault,
+        "records_bytes" => size, "rejections" => rejections, "term" => leadership.term);
+}
+
 /// Sends a transaction once. Returns when it was sent, and its outcome. With `give_up_after`, it is abandoned that
 /// long after the store has answered another call.
 async fn attempt(
--- a/components/entry/src/leadership/orders.rs
+++ b/components/entry/src/leadership/orders.rs
@@ -85,7 +85,7 @@
     match &outcome {
         Ok(_) => leadership.order_latency.lock().observe(leadership.host.started.elapsed() - now),
         Err(ServiceError::Unknown(_)) => leadership.order_latency.lock().record_timeout(),
-        Err(ServiceError::NotDone(_) | ServiceError::Malformed(_)) => {}
+        Err(ServiceError::NotDone(_) | ServiceError::Rejected(_) | ServiceError::Malformed(_)) => {}
     }
     if !matches!(outcome, Err(ServiceError::NotDone(_))) {
         lease.lock().grant(until);
--- a/components/entry/src/leadership/parts.rs
+++ b/components/entry/src/leadership/parts.rs
@@ -5,13 +5,13 @@
 
 use anyhow::bail;
 use events::emit;
-use work::log::{Part, PartId};
+use work::log::{PART_OVERHEAD, Part, PartId};
 use work::{JobId, Record, WorkerId};
 
 use crate::claim::TERM_KEY;
 use crate::host::Host;
 use crate::leadership::{Claim, Leadership};
-use crate::services::{CommitOutcome, KeyValue, ServiceError, Transaction};
+use crate::services::{CommitOutcome, KeyValue, Transaction};
 
 /// Key prefix of the parts.
 const LOG_PREFIX: &str = "walkhook/log/";
@@ -69,6 +69,11 @@
     Some(PartId { term: term.parse().ok()?, number: number.parse().ok()? })
 }
 
+/// Maximum total size of the records of a part whose value has at most `max_value` bytes.
+pub(crate) fn max_records_size(max_value: usize) -> usize {
+    max_value.saturating_sub(FORMAT.len() + PART_OVERHEAD)
+}
+
 /// Encodes the value of a part.
 pub(crate) fn encode(part: &Part) -> postcard::Result<Vec<u8>> {
     postcard::to_extend(part, FORMAT.to_vec())
@@ -109,10 +114,8 @@
         match host.services.store.commit(&transaction, REMOVAL_TIMEOUT).await {
             Ok(CommitOutcome::Done(_)) => return Ok(()),
             Ok(CommitOutcome::Conflict(_) | CommitOutcome::NoLease) => bail!("another host has claimed leadership"),
-            Err(error @ (ServiceError::NotDone(_) | ServiceError::Unknown(_) | ServiceError::Malformed(_))) => {
-                emit!(host.log, events::PLATFORM_FAILED, "call" => "deletion of log parts",
-                    "fault" => error.to_string());
-            }
+            Err(error) => emit!(host.log, events::PLATFORM_FAILED, "call" => "deletion of log parts",
+                "fault" => error.to_string()),
         }
     }
     bail!("stale parts of the log cannot be deleted")
--- a/components/entry/src/leadership/pending.rs
+++ b/components/entry/src/leadership/pending.rs
@@ -32,6 +32,12 @@
         Some(pending.part.clone())
     }
 
+    /// Total size of a part's records, in bytes.
+    pub(crate) fn records_size(&self, number: u64) -> Option<usize> {
+        let pending_parts = self.0.lock();
+        Some(pending_parts.get(&number)?.part.records.iter().map(Record::encoded_size).sum())
+    }
+
     /// Records that the part isn't written and that no try is in progress.
     pub(crate) fn mark_unwritten(&self, number: u64) {
         if let Some(pending) = self.0.lock().get_mut(&number) {
--- a/components/entry/src/message.rs
+++ b/components/entry/src/message.rs
@@ -167,4 +167,6 @@
     Waiting(usize),
     /// Workers that may run a step, with their tickets; `None` if the advice service didn't answer.
     Advice(Option<Vec<(WorkerId, String)>>),
+    /// The record of the job may have more bytes than a value in the store; it was not accepted.
+    TooLarge { size: usize, limit: usize },
 }
--- a/components/entry/src/services.rs
+++ b/components/entry/src/services.rs
@@ -15,6 +15,9 @@
     /// The call was certainly not carried out: there was no connection, or the service said so.
     #[error("not done: {0}")]
     NotDone(String),
+    /// The service doesn't accept the call, which wasn't carried out. The same call would be rejected again.
+    #[error("rejected: {0}")]
+    Rejected(String),
     /// It is unknown whether the call was carried out.
     #[error("outcome unknown: {0}")]
     Unknown(String),
@@ -92,8 +95,8 @@
     async fn range(&self, prefix: &str) -> Result<Vec<KeyValue>, ServiceError>;
     /// Waits for at most `wait` until a key with the prefix may have changed after `revision`.
     async fn watch(&self, prefix: &str, revision: u64, wait: Duration) -> Result<WatchResult, ServiceError>;
-    /// Commits a transaction and waits for the response for at most `timeout`. Only [`ServiceError::NotDone`] means
-    /// that nothing was committed.
+    /// Commits a transaction and waits for the response for at most `timeout`. Only [`ServiceError::NotDone`] and
+    /// [`ServiceError::Rejected`] mean that nothing was committed.
     async fn commit(&self, transaction: &Transaction, timeout: Duration) -> Result<CommitOutcome, ServiceError>;
     /// Creates a lease.
     async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, ServiceError>;
--- a/components/entry/tests/log.rs
+++ b/components/entry/tests/log.rs
@@ -2,11 +2,15 @@
 
 mod support;
 
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
-use entry::Answer;
-use support::{new_cell, start_hosts, submit, wait_until, worker_info};
+use entry::{Answer, Call, Caller, Host};
+use fakes::cell::MAX_VALUE_BYTES;
+use futures_util::future::join_all;
+use support::{ask, job, new_cell, start_hosts, submit, wait_until, worker_info};
 use work::log::Part;
+use work::{Job, JobId, Step};
 
 const LOG_PREFIX: &str = "walkhook/log/";
 /// Longer than parts of the log are kept.
@@ -41,3 +45,66 @@
         }
     }
 }
+
+/// A chain of as many steps as are allowed, each with an image that is named by a registry path and a digest.
+fn large_job() -> Job {
+    let step = |number: u16| Step {
+        image: format!("{number:0240}"),
+        after: number.checked_sub(1).into_iter().collect(),
+        ..job(1).steps[0].clone()
+    };
+    Job { steps: (0..64).map(step).collect(), ..job(1) }
+}
+
+async fn submit_job(host: &Arc<Host>, id: JobId, job: Job) -> Answer {
+    let (caller, queue) = (Caller::Operator, "plans".to_owned());
+    ask(host, Call::Submit { caller, queue, id, job: Box::new(job), wait: support::TEST_TIMEOUT }).await
+}
+
+/// Jobs that are submitted together, more than fit into one value of the store.
+async fn submit_large_jobs(host: &Arc<Host>) -> Vec<Answer> {
+    join_all((100..200).map(|id| submit_job(host, id, large_job()))).await
+}
+
+/// Guards against a part of the log that is larger than the store allows: it would be sent for ever, and nothing would be
+/// accepted or started any more.
+#[tokio::test]
+async fn large_jobs_do_not_make_a_part_too_large_for_the_store() {
+    let cell = new_cell();
+    let hosts = start_hosts(&cell, 1).await;
+    // The jobs gather while the first part is in flight.
+    cell.set_commit_delay(Duration::from_millis(100));
+    let answers = submit_large_jobs(&hosts[0]).await;
+    assert!(answers.contains(&Answer::Accepted), "{answers:?}");
+    assert_eq!(submit(&hosts[0], 7, 1).await, Answer::Accepted);
+    assert!(cell.values(LOG_PREFIX).iter().all(|value| value.len() <= MAX_VALUE_BYTES));
+}
+
+/// Guards against a cell that halts because the store allows only smaller values than its settings say: the jobs in a
+/// rejected part are refused, and later ones are accepted.
+#[tokio::test]
+async fn a_rejected_part_does_not_halt_the_cell() {
+    let cell = new_cell();
+    let hosts = start_hosts(&cell, 1).await;
+    cell.set_max_value(64 * 1024);
+    cell.set_commit_delay(Duration::from_millis(100));
+    let answers = submit_large_jobs(&hosts[0]).await;
+    assert!(answers.iter().any(|answer| matches!(answer, Answer::Refused(_))), "{answers:?}");
+    // Jobs are refused until the rejected part is written without those that were withdrawn.
+    let end = Instant::now() + support::TEST_TIMEOUT;
+    while submit(&hosts[0], 7, 1).await != Answer::Accepted {
+        assert!(Instant::now() < end, "never accepted");
+        tokio::time::sleep(support::POLL_INTERVAL).await;
+    }
+}
+
+/// Guards against a job that is accepted although no value of the store can hold its record.
+#[tokio::test]
+async fn a_job_that_does_not_fit_into_the_log_is_rejected() {
+    let cell = new_cell();
+    let hosts = start_hosts(&cell, 2).await;
+    let specification = "x".repeat(MAX_VALUE_BYTES);
+    let answer = submit_job(&hosts[1], 7, Job { specification, ..job(1) }).await;
+    assert!(matches!(answer, Answer::TooLarge { size, limit } if size > limit), "{answer:?}");
+    assert_eq!(submit(&hosts[1], 7, 1).await, Answer::Accepted);
+}
--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -82,6 +82,8 @@
     LEADER_ACTIVITY = 331, Info, "activity of the leader";
     /// An entry of the platform's list of hosts could not be interpreted as a host.
     HOST_ENTRY_INVALID = 332, Warning, "invalid entry in the list of hosts; ignoring it";
+    /// The store doesn't accept a transaction, and wouldn't if it were sent again unchanged.
+    LOG_PART_REJECTED = 333, Error, "the store rejects a part of the log";
     WORKER_HELD = 401, Info, "worker held by this host";
     /// Another entry host holds the worker.
     WORKER_SUPERSEDED = 402, Info, "worker is held by another entry host";
--- a/components/fakes/src/cell.rs
+++ b/components/fakes/src/cell.rs
@@ -25,6 +25,9 @@
 /// How long calls wait for a confirmed configuration.
 const MAX_ADMISSION_DELAY: Duration = Duration::from_millis(125);
 
+/// Maximum size of a value in the store, as on the platform.
+pub const MAX_VALUE_BYTES: usize = 1024 * 1024;
+
 /// Duration and outcome of the runs that fake workers simulate.
 #[derive(Clone, Copy, Debug)]
 pub struct SimulatedRun {
@@ -93,6 +96,8 @@
     range_delay: Mutex<Duration>,
     start_delay: Mutex<Duration>,
     commit_delay: Mutex<Duration>,
+    /// Maximum size of a value; the store rejects transactions with larger ones.
+    max_value: Mutex<usize>,
     /// Whether hosts that start from now on refuse jobs that can't end in time.
     overload_protection: Mutex<bool>,
 }
@@ -116,6 +121,7 @@
             range_delay: Mutex::new(Duration::ZERO),
             start_delay: Mutex::new(Duration::ZERO),
             commit_delay: Mutex::new(Duration::ZERO),
+            max_value: Mutex::new(MAX_VALUE_BYTES),
             overload_protection: Mutex::new(false),
         })
     }
@@ -140,6 +146,11 @@
         *self.commit_delay.lock() = delay;
     }
 
+    /// Sets the maximum size of a value, which hosts aren't told.
+    pub fn set_max_value(&self, bytes: usize) {
+        *self.max_value.lock() = bytes;
+    }
+
     /// Turns on overload protection on hosts that start from now on.
     pub fn protect_from_overload(&self) {
         *self.overload_protection.lock() = true;
@@ -258,6 +269,7 @@
             address: listener.local_addr()?.to_string(),
             limits: Limits::example(),
             lease_ttl: Duration::from_millis(1000),
+            max_value: MAX_VALUE_BYTES,
             max_admission_delay: MAX_ADMISSION_DELAY,
             claim_delay,
             overload_protection: *self.overload_protection.lock(),
@@ -416,6 +428,9 @@
             return Err(ServiceError::Unknown("the transaction was dropped".to_owned()));
         }
         let _in_progress = CommitInProgress::begin(&self.cell);
+        if transaction.puts.iter().any(|put| put.value.len() > *self.cell.max_value.lock()) {
+            return Err(ServiceError::Rejected("a value is too large".to_owned()));
+        }
         let committed = self.with_store(|state| {
             state.commits_sent += 1;
             let commit = self.cell.apply(state, transaction);
--- a/components/metrics/src/jobs.rs
+++ b/components/metrics/src/jobs.rs
@@ -82,6 +82,8 @@
     pub worker_restarts: Counter,
     /// Reports of workers that list only a part of their ended runs.
     pub truncated_reports: Counter,
+    /// Transactions with parts of the log that the store rejected.
+    pub rejected_parts: Counter,
     /// Runs lost with their workers: `shown` if the worker had listed the run before, else `new`.
     pub lost_runs: Family<OutcomeLabels, Counter>,
     /// Tasks given up because their workers went down.
@@ -154,6 +156,7 @@
             worker_ends: Family::default(),
             worker_restarts: Counter::default(),
             truncated_reports: Counter::default(),
+            rejected_parts: Counter::default(),
             lost_runs: Family::default(),
             tasks_given_up: Counter::default(),
             stalled_jobs: Gauge::default(),
@@ -211,6 +214,11 @@
             "Workers' reports that list only a part of the ended runs",
             self.truncated_reports.clone(),
         );
+        registry.register(
+            "rejected_parts",
+            "Transactions with parts of the log that the store rejected",
+            self.rejected_parts.clone(),
+        );
         registry.register("lost_runs", "Runs that went with their workers, new or shown", self.lost_runs.clone());
         registry.register(
             "tasks_given_up",
--- a/components/sched/src/records.rs
+++ b/components/sched/src/records.rs
@@ -22,13 +22,13 @@
         !self.records.is_empty()
     }
 
-    /// Takes records of about `most` bytes at most, but at least one if there is any. Returns them with the position
-    /// that is durable once they are written.
+    /// Takes records of at most `most` bytes when encoded, but at least one if there is any. Returns them with the
+    /// position that is durable once they are written.
     pub fn take_records(&mut self, most: usize) -> (Vec<Record>, u64) {
-        let mut weight = 0;
+        let mut size: usize = 0;
         let fits = |(_, record): &&(u64, Record)| {
-            weight += record.approximate_size();
-            weight <= most
+            size = size.saturating_add(record.encoded_size());
+            size <= most
         };
         let count = self.records.iter().take_while(fits).count().max(1).min(self.records.len());
         let taken: Vec<Record> = self.records.drain(..count).map(|(_, record)| record).collect();
--- a/components/work/src/log.rs
+++ b/components/work/src/log.rs
@@ -23,6 +23,9 @@
 /// Number of the first part of a term. No part of an earlier term may be removed before this one is known to be written.
 pub const FIRST_PART: u64 = 1;
 
+/// Upper bound on the encoded size of a part without its records: two numbers.
+pub const PART_OVERHEAD: usize = 20;
+
 /// A part of the log, as stored.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Part {
--- a/components/work/src/record.rs
+++ b/components/work/src/record.rs
@@ -53,8 +53,9 @@
     }
 }
 
-/// Approximate size of a record without variable-length parts, in bytes.
-const FIXED_RECORD_SIZE: usize = 40;
+/// Upper bound on the encoded size of [`Record::Accepted`] without its names and its job, including the tag of
+/// [`Record::Rewritten`], in bytes.
+const MAX_ACCEPTED_OVERHEAD: usize = 64;
 
 impl Record {
     /// Returns the job if this record is needed to know that it exists or that it has ended.
@@ -84,16 +85,22 @@
         }
     }
 
-    /// Returns the approximate size of the record in the log, in bytes.
-    pub fn approximate_size(&self) -> usize {
-        match self {
-            Record::Accepted { job, .. } => job.specification.len() + (1 + job.steps.len()) * FIXED_RECORD_SIZE,
-            Record::Rewritten(record) => record.approximate_size(),
-            _ => FIXED_RECORD_SIZE,
-        }
+    /// Returns the size of the record in the log, in bytes.
+    pub fn encoded_size(&self) -> usize {
+        encoded_size(self)
+    }
+
+    /// Returns an upper bound on the size of the record of a job's acceptance, also when it is rewritten, in bytes.
+    pub fn max_accepted_size(queue: &str, workspace: Option<&str>, job: &Job) -> usize {
+        MAX_ACCEPTED_OVERHEAD + queue.len() + workspace.map_or(0, str::len) + encoded_size(job)
     }
 }
 
+/// Returns the encoded size of a value, in bytes. A value that can't be encoded is larger than any limit.
+fn encoded_size(value: &impl Serialize) -> usize {
+    postcard::serialize_with_flavor(value, postcard::ser_flavors::Size::default()).unwrap_or(usize::MAX)
+}
+
 /// One change of the persistent state. Replaying a record is idempotent.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Record {
