Fix: the next leader doesn't wait for a watch that doesn't report an expired lease

Cause: the loop that reconnects to a lost leader reads its record each 0.1 s and saw that it was gone, but only told nobody: the loop that claims waits for its watch of the record, and a store needn't report an expiry to it.

Why it works: the loop that sees the record gone wakes the one that claims.

Test: `the_next_leader_does_not_depend_on_the_watch_of_the_record` (`entry`), which failed before ("never: the next host leads", 40 s).

--- a/components/entry/src/election.rs
+++ b/components/entry/src/election.rs
@@ -65,7 +65,10 @@
 async fn wait_for_record_change(host: &Host, mut revision: u64, record_revision: u64) {
     let wait = if record_revision == 0 { NO_LEADER_POLL_INTERVAL } else { config::WATCH_TIMEOUT };
     loop {
-        let change = host.services.store.watch(LEADER_KEY, revision, wait).await;
+        let change = tokio::select! {
+            change = host.services.store.watch(LEADER_KEY, revision, wait) => change,
+            () = host.record_changed.notified() => return,
+        };
         host.note_store_answer(&change);
         match change {
             Ok(WatchResult::Changed) => return,
@@ -258,8 +261,8 @@
             Ok(Read { item: Some(item), .. }) if decode::<Leader>(host, &item).as_ref() == Some(&leader) => {
                 Some(item.revision)
             }
-            // [`run`], which follows the record, takes over.
-            Ok(_) => return,
+            // [`run`], which follows the record, takes over. The store needn't report to its watch that a lease expired.
+            Ok(_) => return host.record_changed.notify_waiters(),
             Err(_) => None,
         };
         connect(host, leader.clone(), record_revision).await;
--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -8,7 +8,7 @@
 use events::emit;
 use parking_lot::Mutex;
 use slog::Logger;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use work::key::Credential;
 use work::{Config, Unit, WorkerId};
 
@@ -88,6 +88,8 @@
     pub(crate) claimed_term: AtomicU64,
     /// When the lease of that claim was last renewed, until the leadership renews it.
     pub(crate) claim_renewed_at: LatestTime,
+    /// Wakes the watch of the leader's record when another task finds that the record has changed.
+    pub(crate) record_changed: Notify,
     /// State learnt from the leader's heartbeats.
     pub(crate) heartbeats: Heartbeats,
     /// Whether the leader, as far as this host knows it, is cut off from most hosts and the store.
@@ -153,6 +155,7 @@
             followers: Mutex::new(BTreeMap::new()),
             claimed_term: AtomicU64::new(0),
             claim_renewed_at: LatestTime::new(Duration::ZERO),
+            record_changed: Notify::new(),
             heartbeats: Heartbeats::new(),
             isolation: Isolation::default(),
             in_doubt: InDoubt::default(),
--- a/components/entry/tests/takeover.rs
+++ b/components/entry/tests/takeover.rs
@@ -120,3 +120,23 @@
     assert_eq!(term(&hosts[0]), 1);
     assert_eq!(submit(&hosts[1], 7, 1).await, Answer::Accepted);
 }
+
+/// Guards against a longer time without a leader when the watch of its record doesn't report that its lease has expired,
+/// although this host has read that the record is gone.
+#[tokio::test]
+async fn the_next_leader_does_not_depend_on_the_watch_of_the_record() {
+    let cell = new_cell();
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build().expect("a runtime");
+    let killed = runtime.spawn({
+        let cell = cell.clone();
+        async move { cell.start_host("killed").await.expect("a free port") }
+    });
+    let killed = killed.await.expect("a host");
+    wait_until("it leads", || leads(&killed)).await;
+    cell.silence_watches();
+    let next = cell.start_host("next").await.expect("a free port");
+    wait_until("the next host follows", || matches!(next.role(), Role::Following(..))).await;
+    runtime.shutdown_background();
+    wait_until("the next host leads", || leads(&next)).await;
+}
--- a/components/fakes/src/cell.rs
+++ b/components/fakes/src/cell.rs
@@ -73,6 +73,8 @@
     config_calls: usize,
     /// Hosts whose reads and watches of the configuration are never answered.
     silent_config_hosts: BTreeSet<String>,
+    /// Whether watches are never answered.
+    silent_watches: bool,
     /// Hosts whose reads by prefix are never answered.
     silent_range_hosts: BTreeSet<String>,
     /// Calls of each host to the store. A watch adds a call each time it checks for a change.
@@ -294,6 +296,11 @@
         self.changed.send_replace(state.revision);
     }
 
+    /// The time on the clocks of all workers.
+    pub fn worker_clock(&self) -> Duration {
+        self.now()
+    }
+
     fn now(&self) -> Duration {
         self.started_at.elapsed()
     }
@@ -417,6 +424,9 @@
     }
 
     async fn watch(&self, _prefix: &str, revision: u64, wait: Duration) -> Result<WatchResult, ServiceError> {
+        if self.cell.state.lock().silent_watches {
+            std::future::pending::<()>().await;
+        }
         self.wait_for_change(revision, wait).await
     }
 
--- a/components/fakes/src/cell/tampering.rs
+++ b/components/fakes/src/cell/tampering.rs
@@ -14,6 +14,11 @@
         }
     }
 
+    /// Leaves watches of the store's keys that begin from now on without an answer.
+    pub fn silence_watches(&self) {
+        self.state.lock().silent_watches = true;
+    }
+
     /// Leaves reads by prefix by a host without an answer, as if its link were too slow for the log.
     pub fn silence_ranges(&self, host: &str) {
         self.state.lock().silent_range_hosts.insert(host.to_owned());
