Fix: long-running tasks don't wait for 14 s when the leader's host and their worker are lost at once

Cause: the next leader waited for the former one's authority without the store (7 s) and then for a whole lease (6.2 s here), since a leader granted leases of full length until the end of its authority.

Why it works: all leases that a leader grants end at most 8 s after it last renewed its own lease in the store, by its successor's clock 8.26 s. The successor claims over a record whose lease of 1 s has expired, so 7.28 s after the claim no lease is left, whether the old leader is dead or cut off together with the worker. A leader of an earlier version is waited for as before: `walkhook/last` says which it is. The first claim of a cell waits for nobody.

Cost: in an outage of the store of more than 8 s runs end then; they ended after up to 13 s.

Tests that fail without it: `leases_of_a_lost_leader_end_in_time_for_a_long_running_task`, `leases_of_a_replaced_leader_end_before_its_successor_takes_them_for_ended`, `leases_of_a_lost_leader_are_waited_for_no_longer_than_they_last` (`sched` and `entry`), `leases_of_a_cut_off_leader_end_within_their_horizon`, `leases_of_a_leader_of_an_earlier_version_are_waited_for_as_long_as_it_may_be_active`: they call what is new, so on the code before they don't build.

--- a/components/entry/src/claim.rs
+++ b/components/entry/src/claim.rs
@@ -142,6 +142,7 @@
     start_term: Option<Term>,
 ) -> anyhow::Result<()> {
     let store = &host.services.store;
+    let lease_requested_at = host.started.elapsed();
     let lease = async { store.grant_lease(host.settings.lease_ttl).await.context("creating a lease") };
     let counter = async { store.get(TERM_KEY).await.context("reading the term counter") };
     let last_leader = async { store.get(LAST_LEADER_KEY).await.context("reading the last leader") };
@@ -156,7 +157,15 @@
     }
     let last_leader = last_leader.item.and_then(|item| decode::<LastLeader>(host, &item));
     let last_leader = last_leader.filter(|last_leader| last_leader.leader.term == old);
-    let predecessors = predecessors(host, last_leader, &cause);
+    // A record that was there until now may belong to a leader that has renewed its lease.
+    let vacant_for = match record_revision {
+        0 => sched::Limits::min_store_lease(host.settings.lease_ttl),
+        _ => Duration::ZERO,
+    };
+    let predecessors = match old {
+        0 => Predecessors::default(),
+        _ => predecessors(host, last_leader, &cause, vacant_for),
+    };
     let term = old + 1;
     let leader = Leader {
         host: host.settings.host.clone(),
@@ -177,23 +186,36 @@
         Err(ServiceError::Unknown(error)) => verify_claim(host, &leader).await.context(error)?,
         Err(error) => return Err(error.into()),
     };
+    let answered_at = host.started.elapsed();
     emit!(host.log, events::LEADERSHIP_CLAIMED, "term" => term, "revision" => revision, "why" => cause.text(),
+        "predecessors_active_ms" => predecessors.active_for().as_millis() as u64,
+        "predecessors_leases_ms" => predecessors.leases_for().map(|leases_for| leases_for.as_millis() as u64),
         "claim_delay_ms" => host.settings.claim_delay.as_millis() as u64,
         "waited_ms" => (confirmed_at - began_at).as_millis() as u64);
     begin_leadership(
         host,
-        Claim { term, revision, lease, leader, predecessors, record_revision: revision, confirmed_at },
+        Claim {
+            term,
+            revision,
+            lease,
+            leader,
+            predecessors,
+            record_revision: revision,
+            confirmed_at,
+            answered_at,
+            lease_requested_at,
+        },
     )
     .await
 }
 
 /// The leaders before a claim that may still be active. An earlier process of this host must have ended.
-fn predecessors(host: &Host, last_leader: Option<LastLeader>, cause: &Cause) -> Predecessors {
+fn predecessors(host: &Host, last_leader: Option<LastLeader>, cause: &Cause, vacant_for: Duration) -> Predecessors {
     let limits = &host.settings.limits;
     let mut predecessors = match (cause, last_leader) {
         (_, None) => Predecessors::unknown(limits),
-        (Cause::Requested(predecessors), Some(_)) => predecessors.clone(),
-        (_, last_leader) => Predecessors::before_claim(last_leader, limits),
+        (Cause::Requested(predecessors), Some(_)) => predecessors.clone().before_ended_leader(limits),
+        (_, last_leader) => Predecessors::before_claim(last_leader, limits, vacant_for),
     };
     predecessors.remove(|leader| leader.address == host.settings.address);
     predecessors
@@ -284,7 +306,7 @@
 }
 
 pub(crate) fn last_leader_put(leader: &Leader, predecessors: &Predecessors) -> anyhow::Result<Put> {
-    let last_leader = LastLeader { leader: leader.clone(), predecessors: predecessors.clone() };
+    let last_leader = LastLeader { leader: leader.clone(), predecessors: predecessors.clone(), bounded_leases: true };
     Ok(Put { key: LAST_LEADER_KEY.to_owned(), value: postcard::to_stdvec(&last_leader)?, lease: 0 })
 }
 
--- a/components/entry/src/leadership.rs
+++ b/components/entry/src/leadership.rs
@@ -59,6 +59,10 @@
     pub record_revision: u64,
     /// When the claim was sent, on the monotonic clock.
     pub confirmed_at: Duration,
+    /// When the store's answer to it arrived.
+    pub answered_at: Duration,
+    /// When `lease` was requested.
+    pub lease_requested_at: Duration,
 }
 
 /// One term of leadership.
@@ -73,6 +77,8 @@
     pub(crate) stale: Mutex<Vec<PartId>>,
     /// When it was last certain that no other host led.
     confirmed_at: LatestTime,
+    /// When a renewal of the lease of the leader's record was last sent that succeeded, or the lease was requested.
+    lease_renewed_at: LatestTime,
     /// When the store last answered, with whatever response.
     store_answered_at: LatestTime,
     /// Latency of transactions.
@@ -122,12 +128,17 @@
         }
         engine.finish_replay(clock);
         engine.set_predecessor_activity(claim.predecessors.active_for());
+        let since_claim = host.started.elapsed() - claim.answered_at;
+        if let Some(leases_for) = claim.predecessors.leases_for() {
+            engine.set_predecessor_leases(leases_for.saturating_sub(since_claim));
+        }
         emit!(host.log, events::RECOVERED, "term" => claim.term, "parts" => parts.len(),
             "took_ms" => (host.started.elapsed() - claim.confirmed_at).as_millis() as u64);
         let leadership = Arc::new(Leadership {
             term: claim.term,
             engine: Mutex::new(engine),
             confirmed_at: LatestTime::new(claim.confirmed_at),
+            lease_renewed_at: LatestTime::new(claim.lease_requested_at),
             store_answered_at: LatestTime::new(clock.now),
             claim: Mutex::new(claim),
             parts: Mutex::new(parts),
@@ -190,10 +201,19 @@
         self.claim.lock().predecessors.have_ended()
     }
 
+    /// After which time from now on all leases that earlier leaders granted have certainly ended, if that is known.
+    pub fn predecessor_leases_for(&self) -> Option<Duration> {
+        self.engine.lock().predecessor_leases_for(self.host.started.elapsed())
+    }
+
     /// Earlier leaders, and for how long from now on they may still grant leases.
     pub(crate) fn predecessors(&self) -> Predecessors {
-        let active_for = self.engine.lock().predecessor_active_for(self.host.started.elapsed());
-        self.claim.lock().predecessors.with_remaining(active_for)
+        let now = self.host.started.elapsed();
+        let (active_for, leases_for) = {
+            let engine = self.engine.lock();
+            (engine.predecessor_active_for(now), engine.predecessor_leases_for(now))
+        };
+        self.claim.lock().predecessors.with_remaining(active_for, leases_for)
     }
 
     /// Looks for earlier leaders among the followers. A process at the address of one that follows this leader is either
@@ -234,6 +254,16 @@
         self.note_store_answer();
     }
 
+    /// Records that the lease of the leader's record was renewed or granted by a call that was sent at this time.
+    pub(crate) fn note_lease_renewal(&self, sent: Duration) {
+        self.lease_renewed_at.advance(sent);
+    }
+
+    /// The longest lease that may be granted to a worker at this time.
+    pub(crate) fn grantable_lease(&self, now: Duration) -> Duration {
+        self.host.settings.limits.grantable_lease(self.lease_renewed_at.age(now))
+    }
+
     /// Records that the store answered this host.
     pub(crate) fn note_store_answer(&self) {
         self.store_answered_at.advance(self.host.started.elapsed());
--- a/components/entry/src/leadership/commit.rs
+++ b/components/entry/src/leadership/commit.rs
@@ -166,7 +166,9 @@
             emit!(leadership.host.log, events::PLATFORM_RECOVERED, "call" => "transaction");
         }
         if batch.write_leader_record {
-            leadership.claim.lock().record_revision = committed.revision;
+            let mut claim = leadership.claim.lock();
+            claim.record_revision = committed.revision;
+            leadership.note_lease_renewal(claim.lease_requested_at);
         }
         let part = batch.part.and_then(|id| Some((id, leadership.pending_parts.remove(id.number)?)));
         parts::update(leadership, &part, &batch.removed);
@@ -329,9 +331,12 @@
 
 /// Creates a new lease for the leader's record. Returns whether the store granted one.
 async fn replace_lease(leadership: &Leadership) -> bool {
+    let requested_at = leadership.host.started.elapsed();
     match leadership.host.services.store.grant_lease(leadership.host.settings.lease_ttl).await {
         Ok(lease) => {
-            leadership.claim.lock().lease = lease;
+            let mut claim = leadership.claim.lock();
+            claim.lease = lease;
+            claim.lease_requested_at = requested_at;
             true
         }
         Err(error) => {
--- a/components/entry/src/leadership/loops.rs
+++ b/components/entry/src/leadership/loops.rs
@@ -246,7 +246,10 @@
         let lease = leadership.claim.lock().lease;
         let sent = leadership.host.started.elapsed();
         match leadership.host.services.store.renew_lease(lease).await {
-            Ok(true) => leadership.confirm(sent),
+            Ok(true) => {
+                leadership.confirm(sent);
+                leadership.note_lease_renewal(sent);
+            }
             Ok(false) => {
                 emit!(leadership.host.log, events::LEASE_LOST, "term" => leadership.term);
                 leadership.request_record_rewrite();
--- a/components/entry/src/leadership/orders.rs
+++ b/components/entry/src/leadership/orders.rs
@@ -74,7 +74,7 @@
         return OrderOutcome::Refused;
     }
     let now = leadership.host.started.elapsed();
-    let until = lease.lock().expiry(now, leadership.host.settings.limits.lease);
+    let until = lease.lock().expiry(now, leadership.grantable_lease(now));
     let Some(until) = until else { return OrderOutcome::Refused };
     if !leadership.authorized() {
         return OrderOutcome::Refused;
--- a/components/entry/src/leadership/renewal.rs
+++ b/components/entry/src/leadership/renewal.rs
@@ -234,7 +234,8 @@
     /// Sends a renewal and records the lease that it may have granted.
     async fn send(&self, acked: u64) -> Result<Reply<WorkerStatus>, ServiceError> {
         let host = &self.leadership.host;
-        let until = self.lease.lock().expiry(host.started.elapsed(), host.settings.limits.lease);
+        let now = host.started.elapsed();
+        let until = self.lease.lock().expiry(now, self.leadership.grantable_lease(now));
         let may_wait = until.is_some() && !self.silent && self.idle_renewal_interval().is_none();
         let wait =
             if may_wait { RENEWAL_INTERVAL.max(self.leadership.busy_renewal_interval()) } else { Duration::ZERO };
--- a/components/entry/src/predecessors.rs
+++ b/components/entry/src/predecessors.rs
@@ -21,6 +21,10 @@
     unknown: bool,
     /// For how long they may be active at most; zero if none is.
     active_for: Duration,
+    /// After which time all leases that they granted have ended; `None` if one of them grants leases whatever the age of its
+    /// last renewal, as earlier versions do, which also end the record before this field.
+    #[serde(deserialize_with = "or_default")]
+    leases_for: Option<Duration>,
 }
 
 /// The last leader that won a claim, as recorded in the store.
@@ -30,21 +34,30 @@
     /// The leaders before it. Earlier versions end the record before this field.
     #[serde(deserialize_with = "or_default")]
     pub predecessors: Predecessors,
+    /// Whether the leader grants leases by [`Limits::grantable_lease`]. Earlier versions end the record before this field.
+    #[serde(deserialize_with = "or_default")]
+    pub bounded_leases: bool,
 }
 
 impl Predecessors {
-    /// The leaders before a claim that replaces `last`, which hasn't said that it has ended.
-    pub(crate) fn before_claim(last: Option<LastLeader>, limits: &Limits) -> Predecessors {
-        let Some(LastLeader { leader, predecessors }) = last else { return Predecessors::unknown(limits) };
+    /// The leaders before a claim that replaces `last`, which hasn't said that it has ended. `vacant_for` is the time from the
+    /// last renewal of its lease in the store to the claim at least.
+    pub(crate) fn before_claim(last: Option<LastLeader>, limits: &Limits, vacant_for: Duration) -> Predecessors {
+        let Some(LastLeader { leader, predecessors, bounded_leases }) = last else {
+            return Predecessors::unknown(limits);
+        };
+        let are_bounded = bounded_leases && (predecessors.have_ended() || predecessors.leases_for.is_some());
+        let leases_for = are_bounded
+            .then(|| limits.replaced_lapse_time(vacant_for).max(predecessors.leases_for.unwrap_or_default()));
         let mut leaders: Vec<Leader> = [leader].into_iter().chain(predecessors.leaders).collect();
         let unknown = predecessors.unknown || leaders.len() > MAX_LEADERS;
         leaders.truncate(MAX_LEADERS);
-        Predecessors { leaders, unknown, active_for: limits.activity(!unknown) }
+        Predecessors { leaders, unknown, active_for: limits.activity(!unknown), leases_for }
     }
 
     /// Leaders of which nothing is known.
     pub(crate) fn unknown(limits: &Limits) -> Predecessors {
-        Predecessors { leaders: Vec::new(), unknown: true, active_for: limits.activity(false) }
+        Predecessors { leaders: Vec::new(), unknown: true, active_for: limits.activity(false), leases_for: None }
     }
 
     /// Whether none of them is active.
@@ -61,9 +74,23 @@
         self.active_for
     }
 
-    /// The same leaders, which may be active for this long.
-    pub(crate) fn with_remaining(&self, active_for: Duration) -> Predecessors {
-        if active_for.is_zero() { Predecessors::default() } else { Predecessors { active_for, ..self.clone() } }
+    /// After which time all leases that they granted have ended, if that is known.
+    pub(crate) fn leases_for(&self) -> Option<Duration> {
+        self.leases_for
+    }
+
+    /// The same leaders, which may be active for this long, and whose leases last for so long.
+    pub(crate) fn with_remaining(&self, active_for: Duration, leases_for: Option<Duration>) -> Predecessors {
+        match active_for.is_zero() {
+            true => Predecessors::default(),
+            false => Predecessors { active_for, leases_for, ..self.clone() },
+        }
+    }
+
+    /// The same leaders before a leader that has just ended and may have granted leases until then.
+    pub(crate) fn before_ended_leader(self, limits: &Limits) -> Predecessors {
+        let leases_for = self.leases_for.map(|leases_for| leases_for.max(limits.lease_lapse_time()));
+        Predecessors { leases_for, ..self }
     }
 
     /// Removes the leaders that have ended, and returns them.
--- a/components/entry/tests/predecessors.rs
+++ b/components/entry/tests/predecessors.rs
@@ -6,8 +6,9 @@
 use std::time::{Duration, Instant};
 
 use entry::{Answer, Call, Host, Leader, Leadership, Predecessors, Role};
-use fakes::cell::Cell;
-use support::{POLL_INTERVAL, config, leads, start_hosts, submit, wait_until};
+use fakes::cell::{Cell, SimulatedRun};
+use sched::RunOutcome;
+use support::{POLL_INTERVAL, config, leads, new_cell, start_hosts, submit, wait_until};
 
 /// Claim delay of a weak host.
 const WEAK_CLAIM_DELAY: Duration = Duration::from_millis(300);
@@ -100,6 +101,57 @@
     assert!(leaders.len() <= MAX_LEADERS && unknown, "{} leaders", leaders.len());
 }
 
+/// Time after its last run within which a long-running task must run again, and the time to live of the leader's lease.
+const LONG_RUNNING_TASK_DOWNTIME: Duration = Duration::from_secs(9);
+const STORE_LEASE: Duration = Duration::from_secs(1);
+
+/// Guards against a wait of 14 s before the tasks of a lost worker start again if the leader was lost with it.
+#[tokio::test]
+async fn leases_of_a_lost_leader_are_waited_for_no_longer_than_they_last() {
+    let (cell, _first, _) = start_cut_off_leader().await;
+    let second = cell.start_host("second").await.expect("a free port");
+    wait_until("the second leads", || leads(&second)).await;
+    let leases_for = leadership(&second).predecessor_leases_for().expect("the first bounds its leases");
+    assert!(leases_for < LONG_RUNNING_TASK_DOWNTIME - STORE_LEASE, "{leases_for:?}");
+}
+
+/// Guards against two runs of a task while a leader of an earlier version, whose leases have no such bound, is replaced.
+#[tokio::test]
+async fn leases_of_a_leader_of_an_earlier_version_are_waited_for_as_long_as_it_may_be_active() {
+    let (cell, first, _) = start_cut_off_leader().await;
+    let leader = Leader {
+        host: "first".to_owned(),
+        incarnation: 1,
+        address: "127.0.0.1:1".to_owned(),
+        term: leadership(&first).term,
+    };
+    let no_predecessors = (0_u8, false, Duration::ZERO);
+    let record = postcard::to_stdvec(&(leader, no_predecessors)).expect("a record");
+    cell.rewrite_values("walkhook/last", |value| value.clone_from(&record));
+    let second = cell.start_host("second").await.expect("a free port");
+    wait_until("the second leads", || leads(&second)).await;
+    assert_eq!(leadership(&second).predecessor_leases_for(), None);
+}
+
+/// Guards against leases that last beyond the time for which the next leader waits: a leader that is cut off from the store
+/// grants shorter and shorter ones.
+#[tokio::test]
+async fn leases_of_a_cut_off_leader_end_within_their_horizon() {
+    const LEASE_HORIZON: Duration = Duration::from_secs(8);
+    let cell = new_cell();
+    let hosts = start_hosts(&cell, 1).await;
+    cell.simulate_runs(SimulatedRun { duration: support::TEST_TIMEOUT, outcome: RunOutcome::Done });
+    assert_eq!(submit(&hosts[0], 7, 1).await, Answer::Accepted);
+    wait_until("it runs", || !cell.starts().is_empty()).await;
+    let worker = cell.starts()[0].0.clone();
+    let lease_end = || cell.update_worker(&worker, |runner| runner.lease_until).expect("a worker");
+    cell.set_store_unavailable("host-0", true);
+    let (cut_off_at, before) = (cell.worker_clock(), lease_end());
+    wait_until("it has no authority", || cell.worker_clock() > cut_off_at + sched::AUTHORITY_TIMEOUT).await;
+    assert!(lease_end() > before, "leases are renewed without the store");
+    assert!(lease_end() <= cut_off_at + LEASE_HORIZON, "until {:?}, cut off at {cut_off_at:?}", lease_end());
+}
+
 /// Hosts of the version before take all earlier leaders for ended.
 #[test]
 fn messages_and_records_of_the_version_before_are_understood() {
--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -114,6 +114,9 @@
     pub(crate) term_start: Duration,
     /// How long after the start of this term earlier leaders may still have granted leases.
     pub(crate) predecessor_active: Duration,
+    /// How long after the start of this term all leases that earlier leaders granted have ended; `None` if that follows only
+    /// from how long they may be active.
+    pub(crate) predecessor_leases: Option<Duration>,
     pub(crate) config: Arc<Config>,
     /// Whether the configuration changed since the last pass. A job may have used up its attempts before its queue's
     /// limit was known.
@@ -193,6 +196,7 @@
             term,
             term_start: now,
             predecessor_active: AUTHORITY_TIMEOUT,
+            predecessor_leases: None,
             reconfigured: false,
             queues: by_name(&config),
             most_urgent: most_urgent(&config),
@@ -236,6 +240,16 @@
         self.predecessor_active = active_for;
     }
 
+    /// Sets how long after the start of this term all leases that earlier leaders granted have certainly ended.
+    pub fn set_predecessor_leases(&mut self, ended_after: Duration) {
+        self.predecessor_leases = Some(ended_after);
+    }
+
+    /// After which time from now on all leases that earlier leaders granted have certainly ended, if that is known.
+    pub fn predecessor_leases_for(&self, now: Duration) -> Option<Duration> {
+        self.predecessor_leases.map(|ended_after| (self.term_start + ended_after).saturating_sub(now))
+    }
+
     /// For how long from now on earlier leaders may still grant leases.
     pub fn predecessor_active_for(&self, now: Duration) -> Duration {
         (self.term_start + self.predecessor_active).saturating_sub(now)
--- a/components/sched/src/limits.rs
+++ b/components/sched/src/limits.rs
@@ -25,6 +25,10 @@
 /// How long after its last confirmation a leader may still give orders. Until then the next leader doesn't restart
 /// what an unreachable worker may run. It covers the usual store outages of 4 to 7 s.
 pub const AUTHORITY_TIMEOUT: Duration = Duration::from_secs(7);
+/// How long after the last renewal of its own lease in the store the leases that a leader grants end at the latest. The next
+/// leader then needn't wait for a leader's authority and a whole lease beyond it before it restarts what a lost worker ran.
+/// Runs survive store outages of up to 7 s, with the time until the next renewals.
+const LEASE_HORIZON: Duration = Duration::from_secs(8);
 /// Leases last up to this much longer by our clock, since a worker's clock may run slow.
 pub(crate) const CLOCK_SLACK: f64 = 1.02;
 /// Added to the time after which the tasks of an unreachable worker have certainly ended; covers timers that fire
@@ -47,8 +51,24 @@
         }
     }
 
+    /// The longest lease that a leader may grant whose own lease in the store was last renewed this long ago.
+    pub fn grantable_lease(&self, unrenewed_for: Duration) -> Duration {
+        self.lease.min(LEASE_HORIZON.saturating_sub(unrenewed_for))
+    }
+
+    /// Time after which all leases have certainly ended that leaders with a [`Limits::grantable_lease`] granted, if the last
+    /// of them was replaced. `vacant_for` is the time from the last renewal of its own lease to its replacement at least.
+    pub fn replaced_lapse_time(&self, vacant_for: Duration) -> Duration {
+        (LEASE_HORIZON.mul_f64(CLOCK_SLACK) + LAPSE_MARGIN).saturating_sub(vacant_for).max(self.lease_lapse_time())
+    }
+
+    /// Minimum time by a leader's clock that a lease in the store lasts whose duration by the store's clock is `ttl`.
+    pub fn min_store_lease(ttl: Duration) -> Duration {
+        ttl.div_f64(CLOCK_SLACK)
+    }
+
     /// Time after which everything that wasn't renewed has certainly ended.
-    pub(crate) fn lease_lapse_time(&self) -> Duration {
+    pub fn lease_lapse_time(&self) -> Duration {
         self.lease.mul_f64(CLOCK_SLACK) + LAPSE_MARGIN
     }
 
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -67,6 +67,7 @@
             return self.drop_unseen(clock);
         }
         let lapse_time = self.predecessor_active + self.limits.lease_lapse_time();
+        let lapse_time = self.predecessor_leases.map_or(lapse_time, |ended_after| ended_after.min(lapse_time));
         self.settled = clock.now.saturating_sub(self.term_start) > lapse_time;
     }
 
--- a/components/sched/tests/decisions/main.rs
+++ b/components/sched/tests/decisions/main.rs
@@ -464,6 +464,26 @@
     assert_eq!(new.starts().len(), 1);
 }
 
+/// Guards against long-running tasks that are down for 14 s when the host of the leader and their worker are lost at once.
+#[test]
+fn leases_of_a_lost_leader_are_waited_for_no_longer_than_they_last() {
+    let mut old = Cell::new(1).ready();
+    old.submit(1, "urgent", vec![step(1, 1)]);
+    assert_eq!(old.starts().len(), 1);
+
+    let mut new = Cell::from_log(2, 2, &old.log);
+    new.engine.set_predecessor_leases(Duration::from_millis(7_300));
+    new.infos.remove("w0");
+    new.engine.update_workers(new.clock(), new.infos.clone());
+    new.write();
+    new.now = Duration::from_millis(7_200);
+    new.report("w1", &[], &[]);
+    assert!(new.starts().is_empty());
+    new.now = Duration::from_millis(7_400);
+    new.report("w1", &[], &[]);
+    assert_eq!(new.starts().len(), 1);
+}
+
 #[test]
 fn an_unsent_start_is_dropped_when_it_is_no_longer_wanted() {
     let mut cell = Cell::new(2).ready();
--- a/components/sched/tests/lease.rs
+++ b/components/sched/tests/lease.rs
@@ -78,3 +78,35 @@
     assert_eq!(expires_after(true), Some(Duration::from_millis(6_300)));
     assert_eq!(expires_after(false), Some(Duration::from_millis(10_400)));
 }
+
+/// Time after its last run within which a long-running task must run again.
+const LONG_RUNNING_TASK_DOWNTIME: Duration = Duration::from_secs(9);
+/// Time to live of the lease of the leader's record.
+const STORE_LEASE: Duration = Duration::from_secs(1);
+
+/// Guards against two runs of a task: whenever a leader that was replaced granted a lease, the next leader waits until it has
+/// ended on the slowest clock.
+#[test]
+fn leases_of_a_replaced_leader_end_before_its_successor_takes_them_for_ended() {
+    for max_lease in [3, 6, 10, 30].map(Duration::from_secs) {
+        let limits = sched::Limits { max_lease, lease: sched::lease(max_lease), ..sched::Limits::example() };
+        let vacant_for = sched::Limits::min_store_lease(STORE_LEASE);
+        let waited_for = vacant_for + limits.replaced_lapse_time(vacant_for);
+        for unrenewed_for in (0..200).map(|tenths| Duration::from_millis(100 * tenths)) {
+            let lease = limits.grantable_lease(unrenewed_for);
+            assert!(lease.is_zero() || unrenewed_for + lease.mul_f64(1.02) < waited_for, "{unrenewed_for:?}");
+        }
+        // A leader that ends may have granted a lease just before.
+        assert!(limits.replaced_lapse_time(Duration::from_secs(60)) > limits.lease.mul_f64(1.02));
+    }
+}
+
+/// Guards against long-running tasks that are down for too long when the host of the leader and their worker are lost at once.
+#[test]
+fn leases_of_a_lost_leader_end_in_time_for_a_long_running_task() {
+    for max_lease in [6, 10].map(Duration::from_secs) {
+        let limits = sched::Limits { max_lease, lease: sched::lease(max_lease), ..sched::Limits::example() };
+        let downtime = STORE_LEASE + limits.replaced_lapse_time(sched::Limits::min_store_lease(STORE_LEASE));
+        assert!(downtime < LONG_RUNNING_TASK_DOWNTIME, "{downtime:?}");
+    }
+}
--- a/components/sched/tests/world/leader.rs
+++ b/components/sched/tests/world/leader.rs
@@ -38,6 +38,11 @@
         now - self.confirmed < sched::AUTHORITY_TIMEOUT
     }
 
+    /// The longest lease that it may grant now.
+    pub fn grantable_lease(&self, now: Duration) -> Duration {
+        Limits::example().grantable_lease(now - self.confirmed)
+    }
+
     /// Takes the engine's actions. Starts and questions are returned; stops are kept until they are answered.
     pub fn take_actions(&mut self) -> Vec<Action> {
         let mut open = Vec::new();
--- a/components/sched/tests/world/mod.rs
+++ b/components/sched/tests/world/mod.rs
@@ -14,7 +14,7 @@
 use model::Resources;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use sched::{Action, Clock, OrderOutcome, Report, RunOutcome, Start, Ticket};
+use sched::{Action, Clock, Limits, OrderOutcome, Report, RunOutcome, Start, Ticket};
 use work::{Advice, Attempt, Config, Job, JobId, Outcome, Queue, Record, Task, Term, WorkerId, WorkerIncarnation};
 
 use crashes::Crashes;
@@ -233,7 +233,8 @@
     /// Another host becomes the leader; the previous leader learns of it later.
     fn take_over(&mut self) {
         let clock = self.clock();
-        let next = Leader::new(clock, self.leader.term + 1, self.config.clone(), &self.log);
+        let mut next = Leader::new(clock, self.leader.term + 1, self.config.clone(), &self.log);
+        next.engine.set_predecessor_leases(Limits::example().replaced_lapse_time(Duration::ZERO));
         self.newest_term = next.term;
         self.previous_leader = Some(std::mem::replace(&mut self.leader, next));
     }
@@ -326,6 +327,7 @@
     /// Renews all leases, and returns whether no worker knows a newer leader.
     fn renew_all(&mut self, leader: &mut Leader) -> bool {
         let clock = self.clock();
+        let grantable = leader.grantable_lease(self.now);
         for (id, address) in leader.engine.addresses() {
             if leader.next_renewal.get(&id).is_some_and(|next| *next > self.now) {
                 continue;
@@ -337,7 +339,7 @@
                 continue;
             }
             let lease = leader.leases.entry(id.clone()).or_default();
-            let until = lease.expiry(self.now, MAX_LEASE);
+            let until = lease.expiry(self.now, grantable);
             let (mark, acked) = (leader.engine.mark(), leader.engine.acked(&id));
             let incarnation = self.receiving_incarnation(&id);
             let reached = incarnation
@@ -394,7 +396,8 @@
 
     fn order(&mut self, leader: &mut Leader, id: WorkerId, start: Start, with_faults: bool) {
         let clock = self.clock();
-        let until = leader.leases.get(&id).and_then(|lease| lease.expiry(self.now, MAX_LEASE));
+        let grantable = leader.grantable_lease(self.now);
+        let until = leader.leases.get(&id).and_then(|lease| lease.expiry(self.now, grantable));
         let (task, attempt) = (start.task, start.attempt);
         let incarnation = self.receiving_incarnation(&id);
         let reachable =
