Fix: after a takeover, tasks of a worker that restarted under its id don't start elsewhere too early

Cause: a renewal meant for the former incarnation names a deadline on its clock. The next one's clock begins anew, so it cuts the lease to the longest that workers accept: 10 s here, while leaders grant 7 s. The leader that saw the restart counted with that; the next one didn't know of it, neither in its wait for silent workers nor at their first answer.

Why it works: the log has the end of the former incarnation beside the record of the next one. Replay concludes that the one follows the other, and rewriting keeps both for as long as such a lease may last. Only the tasks of these workers wait for the longest lease; those of others for the usual ones. Without births, the leader that sees a restart in a worker's lists counts with the longest lease, too.

Tests, all of which failed with the conclusion taken out: `a_new_leader_waits_for_leases_that_were_meant_for_an_earlier_ incarnation`, `the_log_tells_which_workers_follow_an_earlier_incarnation`, `a_worker_that_restarted_twice_follows_an_earlier_incarnation`. Without births: `leases_of_a_worker_that_restarted_under_its_id_last_as_long_as_workers_accept`.

What earlier leaders may have left running is in a module of its own, `inherited`.

--- a/components/entry/src/leadership/renewal.rs
+++ b/components/entry/src/leadership/renewal.rs
@@ -198,6 +198,8 @@
                 self.note_truncation(&received);
                 if report(&self.leadership, &self.target, received).await {
                     self.acknowledged = 0;
+                    let limits = self.leadership.host.settings.limits;
+                    self.lease.lock().note_restart(limits.max_lease.saturating_sub(limits.lease));
                 }
             }
             Ok(Reply::Fenced) => {
--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -133,8 +133,11 @@
     pub(crate) jobs: Jobs,
     /// Jobs that haven't ended.
     pub(crate) live: BTreeSet<JobId>,
-    /// Whether everything that earlier leaders started is known or has certainly ended.
+    /// Whether everything that earlier leaders started is known or has certainly ended, except on workers with
+    /// [`Worker::follows_since`].
     pub(crate) settled: bool,
+    /// Time of the current pass, or of the last one.
+    pub(crate) pass_time: Duration,
     pub(crate) shares: Shares,
     /// Time from the decision to start a run to the worker's answer.
     pub(crate) start_latency: Latency,
@@ -207,6 +210,7 @@
             jobs: Jobs::default(),
             live: BTreeSet::new(),
             settled: false,
+            pass_time: now,
             shares: Shares::default(),
             start_latency: Latency::default(),
             askers: None,
@@ -235,31 +239,6 @@
         }
     }
 
-    /// Sets how long after the start of this term earlier leaders may still grant leases; see [`Limits::activity`].
-    pub fn set_predecessor_activity(&mut self, active_for: Duration) {
-        self.predecessor_active = active_for;
-    }
-
-    /// Sets how long after the start of this term all leases that earlier leaders granted have certainly ended.
-    pub fn set_predecessor_leases(&mut self, ended_after: Duration) {
-        self.predecessor_leases = Some(ended_after);
-    }
-
-    /// After which time from now on all leases that earlier leaders granted have certainly ended, if that is known.
-    pub fn predecessor_leases_for(&self, now: Duration) -> Option<Duration> {
-        self.predecessor_leases.map(|ended_after| (self.term_start + ended_after).saturating_sub(now))
-    }
-
-    /// For how long from now on earlier leaders may still grant leases.
-    pub fn predecessor_active_for(&self, now: Duration) -> Duration {
-        (self.term_start + self.predecessor_active).saturating_sub(now)
-    }
-
-    /// Records that no earlier leader grants leases any more, as of `now`.
-    pub fn predecessor_ended(&mut self, now: Duration) {
-        self.predecessor_active = self.predecessor_active.min(now.saturating_sub(self.term_start));
-    }
-
     /// Applies a configuration, if it is newer than the current one.
     pub fn configure(&mut self, config: Arc<Config>) {
         if config.version > self.config.version {
--- a/components/sched/src/handover.rs
+++ b/components/sched/src/handover.rs
@@ -5,8 +5,15 @@
 //! incarnation. Its task waits until that incarnation has answered, and a run that this leader ordered is stopped
 //! there first. Nothing else is transferred: neither leases and clock readings nor end numbers, tickets, failures and
 //! pauses.
+//!
+//! The same holds for the renewals: the deadline of a lease is a time on the clock of the intended incarnation. The clock
+//! of the next one begins anew, so that it takes the deadline for a distant one and cuts the lease to the longest that
+//! workers accept. The log tells the next leader which workers follow an earlier incarnation: their records come with
+//! the end of that one, for as long as such a lease may last.
+
+use std::time::Duration;
 
-use work::{Attempt, Record, Task, WorkerId};
+use work::{Attempt, Record, Task, WorkerId, WorkerIncarnation};
 
 use crate::engine::{Action, Clock, Engine};
 use crate::entry;
@@ -50,7 +57,7 @@
     }
 
     /// Transfers the unsettled runs of an earlier incarnation to the next one, which may carry out their orders.
-    pub(crate) fn hand_over(&mut self, id: &str, next: &str, unsettled_runs: Vec<UnsettledRun>) {
+    pub(crate) fn hand_over(&mut self, clock: Clock, id: &str, next: &str, unsettled_runs: Vec<UnsettledRun>) {
         for UnsettledRun { task, attempt, run, held } in unsettled_runs {
             let Some(worker) = self.workers.get_mut(next) else { return };
             worker.add_run(task, attempt, Run { phase: Phase::Stopping, ..run });
@@ -58,9 +65,7 @@
                 self.set_placed(task, next, attempt);
             }
         }
-        if let Some(worker) = self.workers.get_mut(next) {
-            worker.follows_earlier_incarnation = true;
-        }
+        self.note_follower(clock.now, next);
         self.stop_handed_over(next);
         self.hand_over_inherited(id, next);
     }
@@ -68,7 +73,30 @@
     /// Whether a worker follows an earlier incarnation of the same name. A lease meant for that one may have been
     /// granted to this one by its own clock, with the longest duration that workers accept.
     pub fn follows_earlier_incarnation(&self, id: &str) -> bool {
-        self.workers.get(id).is_some_and(|worker| worker.follows_earlier_incarnation)
+        self.workers.get(id).is_some_and(|worker| worker.follows_since.is_some())
+    }
+
+    /// Records that a worker follows an earlier incarnation of the same name, as far as is known since `now`.
+    pub(crate) fn note_follower(&mut self, now: Duration, id: &str) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.follows_since = Some(now);
+        }
+    }
+
+    /// An ended incarnation of the same name as this worker's.
+    pub(crate) fn departed_incarnation(&self, id: &str) -> Option<&WorkerId> {
+        let name = WorkerIncarnation::from_id(id).name;
+        let first = WorkerIncarnation { name, born: Some(0) }.id();
+        let born = self.departed.range(first..);
+        let same_name = born.take_while(|other| WorkerIncarnation::from_id(other).name == name);
+        same_name.chain(self.departed.get(name)).find(|other| other.as_str() != id)
+    }
+
+    /// Records that keep the knowledge that a worker follows an earlier incarnation: the end of that one.
+    pub(crate) fn former_incarnation_record(&self, id: &str) -> Option<Record> {
+        let worker = self.workers.get(id)?;
+        let needed = worker.may_hold_former_lease(self.pass_time, self.limits.former_lapse_time());
+        needed.then(|| self.departed_incarnation(id)).flatten().map(|former| Record::Gone { id: former.clone() })
     }
 
     /// Orders a worker to stop the runs that were transferred to it, once it has answered. No orders can be sent
@@ -136,7 +164,7 @@
             }
             self.set_placed(task, new_id, attempt);
         }
-        self.hand_over(id, new_id, unsettled_runs);
+        self.hand_over(clock, id, new_id, unsettled_runs);
         if let Some(worker) = self.workers.get_mut(new_id) {
             worker.possibly_lost = left;
         }
--- a/components/sched/src/lease.rs
+++ b/components/sched/src/lease.rs
@@ -14,6 +14,8 @@
     reading: Option<(Duration, Duration)>,
     /// Latest expiry of all leases that may have reached the worker, by its clock.
     until: Duration,
+    /// By how much leases may last longer than they were granted for, since the worker has restarted with a new clock.
+    excess: Duration,
 }
 
 impl Lease {
@@ -39,10 +41,16 @@
         }
     }
 
+    /// Records that the worker has restarted under the same id. Its clock may have begun anew, so that it takes deadlines on the
+    /// earlier one for distant ones, and cuts the leases to the longest that workers accept, which is longer by `excess`.
+    pub fn note_restart(&mut self, excess: Duration) {
+        self.excess = excess;
+    }
+
     /// Whether all leases have certainly expired.
     pub fn is_expired(&self, now: Duration) -> bool {
         let Some((clock, at)) = self.reading else { return false };
         let least = clock + now.saturating_sub(at + LAPSE_MARGIN).mul_f64(MIN_CLOCK_RATE);
-        least > self.until
+        least > self.until + self.excess
     }
 }
--- a/components/sched/src/lib.rs
+++ b/components/sched/src/lib.rs
@@ -16,6 +16,7 @@
 mod fill;
 mod handover;
 mod headroom;
+mod inherited;
 mod jobs;
 mod latency;
 mod lease;
--- a/components/sched/src/limits.rs
+++ b/components/sched/src/limits.rs
@@ -29,6 +29,9 @@
 /// leader then needn't wait for a leader's authority and a whole lease beyond it before it restarts what a lost worker ran.
 /// Runs survive store outages of up to 7 s, with the time until the next renewals.
 const LEASE_HORIZON: Duration = Duration::from_secs(8);
+/// How long after it was sent a call to a worker may still be carried out: workers may be slow to do so, and answer late or not at
+/// all.
+const MAX_CALL_DELAY: Duration = Duration::from_secs(12);
 /// Leases last up to this much longer by our clock, since a worker's clock may run slow.
 pub(crate) const CLOCK_SLACK: f64 = 1.02;
 /// Added to the time after which the tasks of an unreachable worker have certainly ended; covers timers that fire
@@ -77,6 +80,12 @@
         self.max_lease.mul_f64(CLOCK_SLACK) + LAPSE_MARGIN
     }
 
+    /// Time after which no lease is left that was meant for an earlier incarnation of a worker, if no call was sent to that one any
+    /// more.
+    pub(crate) fn former_lapse_time(&self) -> Duration {
+        MAX_CALL_DELAY + self.max_lease_lapse_time()
+    }
+
     /// The longest lease that the previous leader may have granted: that of this version, if the previous leader is
     /// known to run it.
     ///
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -7,15 +7,13 @@
 use crate::engine::{Action, Clock, Engine, Start};
 use crate::entry::{Entry, Phase, UnitState};
 use crate::limits::{MAX_TICKET_MARGIN, TICKET_MARGIN};
-use crate::lost_runs::WorkerEndReason;
 use crate::pass::{Part, Pass};
-use crate::quota::may_run_unseen;
 use crate::rank::Candidate;
 use crate::ranking::Obstacle;
 use crate::reports::taken_room;
 use crate::room::{Choice, Room};
 use crate::selection::{EXAMINE_INTERVAL, SHORT_EXAMINE_INTERVAL};
-use crate::worker::{self, Contact, ExtraDelays, Run, Worker};
+use crate::worker::{self, ExtraDelays, Run, Worker};
 
 /// Maximum number of rounds of one job that are opened in one pass.
 const MAX_ROUNDS_PER_PASS: u32 = 16;
@@ -62,29 +60,6 @@
         self.room = room;
     }
 
-    fn update_settled(&mut self, clock: Clock) {
-        if self.settled {
-            return self.drop_unseen(clock);
-        }
-        let lapse_time = self.predecessor_active + self.limits.lease_lapse_time();
-        let lapse_time = self.predecessor_leases.map_or(lapse_time, |ended_after| ended_after.min(lapse_time));
-        self.settled = clock.now.saturating_sub(self.term_start) > lapse_time;
-    }
-
-    /// Ends workers that have never answered in this term, aren't listed any more, and whose leases have expired:
-    /// leases of earlier terms have expired by now.
-    fn drop_unseen(&mut self, clock: Clock) {
-        let longest = self.limits.max_lease_lapse_time();
-        let lapsed = |worker: &Worker| {
-            !worker.follows_earlier_incarnation || clock.now.saturating_sub(worker.last_heard) > longest
-        };
-        let unseen =
-            |worker: &Worker| worker.contact == Contact::Unknown && worker.unlisted_since.is_some() && lapsed(worker);
-        let ids: Vec<WorkerId> =
-            self.workers.iter().filter(|(_, worker)| unseen(worker)).map(|(id, _)| id.clone()).collect();
-        ids.iter().for_each(|id| self.end_worker(clock, id, WorkerEndReason::Unseen));
-    }
-
     /// Opens the rounds that are due, of jobs that changed or that have rounds left to open.
     fn open_due_rounds(&mut self, clock: Clock, changed: &[JobId]) {
         self.ranking.unopened.extend(changed);
@@ -315,8 +290,7 @@
     /// A worker on which an earlier leader placed a task that is pending now, where that run may go on, or may have
     /// ended without being listed.
     pub(crate) fn unresolved<'a>(&self, state: &'a UnitState) -> Option<&'a WorkerId> {
-        let may_run = |worker: &WorkerId| !self.settled && may_run_unseen(&self.workers, &self.departed, worker);
-        let open = |worker: &&WorkerId| may_run(worker) || self.may_have_unlisted_ends(worker);
+        let open = |worker: &&WorkerId| self.unseen().may_run(worker) || self.may_have_unlisted_ends(worker);
         state.tasks.iter().filter_map(|task| task.inherited.as_ref()).map(|run| &run.worker).find(open)
     }
 
--- a/components/sched/src/quota.rs
+++ b/components/sched/src/quota.rs
@@ -15,7 +15,7 @@
 
 use crate::engine::Engine;
 use crate::entry::Entry;
-use crate::worker::{Contact, Worker};
+use crate::worker::Worker;
 
 /// Index of a workspace in [`Quota::accounts`].
 pub(crate) type WorkspaceIndex = usize;
@@ -249,9 +249,10 @@
         if self.quota.accounts.is_empty() {
             return;
         }
-        let (workers, departed, settled) = (&self.workers, &self.departed, self.settled);
-        let open = |worker: &WorkerId| !settled && may_run_unseen(workers, departed, worker);
-        self.quota.recount(workers, open);
+        let mut quota = std::mem::take(&mut self.quota);
+        let unseen = self.unseen();
+        quota.recount(&self.workers, |worker| unseen.may_run(worker));
+        self.quota = quota;
     }
 
     /// Checks whether a job can ever run within its workspace's limit. If it can't, counts it as refused and returns
@@ -309,16 +310,3 @@
         Some(Charge { workspace: self.workspace?, need: self.step(step)?.need })
     }
 }
-
-/// Whether a run that an earlier leader ordered may be on a worker that hasn't listed it yet.
-pub(crate) fn may_run_unseen(
-    workers: &BTreeMap<WorkerId, Worker>,
-    departed: &BTreeSet<WorkerId>,
-    worker: &WorkerId,
-) -> bool {
-    match workers.get(worker) {
-        Some(known) => known.contact == Contact::Unknown,
-        // The log may lack a worker; its runs are unknown, too, unless it is known to have ended.
-        None => !departed.contains(worker),
-    }
-}
--- a/components/sched/src/restore.rs
+++ b/components/sched/src/restore.rs
@@ -37,10 +37,16 @@
             Record::Worker { id, address } => {
                 let info = WorkerInfo { address, ..unlisted_info() };
                 let worker = Worker::new(info, Some(clock.now), 0, clock.now);
-                self.workers.entry(id).or_insert(worker);
+                self.workers.entry(id.clone()).or_insert(worker);
+                if self.departed_incarnation(&id).is_some() {
+                    self.note_follower(clock.now, &id);
+                }
             }
             Record::Gone { id } => {
                 self.workers.remove(&id);
+                if let Some(next) = self.latest_incarnation(&id) {
+                    self.note_follower(clock.now, &next);
+                }
                 self.departed.insert(id);
             }
             Record::Leftover { task, attempt, worker, workspace, need } => {
@@ -286,7 +292,9 @@
         for id in ids {
             let Some(worker) = self.workers.get(&id) else { continue };
             let address = worker.info.address.clone();
+            let former = self.former_incarnation_record(&id);
             self.record_rewritten(Record::Worker { id, address });
+            former.into_iter().for_each(|former| self.record_rewritten(former));
         }
     }
 }
--- a/components/sched/src/usage.rs
+++ b/components/sched/src/usage.rs
@@ -6,7 +6,6 @@
 
 use crate::engine::Engine;
 use crate::entry::{Entry, TaskState, UnitState};
-use crate::quota::may_run_unseen;
 use crate::reports::taken_room;
 
 /// Usage of one queue.
@@ -73,14 +72,10 @@
 
     /// Number of a unit's pending tasks that may run on workers that haven't answered this leader yet.
     fn unseen_runs(&self, unit: &UnitState) -> usize {
-        if self.settled {
-            return 0;
-        }
-        let unseen = |task: &&TaskState| {
-            let inherited = task.inherited.as_ref();
-            inherited.is_some_and(|run| may_run_unseen(&self.workers, &self.departed, &run.worker))
-        };
-        unit.tasks.iter().filter(unseen).count()
+        let unseen = self.unseen();
+        let is_unseen =
+            |task: &&TaskState| task.inherited.as_ref().is_some_and(|inherited| unseen.may_run(&inherited.worker));
+        unit.tasks.iter().filter(is_unseen).count()
     }
 }
 
--- a/components/sched/src/worker.rs
+++ b/components/sched/src/worker.rs
@@ -233,8 +233,8 @@
     /// Runs whose leases have expired or that an earlier leader placed, and whose fate no report has told yet. They count
     /// as lost if the worker turns out to have ended.
     pub possibly_lost: Vec<LostRun>,
-    /// Whether it follows an earlier incarnation of the same name; see [`crate::handover`].
-    pub follows_earlier_incarnation: bool,
+    /// Since when it is known to follow an earlier incarnation of the same name; see [`crate::handover`].
+    pub follows_since: Option<Duration>,
     /// Highest end number that was processed.
     pub taken: u64,
     /// Ends whose records aren't durable yet: end number, and position of the records.
@@ -263,7 +263,7 @@
             new_runs: 0,
             suspects: 0,
             possibly_lost: Vec::new(),
-            follows_earlier_incarnation: false,
+            follows_since: None,
             taken: 0,
             pending: VecDeque::new(),
             acked: 0,
@@ -299,6 +299,12 @@
         !self.runs.is_empty() && !self.runs.values().any(moves)
     }
 
+    /// Whether it may hold a lease that was meant for an earlier incarnation, which ends at most `longest` after this one became
+    /// known.
+    pub(crate) fn may_hold_former_lease(&self, now: Duration, longest: Duration) -> bool {
+        self.follows_since.is_some_and(|since| now.saturating_sub(since) <= longest)
+    }
+
     /// Number of runs whose start isn't answered yet.
     pub(crate) fn starting(&self) -> usize {
         self.runs.values().filter(|run| run.phase == Phase::Starting).count()
--- a/components/sched/src/worker_list.rs
+++ b/components/sched/src/worker_list.rs
@@ -173,7 +173,7 @@
         self.workers.remove(id);
         self.departed.insert(id.to_owned());
         if let Some(next) = &next {
-            self.hand_over(id, next, unsettled_runs);
+            self.hand_over(clock, id, next, unsettled_runs);
         }
         self.record(Record::Gone { id: id.to_owned() });
         self.actions.push(Action::Forget(id.to_owned()));
--- a/components/sched/tests/decisions/incarnations.rs
+++ b/components/sched/tests/decisions/incarnations.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use sched::{Action, OrderOutcome, RunOutcome, Start, Ticket};
+use sched::{Action, Limits, OrderOutcome, RunOutcome, Start, Ticket};
 use work::Evidence;
 
 use crate::cell::{Cell, running, step};
@@ -216,3 +216,89 @@
     let question = find_question(cell.plan()).expect("another question");
     assert_eq!(question.workers, ["w0@2000"]);
 }
+
+/// Limits of a cell whose workers accept longer leases than leaders grant.
+fn limits() -> Limits {
+    let max_lease = Duration::from_secs(10);
+    Limits { max_lease, lease: sched::lease(max_lease), ..Limits::example() }
+}
+
+/// A cell of two workers, of which the first has restarted and runs job 1.
+fn running_on_the_next_incarnation() -> Cell {
+    let mut cell = Cell::with_limits(limits(), 2, 1, &[]);
+    let incarnations = cell.infos.clone().into_iter().map(|(name, info)| (format!("{name}@1000"), info));
+    cell.infos = incarnations.collect();
+    let mut cell = cell.ready();
+    cell.engine.worker_replaced(cell.clock(), "w0@1000", Some("w0@2000".to_owned()));
+    let info = cell.infos.remove("w0@1000").expect("listed");
+    cell.infos.insert("w0@2000".to_owned(), info);
+    cell.engine.update_workers(cell.clock(), cell.infos.clone());
+    cell.write();
+    cell.report("w0@2000", &[], &[]);
+    // The other one has no room.
+    cell.submit(1, "urgent", vec![step(2, 16)]);
+    assert_eq!(cell.starts().len(), 2);
+    cell
+}
+
+/// The cell of the next leader, for which w0 is silent, after the leases that earlier leaders granted on purpose.
+fn after_a_takeover(before: &Cell) -> Cell {
+    let mut cell = Cell::with_limits(limits(), 3, 2, &before.log);
+    let info = cell.infos["w2"].clone();
+    cell.infos = [("w2@1000".to_owned(), info)].into();
+    cell.engine.set_predecessor_leases(Duration::from_millis(7_300));
+    cell.engine.update_workers(cell.clock(), cell.infos.clone());
+    cell.write();
+    cell.report("w1@1000", &[], &[]);
+    cell
+}
+
+/// Time until a task of job 1 starts again that was on w0.
+fn restart_time(cell: &mut Cell) -> Duration {
+    for _ in 0..200 {
+        cell.now += Duration::from_millis(100);
+        cell.report("w1@1000", &[], &[]);
+        cell.report("w2@1000", &[], &[]);
+        if cell.starts().iter().any(|(worker, start)| worker == "w2@1000" && start.task.index == 0) {
+            return cell.now;
+        }
+    }
+    panic!("never started again")
+}
+
+/// Guards against two runs of a task after a takeover: a renewal that was meant for the incarnation before gave the worker a
+/// lease of 10 s, and the next leader, which had only the log, assumed one of 7 s.
+#[test]
+fn a_new_leader_waits_for_leases_that_were_meant_for_an_earlier_incarnation() {
+    let mut cell = after_a_takeover(&running_on_the_next_incarnation());
+    assert!(restart_time(&mut cell) > Duration::from_secs(10).mul_f64(1.02));
+}
+
+/// Guards against the same after the first contact of the new leader, whose lease counts from there.
+#[test]
+fn the_log_tells_which_workers_follow_an_earlier_incarnation() {
+    let mut before = running_on_the_next_incarnation();
+    let follows = |cell: &Cell| cell.engine.follows_earlier_incarnation("w0@2000");
+    assert!(follows(&after_a_takeover(&before)));
+    // Also when the part of the log with the earlier incarnation is removed.
+    before.log.clear();
+    before.rewrite_workers();
+    before.write();
+    assert!(follows(&after_a_takeover(&before)));
+    // But not when such leases have certainly ended.
+    before.now += Duration::from_secs(12 + 11);
+    before.plan();
+    before.log.clear();
+    before.rewrite_workers();
+    before.write();
+    assert!(!follows(&after_a_takeover(&before)));
+}
+
+/// Guards against the same where the worker restarts again before anybody has heard from it.
+#[test]
+fn a_worker_that_restarted_twice_follows_an_earlier_incarnation() {
+    let mut before = running_on_the_next_incarnation();
+    before.engine.worker_replaced(before.clock(), "w0@2000", Some("w0@3000".to_owned()));
+    before.write();
+    assert!(after_a_takeover(&before).engine.follows_earlier_incarnation("w0@3000"));
+}
--- a/components/sched/tests/lease.rs
+++ b/components/sched/tests/lease.rs
@@ -110,3 +110,19 @@
         assert!(downtime < LONG_RUNNING_TASK_DOWNTIME, "{downtime:?}");
     }
 }
+
+/// Guards against two runs of a task where the platform tells no times of birth: the restarted worker takes deadlines on its earlier
+/// clock for distant ones and cuts the leases to the longest that it accepts.
+#[test]
+fn leases_of_a_worker_that_restarted_under_its_id_last_as_long_as_workers_accept() {
+    let limits = sched::Limits { max_lease: Duration::from_secs(10), lease: MAX_LEASE, ..sched::Limits::example() };
+    let mut lease = Lease::default();
+    lease.observe_clock(at(50_000), at(1_000), limits.lease);
+    lease.observe_clock(at(300), at(2_000), limits.lease);
+    lease.note_restart(limits.max_lease - limits.lease);
+    let until = lease.expiry(at(2_000), limits.lease).expect("a reading");
+    assert!(until > at(300) + limits.max_lease, "a distant deadline");
+    lease.grant(until);
+    assert!(!lease.is_expired(at(2_000) + limits.max_lease.mul_f64(1.02)));
+    assert!(lease.is_expired(at(2_000) + limits.max_lease.mul_f64(1.03) + Duration::from_millis(200)));
+}
--- a/components/sched/tests/model.rs
+++ b/components/sched/tests/model.rs
@@ -20,6 +20,8 @@
 /// The same if crashed workers are away for 6 s on average: most of them are, until the last task that crashes
 /// workers is given up.
 const LONG_SILENCE_QUIET_STEPS: usize = 2 * WORKSPACE_QUIET_STEPS;
+/// Interval between two checks whether all jobs have ended, after the first [`QUIET_STEPS`].
+const CHECK_STEPS: usize = 100;
 /// Number of steps of 20 ms in which the remaining runs of the last job to end are stopped.
 const FINAL_STEPS: usize = 100;
 
@@ -115,10 +117,26 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { cases: cases(), ..ProptestConfig::default() })]
+
+    /// Guards against two runs of a task where a renewal meant for an earlier incarnation gives the next one, whose clock has
+    /// begun anew, a longer lease than leaders grant, and where restarted workers are cut off during a takeover.
+    #[test]
+    fn guarantees_hold_if_the_clocks_of_restarted_workers_begin_anew(seed: u64) {
+        simulate(World::new(seed).with_stable_names().with_own_clocks(), LONG_SILENCE_QUIET_STEPS)?;
+    }
+}
+
 /// Runs a simulation with faults, then without, and checks the guarantees that must hold at the end.
 fn simulate(mut world: World, quiet_steps: usize) -> Result<(), TestCaseError> {
     (0..FAULT_STEPS).for_each(|_| world.step(true));
-    (0..quiet_steps).for_each(|_| world.step(false));
+    for step in 0..quiet_steps {
+        world.step(false);
+        if step > QUIET_STEPS && step % CHECK_STEPS == 0 && world.unfinished().is_empty() {
+            break;
+        }
+    }
     prop_assert!(world.unfinished().is_empty(), "not ended: {:?}", world.unfinished());
     prop_assert!(
         world.failed_without_cause().is_empty(),
--- a/components/sched/tests/world/leader.rs
+++ b/components/sched/tests/world/leader.rs
@@ -8,6 +8,7 @@
 use work::{Attempt, Config, Record, Task, Term, WorkerId};
 
 pub struct Leader {
+    limits: Limits,
     pub engine: Engine,
     pub term: Term,
     pub leases: BTreeMap<WorkerId, Lease>,
@@ -18,13 +19,14 @@
 }
 
 impl Leader {
-    pub fn new(clock: Clock, term: Term, config: Arc<Config>, log: &[Record]) -> Leader {
+    pub fn new(limits: Limits, clock: Clock, term: Term, config: Arc<Config>, log: &[Record]) -> Leader {
         // Every second leader applies the shares of workspaces, as when only some hosts have been upgraded.
         let shares = term.is_multiple_of(2);
-        let mut engine = Engine::new(Limits::example(), term, config, clock.now).with_shares(shares);
+        let mut engine = Engine::new(limits, term, config, clock.now).with_shares(shares);
         log.iter().cloned().for_each(|record| engine.replay(clock, record));
         engine.finish_replay(clock);
         Leader {
+            limits,
             engine,
             term,
             leases: BTreeMap::new(),
@@ -40,7 +42,7 @@
 
     /// The longest lease that it may grant now.
     pub fn grantable_lease(&self, now: Duration) -> Duration {
-        Limits::example().grantable_lease(now - self.confirmed)
+        self.limits.grantable_lease(now - self.confirmed)
     }
 
     /// Takes the engine's actions. Starts and questions are returned; stops are kept until they are answered.
--- a/components/sched/tests/world/mod.rs
+++ b/components/sched/tests/world/mod.rs
@@ -5,6 +5,7 @@
 mod jobs;
 mod leader;
 mod list_faults;
+mod own_clocks;
 mod short_lists;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -24,7 +25,6 @@
 use short_lists::check_acknowledgement;
 
 const STEP: Duration = Duration::from_millis(20);
-const MAX_LEASE: Duration = Duration::from_secs(6);
 const MAX_ATTEMPTS: u32 = 3;
 /// Priority of a queue whose tasks may be preempted.
 const PREEMPTIBLE_PRIORITY: u32 = 2;
@@ -77,6 +77,12 @@
     list_faults: Option<ListFaults>,
     /// Most ends that a worker lists at once, if the limit is a small one.
     max_listed_ends: Option<usize>,
+    /// Time limits of the cell.
+    limits: Limits,
+    /// When each incarnation was booted, if its clock begins then; otherwise all clocks show the same time.
+    boots: Option<BTreeMap<WorkerId, Duration>>,
+    /// A machine whose worker has just restarted, and when it is cut off while another host becomes the leader.
+    cut_after_restart: Option<(usize, Duration)>,
     /// Starts of tasks that had ended as done: the worker that is still to have that end acknowledged, and its number.
     repeated: Vec<(WorkerId, u64, Task)>,
     /// By worker, the highest number of an end whose task may be started again since its leases have expired.
@@ -91,7 +97,8 @@
     fn with(seed: u64, config: Config) -> World {
         let config = Arc::new(config);
         let clock = Clock::default();
-        let leader = Leader::new(clock, 1, config.clone(), &[]);
+        let limits = Limits::example();
+        let leader = Leader::new(limits, clock, 1, config.clone(), &[]);
         let mut world = World {
             rng: StdRng::seed_from_u64(seed),
             now: Duration::ZERO,
@@ -117,6 +124,9 @@
             stable_names: false,
             list_faults: None,
             max_listed_ends: None,
+            limits,
+            boots: None,
+            cut_after_restart: None,
             repeated: Vec::new(),
             excused: BTreeMap::new(),
         };
@@ -161,6 +171,9 @@
         let born = u64::from(self.incarnations);
         let id = if self.stable_names { format!("m{place}@{born}") } else { format!("life-{born}") };
         let runner = Runner::new(address, capacity);
+        if let Some(boots) = &mut self.boots {
+            boots.insert(id.clone(), self.now);
+        }
         let max_listed_ends = self.max_listed_ends.unwrap_or(runner.max_listed_ends);
         self.workers.insert(id, Runner { max_listed_ends, ..runner });
     }
@@ -177,7 +190,10 @@
         self.tick_workers();
         self.crash_workers();
         self.excuse_expired_ends();
-        let leader = std::mem::replace(&mut self.leader, Leader::new(Clock::default(), 0, self.config.clone(), &[]));
+        let leader = std::mem::replace(
+            &mut self.leader,
+            Leader::new(self.limits, Clock::default(), 0, self.config.clone(), &[]),
+        );
         self.leader = self.run(leader, true, with_faults).expect("the newest leader isn't dropped");
         if let Some(previous_leader) = self.previous_leader.take() {
             let term = previous_leader.term;
@@ -205,6 +221,9 @@
         if self.rng.random_bool(0.003) && self.store_up {
             self.take_over();
         }
+        if self.boots.is_some() {
+            self.cut_restarted_worker();
+        }
         if self.rng.random_bool(0.004) {
             self.toggle_reachability();
         }
@@ -233,8 +252,8 @@
     /// Another host becomes the leader; the previous leader learns of it later.
     fn take_over(&mut self) {
         let clock = self.clock();
-        let mut next = Leader::new(clock, self.leader.term + 1, self.config.clone(), &self.log);
-        next.engine.set_predecessor_leases(Limits::example().replaced_lapse_time(Duration::ZERO));
+        let mut next = Leader::new(self.limits, clock, self.leader.term + 1, self.config.clone(), &self.log);
+        next.engine.set_predecessor_leases(self.limits.replaced_lapse_time(Duration::ZERO));
         self.newest_term = next.term;
         self.previous_leader = Some(std::mem::replace(&mut self.leader, next));
     }
@@ -342,6 +361,9 @@
             let until = lease.expiry(self.now, grantable);
             let (mark, acked) = (leader.engine.mark(), leader.engine.acked(&id));
             let incarnation = self.receiving_incarnation(&id);
+            let lease_end = |incarnation: &WorkerId| Some(self.lease_end(incarnation, until?));
+            let lease_end = incarnation.as_ref().and_then(lease_end);
+            let clock_start = self.clock_start(&id);
             let reached = incarnation
                 .as_ref()
                 .and_then(|incarnation| self.workers.get_mut(incarnation))
@@ -356,19 +378,17 @@
                 lease.grant(until);
             }
             let other = incarnation.clone().filter(|incarnation| *incarnation != id);
-            // After the silence of a restarted worker nothing is acknowledged, and its leases are
-            // shortened to the longest that it accepts.
-            let (acked, until) = match other.is_some() {
-                true => (0, until.map(|until| until.min(self.now + MAX_LEASE))),
-                false => (acked, until),
-            };
+            // After the silence of a restarted worker nothing is acknowledged.
+            let acked = if other.is_some() { 0 } else { acked };
             if let Some(incarnation) = &incarnation {
                 check_acknowledgement(&self.repeated, incarnation, acked);
             }
-            match worker.renew(leader.term, until, acked) {
+            match worker.renew(leader.term, lease_end, acked) {
                 Ok(_) if other.is_some() => leader.engine.worker_replaced(clock, &id, other),
                 Ok((running, ended)) => {
-                    lease.observe_clock(self.now, self.now, MAX_LEASE);
+                    let follows = leader.engine.follows_earlier_incarnation(&id);
+                    let inherited = self.limits.predecessor_lease(!follows);
+                    lease.observe_clock(self.now - clock_start, self.now, inherited);
                     let truncated = worker.is_truncated(ended.len());
                     leader.engine.report(clock, &id, Report { mark, running, ended, truncated });
                 }
@@ -434,14 +454,19 @@
     fn deliver_start(&mut self, sent: Duration, id: &str, term: Term, until: Duration, start: &Start) -> Reply {
         let job = self.jobs.get(&start.task.unit.job).expect("a submitted job").clone();
         let step = &job.steps[usize::from(start.task.unit.step)];
-        let ends = self.now + Duration::from_millis(self.rng.random_range(100..3000));
+        // Only tasks that last for longer than a lease show that one was taken for expired too early. The members of a gang
+        // would end together.
+        let long = self.boots.is_some() && !step.gang && self.rng.random_bool(0.2);
+        let ends =
+            self.now + Duration::from_millis(self.rng.random_range(if long { 10_000..20_000 } else { 100..3000 }));
         let how = if self.rng.random_bool(0.1) { RunOutcome::Failed } else { RunOutcome::Done };
         let run = Run { need: step.need, ends_at: ends, outcome: how };
         let key = (start.task, start.attempt);
         let Some(incarnation) = self.receiving_incarnation(id) else { return Reply::Refused };
+        let lease_end = self.lease_end(&incarnation, until);
         let Some(worker) = self.workers.get_mut(&incarnation) else { return Reply::Refused };
         let known = worker.runs.contains_key(&key);
-        let reply = worker.start(self.now, term, until, key, run);
+        let reply = worker.start(self.now, term, lease_end, key, run);
         if reply == Reply::Done && !known {
             self.check_start(sent, term, start, &job);
             self.note_repeated(start.task);
