Fix: a lease whose record isn't written doesn't count as a renewal

A leader whose record was lost requests a new lease and writes the record again. While that write is under way, another host may claim at once, but renewals of the new lease prolonged the time for which the leader grants leases of full length; its successor deducts a second that had not passed.

Only renewals of the lease that is attached to the record in the store count, and a record that is written counts from the request of its lease.

Test: `a_lease_whose_record_is_not_written_prolongs_no_leases_of_workers`, which fails without the condition. For the bound itself, `leases_of_a_cut_off_leader_end_within_their_horizon` and `leases_of_a_replaced_leader_end_before_its_successor_takes_them_for_ended` fail if leases have always full length.

--- a/components/entry/src/claim.rs
+++ b/components/entry/src/claim.rs
@@ -204,6 +204,7 @@
             confirmed_at,
             answered_at,
             lease_requested_at,
+            record_lease: lease,
         },
     )
     .await
--- a/components/entry/src/leadership.rs
+++ b/components/entry/src/leadership.rs
@@ -63,6 +63,9 @@
     pub answered_at: Duration,
     /// When `lease` was requested.
     pub lease_requested_at: Duration,
+    /// The lease of the record that is known to be in the store. It differs from `lease` while the record is being
+    /// written again.
+    pub record_lease: LeaseId,
 }
 
 /// One term of leadership.
@@ -254,9 +257,26 @@
         self.note_store_answer();
     }
 
-    /// Records that the lease of the leader's record was renewed or granted by a call that was sent at this time.
-    pub(crate) fn note_lease_renewal(&self, sent: Duration) {
-        self.lease_renewed_at.advance(sent);
+    /// Records that a lease was renewed by a call that was sent at this time. Only that of the record in the store keeps
+    /// other hosts from claiming.
+    pub(crate) fn note_lease_renewal(&self, lease: LeaseId, sent: Duration) {
+        if self.claim.lock().record_lease == lease {
+            self.lease_renewed_at.advance(sent);
+        }
+    }
+
+    /// The lease that is attached to the leader's record when it is written, and when it was requested.
+    pub(crate) fn record_lease_request(&self) -> (LeaseId, Duration) {
+        let claim = self.claim.lock();
+        (claim.lease, claim.lease_requested_at)
+    }
+
+    /// Records that the leader's record was written with this lease, which was requested at that time.
+    pub(crate) fn note_record(&self, revision: u64, lease: LeaseId, requested_at: Duration) {
+        let mut claim = self.claim.lock();
+        claim.record_revision = revision;
+        claim.record_lease = lease;
+        self.lease_renewed_at.advance(requested_at);
     }
 
     /// The longest lease that may be granted to a worker at this time.
--- a/components/entry/src/leadership/commit.rs
+++ b/components/entry/src/leadership/commit.rs
@@ -21,7 +21,7 @@
 use crate::claim::{TERM_KEY, last_leader_put, leader_put};
 use crate::leadership::Leadership;
 use crate::leadership::parts::{self, part_key};
-use crate::services::{CommitOutcome, Put, ServiceError, Transaction};
+use crate::services::{CommitOutcome, LeaseId, Put, ServiceError, Transaction};
 
 /// Minimum time between two transactions, in addition to the duration of one. Each transaction has a cost, and a
 /// group of records costs no more than a single one.
@@ -44,8 +44,8 @@
 const MAX_CONCURRENT_TRIES: usize = 3;
 /// Delay before a failed transaction is sent again.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
-/// Number of rejections of a transaction after which the leadership ends. Until then, callers that have waited for
-/// [`crate::leadership::accept`]'s timeout withdraw their jobs, which may make the part acceptable.
+/// Number of rejections of a transaction after which the leadership ends. Until then, callers whose jobs
+/// weren't written in time withdraw their jobs, which may make the part acceptable.
 const MAX_REJECTIONS: u32 = 20;
 
 /// Contents of one transaction.
@@ -57,6 +57,9 @@
     up_to: u64,
     /// Whether the leader's record is written as well.
     write_leader_record: bool,
+    /// The lease that was to be attached to that record, and when it was requested.
+    lease: LeaseId,
+    lease_requested_at: Duration,
     /// Whether the record of the last leader is, since its predecessors have ended.
     write_last_leader: bool,
     /// Old parts that are deleted.
@@ -146,7 +149,8 @@
         });
         self.due = Instant::now() + self.pacing().1;
         let removed = self.removed(part);
-        Some(Batch { part, up_to, write_leader_record, write_last_leader, removed })
+        let (lease, lease_requested_at) = self.leadership.record_lease_request();
+        Some(Batch { part, up_to, write_leader_record, lease, lease_requested_at, write_last_leader, removed })
     }
 
     /// Old parts that the transaction with this part deletes. The first part deletes the stale ones; until it is
@@ -166,9 +170,7 @@
             emit!(leadership.host.log, events::PLATFORM_RECOVERED, "call" => "transaction");
         }
         if batch.write_leader_record {
-            let mut claim = leadership.claim.lock();
-            claim.record_revision = committed.revision;
-            leadership.note_lease_renewal(claim.lease_requested_at);
+            leadership.note_record(committed.revision, batch.lease, batch.lease_requested_at);
         }
         let part = batch.part.and_then(|id| Some((id, leadership.pending_parts.remove(id.number)?)));
         parts::update(leadership, &part, &batch.removed);
@@ -187,6 +189,8 @@
     if batch.write_leader_record && !replace_lease(&leadership).await {
         leadership.write_leader_record.store(true, Ordering::Release);
     }
+    let (lease, lease_requested_at) = leadership.record_lease_request();
+    let batch = Batch { lease, lease_requested_at, ..batch };
     let committed = commit_batch(&leadership, &batch).await?;
     leadership.confirm(committed.sent);
     Some((batch, committed))
--- a/components/entry/src/leadership/loops.rs
+++ b/components/entry/src/leadership/loops.rs
@@ -248,7 +248,7 @@
         match leadership.host.services.store.renew_lease(lease).await {
             Ok(true) => {
                 leadership.confirm(sent);
-                leadership.note_lease_renewal(sent);
+                leadership.note_lease_renewal(lease, sent);
             }
             Ok(false) => {
                 emit!(leadership.host.log, events::LEASE_LOST, "term" => leadership.term);
--- a/components/entry/tests/predecessors.rs
+++ b/components/entry/tests/predecessors.rs
@@ -9,6 +9,7 @@
 use fakes::cell::{Cell, SimulatedRun};
 use sched::RunOutcome;
 use support::{POLL_INTERVAL, config, leads, new_cell, start_hosts, submit, wait_until};
+use work::WorkerId;
 
 /// Claim delay of a weak host.
 const WEAK_CLAIM_DELAY: Duration = Duration::from_millis(300);
@@ -133,19 +134,31 @@
     assert_eq!(leadership(&second).predecessor_leases_for(), None);
 }
 
-/// Guards against leases that last beyond the time for which the next leader waits: a leader that is cut off from the store
-/// grants shorter and shorter ones.
-#[tokio::test]
-async fn leases_of_a_cut_off_leader_end_within_their_horizon() {
-    const LEASE_HORIZON: Duration = Duration::from_secs(8);
+/// How long after the last renewal of a leader's own lease the leases end that it grants.
+const LEASE_HORIZON: Duration = Duration::from_secs(8);
+
+/// A host that leads, and the worker that runs a long task.
+async fn start_cell_with_a_run() -> (Arc<Cell>, Vec<Arc<Host>>, WorkerId) {
     let cell = new_cell();
     let hosts = start_hosts(&cell, 1).await;
     cell.simulate_runs(SimulatedRun { duration: support::TEST_TIMEOUT, outcome: RunOutcome::Done });
     assert_eq!(submit(&hosts[0], 7, 1).await, Answer::Accepted);
     wait_until("it runs", || !cell.starts().is_empty()).await;
     let worker = cell.starts()[0].0.clone();
-    let lease_end = || cell.update_worker(&worker, |runner| runner.lease_until).expect("a worker");
+    (cell, hosts, worker)
+}
+
+fn lease_end(cell: &Cell, worker: &str) -> Duration {
+    cell.update_worker(worker, |runner| runner.lease_until).expect("a worker")
+}
+
+/// Guards against leases that last beyond the time for which the next leader waits: a leader that is cut off from the store
+/// grants shorter and shorter ones.
+#[tokio::test]
+async fn leases_of_a_cut_off_leader_end_within_their_horizon() {
+    let (cell, _hosts, worker) = start_cell_with_a_run().await;
     cell.set_store_unavailable("host-0", true);
+    let lease_end = || lease_end(&cell, &worker);
     let (cut_off_at, before) = (cell.worker_clock(), lease_end());
     wait_until("it has no authority", || cell.worker_clock() > cut_off_at + sched::AUTHORITY_TIMEOUT).await;
     assert!(lease_end() > before, "leases are renewed without the store");
@@ -164,3 +177,17 @@
     let record = postcard::to_stdvec(&(&leader, Predecessors::default())).expect("a record");
     assert_eq!(postcard::from_bytes::<Leader>(&record), Ok(leader));
 }
+
+/// Guards against leases that last too long while the leader's record is missing: another host may claim at once, whether or not the
+/// new lease that was requested for the record is renewed.
+#[tokio::test]
+async fn a_lease_whose_record_is_not_written_prolongs_no_leases_of_workers() {
+    let (cell, hosts, worker) = start_cell_with_a_run().await;
+    let lost_at = cell.worker_clock();
+    cell.drop_commits(usize::MAX);
+    cell.expire_all_leases();
+    // By then leases would go beyond the horizon.
+    wait_until("time passes", || cell.worker_clock() > lost_at + LEASE_HORIZON / 2).await;
+    assert!(leads(&hosts[0]));
+    assert!(lease_end(&cell, &worker) <= lost_at + LEASE_HORIZON);
+}
--- a/components/fakes/src/cell.rs
+++ b/components/fakes/src/cell.rs
@@ -148,11 +148,6 @@
         *self.commit_delay.lock() = delay;
     }
 
-    /// Sets the maximum size of a value, which hosts aren't told.
-    pub fn set_max_value(&self, bytes: usize) {
-        *self.max_value.lock() = bytes;
-    }
-
     /// Turns on overload protection on hosts that start from now on.
     pub fn protect_from_overload(&self) {
         *self.overload_protection.lock() = true;
@@ -222,16 +217,6 @@
         }
     }
 
-    /// Applies the next `count` transactions but loses their answers.
-    pub fn lose_commit_answers(&self, count: usize) {
-        self.state.lock().answers_to_lose = count;
-    }
-
-    /// Neither applies nor answers the next `count` transactions. Other calls are answered.
-    pub fn drop_commits(&self, count: usize) {
-        self.state.lock().commits_to_drop = count;
-    }
-
     /// Number of dropped transactions whose sender stopped waiting before its own timeout.
     pub fn abandoned_commits(&self) -> usize {
         self.state.lock().abandoned_commits
--- a/components/fakes/src/cell/tampering.rs
+++ b/components/fakes/src/cell/tampering.rs
@@ -1,8 +1,23 @@
-//! Direct changes to the stored keys, without a transaction.
+//! Faults of the store, and direct changes to the stored keys without a transaction.
 
 use super::Cell;
 
 impl Cell {
+    /// Sets the maximum size of a value, which hosts aren't told.
+    pub fn set_max_value(&self, bytes: usize) {
+        *self.max_value.lock() = bytes;
+    }
+
+    /// Applies the next `count` transactions but loses their answers.
+    pub fn lose_commit_answers(&self, count: usize) {
+        self.state.lock().answers_to_lose = count;
+    }
+
+    /// Neither applies nor answers the next `count` transactions. Other calls are answered.
+    pub fn drop_commits(&self, count: usize) {
+        self.state.lock().commits_to_drop = count;
+    }
+
     /// Leaves reads and watches of the configuration by a host without an answer. Those that were sent before this
     /// ends stay unanswered.
     pub fn set_config_silent(&self, host: &str, silent: bool) {
@@ -31,6 +46,13 @@
         self.record_change(&mut state);
     }
 
+    /// Ends all leases in the store, with their keys.
+    pub fn expire_all_leases(&self) {
+        let mut state = self.state.lock();
+        let leases: Vec<_> = state.leases.keys().copied().collect();
+        leases.into_iter().for_each(|lease| self.drop_lease(&mut state, lease));
+    }
+
     /// Changes all values below a prefix, for example to what another version of the program would have written.
     pub fn rewrite_values(&self, prefix: &str, change: impl Fn(&mut Vec<u8>)) {
         let mut state = self.state.lock();
