--- a/components/sched/tests/world/crashes.rs
+++ b/components/sched/tests/world/crashes.rs
@@ -132,6 +132,15 @@
         has_ended && self.workers.values().any(|worker| worker.reachable && worker.info.address == address)
     }
 
+    /// Whether the advice service allows a worker to run anything. If workers restart often, that depends on the
+    /// machine; otherwise most of the latest incarnations might not be allowed to run anything.
+    pub(super) fn is_allowed(&self, id: &str) -> bool {
+        match self.crashes.is_some() || self.stable_names {
+            false => !id.ends_with('3'),
+            true => !self.workers.get(id).is_some_and(|worker| worker.info.address.ends_with("3:80")),
+        }
+    }
+
     /// Number of tasks that crashed workers.
     pub fn crashing_task_count(&self) -> usize {
         self.crashes.iter().map(|crashes| crashes.starts.len()).sum()
--- a/components/sched/tests/world/mod.rs
+++ b/components/sched/tests/world/mod.rs
@@ -3,6 +3,7 @@
 mod checks;
 mod crashes;
 mod jobs;
+mod late_starts;
 mod leader;
 mod list_faults;
 mod own_clocks;
@@ -20,6 +21,7 @@
 
 use crashes::Crashes;
 use fakes::runner::{Reply, Run, Runner};
+use late_starts::DelayedStart;
 use leader::Leader;
 use list_faults::ListFaults;
 use short_lists::check_acknowledgement;
@@ -29,16 +31,6 @@
 /// Priority of a queue whose tasks may be preempted.
 const PREEMPTIBLE_PRIORITY: u32 = 2;
 
-/// A start that arrives after its sender has given up waiting for the answer.
-struct DelayedStart {
-    sent: Duration,
-    at: Duration,
-    worker: WorkerId,
-    term: Term,
-    until: Duration,
-    start: Start,
-}
-
 pub struct World {
     rng: StdRng,
     pub now: Duration,
@@ -288,15 +280,6 @@
         Some(leader)
     }
 
-    /// Whether the advice service allows a worker to run anything. If workers restart often, that depends on the
-    /// machine; otherwise most of the latest incarnations might not be allowed to run anything.
-    fn is_allowed(&self, id: &str) -> bool {
-        match self.crashes.is_some() || self.stable_names {
-            false => !id.ends_with('3'),
-            true => !self.workers.get(id).is_some_and(|worker| worker.info.address.ends_with("3:80")),
-        }
-    }
-
     /// The incarnation that an order for this one reaches, if any: orders name only the worker.
     fn receiving_incarnation(&self, id: &str) -> Option<WorkerId> {
         let same = |other: &&WorkerId| WorkerIncarnation::from_id(other).name == WorkerIncarnation::from_id(id).name;
@@ -475,18 +458,6 @@
         reply
     }
 
-    fn deliver_delayed_starts(&mut self) {
-        let (due, later) = std::mem::take(&mut self.delayed_starts).into_iter().partition(|late| late.at <= self.now);
-        self.delayed_starts = later;
-        let due: Vec<DelayedStart> = due;
-        for late in due {
-            // An incarnation that has ended takes its unanswered orders with it.
-            if self.workers.contains_key(&late.worker) {
-                self.deliver_start(late.sent, &late.worker, late.term, late.until, &late.start);
-            }
-        }
-    }
-
     fn tick_workers(&mut self) {
         let now = self.now;
         let ended: Vec<(Task, Attempt, RunOutcome)> =
