Tests: clients that don't behave, against the real programs

Crowds of connections send unfinished bodies and heads, whole bodies of empty steps, long paths, jobs of many tasks, bytes or rounds, and unfinished requests to the operators' API and the port for hosts. The tests check that the process lives, that its peak memory with the unread bytes of its sockets and its descriptors stay within its machine, that an ordinary client is answered, and that no rejected job is known or has run.

--- a/bins/walkhookd/tests/support/mod.rs
+++ b/bins/walkhookd/tests/support/mod.rs
@@ -109,6 +109,11 @@
         kill(Pid::from_raw(id as i32), signal).expect("a signal to a child process");
     }
 
+    /// Id of the process.
+    pub fn process_id(&self) -> u32 {
+        self.process.as_ref().expect("the process is running").id()
+    }
+
     /// Kills the process with SIGKILL.
     pub fn kill(&mut self) {
         let mut process = self.process.take().expect("the process is running");
@@ -456,6 +461,7 @@
     timings: &str,
 ) -> String {
     let [callers, operators, peers, relay] = host_addresses else { panic!("expected four addresses") };
+    let classes = if timings.contains("classes:") { "" } else { CLASSES };
     format!(
         "cell: test
 host: {name}
@@ -466,14 +472,17 @@
 platform: {{ address: '{platform}', timeout: 700ms, calls_per_second: 200 }}
 shared_key: {SHARED_KEY}
 {timings}
-classes:
-  - {{ name: check, path: /slots, service: planner, priority: urgent, deadline: 5s, repeatable: true }}
-  - {{ name: booking, path: /bookings, service: planner, priority: urgent, deadline: 5s }}
-",
+{classes}",
         data_centres.join(", ")
     )
 }
 
+/// Request classes, unless a test's further settings have their own.
+const CLASSES: &str = "classes:
+  - { name: check, path: /slots, service: planner, priority: urgent, deadline: 5s, repeatable: true }
+  - { name: booking, path: /bookings, service: planner, priority: urgent, deadline: 5s }
+";
+
 /// A plan with the service that serves the request classes of [`settings`].
 pub const SERVICE: &str = "
 workloads:
