Fix: bodies that aren't complete take all memory of an entry host

What callers saw: a crowd whose chunked bodies stop one byte before their end ended the process; others held it far above its machine's memory, and their own requests were never answered.

Cause: a body was kept as the pieces in which it came, some 37 bytes for a chunk of one byte. Nothing bounded the bytes of all bodies together, nor the time to receive one, not even the client's deadline.

Why it works: a body is copied into one buffer, whose memory is reserved from a budget of the whole process before it grows, with both buffers counted while the content moves. When it is used up, the body that has been incomplete for the longest time is given up with 503: an ordinary body is complete at once, so it finds memory whatever a crowd holds. The reservation then covers the job until the leader has answered. A body that is late by the client's deadline gets 408; one whose length is above the limit is rejected before it is read.

--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod latest;
 mod leaderless;
 mod leadership;
+mod memory;
 mod message;
 mod outage;
 mod peers;
@@ -28,6 +29,7 @@
 pub use host::{Host, Link, Role, Services, Settings};
 pub use isolation::is_isolated;
 pub use leadership::Leadership;
+pub use memory::Memory;
 pub use message::{Alive, Answer, Call, Leader};
 pub use predecessors::Predecessors;
 pub use services::{
--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -140,6 +140,8 @@
     JOB_STALLED = 621, Warning, "job has no running tasks although resources are free";
     /// A request that the configuration doesn't allow had to wait because the configuration was not confirmed.
     REQUEST_DELAYED = 622, Info, "caller's request waited for a confirmed configuration";
+    /// A caller's request was given up because its body was late, or found no memory.
+    REQUEST_NOT_RECEIVED = 623, Warning, "caller's request not received; nothing was done";
     /// An operator's command was carried out.
     COMMAND_DONE = 701, Info, "command carried out";
     /// An operator's command was not carried out.
--- a/components/metrics/src/jobs.rs
+++ b/components/metrics/src/jobs.rs
@@ -68,6 +68,10 @@
     pub requests: Family<RequestLabels, Counter>,
     /// Requests that waited for a confirmed configuration, by the outcome of their admission.
     pub delayed_requests: Family<OutcomeLabels, Counter>,
+    /// Requests that were given up before they were received, by the reason.
+    pub unreceived_requests: Family<OutcomeLabels, Counter>,
+    /// Bytes that requests in progress take.
+    pub request_memory: Gauge,
     /// Seconds from the receipt of a request to its response.
     pub request_seconds: Histogram,
     /// Accepted jobs by workspace and share. Only counted where jobs are classified by share.
@@ -149,6 +153,8 @@
         JobMetrics {
             requests: Family::default(),
             delayed_requests: Family::default(),
+            unreceived_requests: Family::default(),
+            request_memory: Gauge::default(),
             request_seconds: seconds_histogram(),
             jobs_accepted: Family::default(),
             starts: Family::default(),
@@ -195,6 +201,12 @@
             "Requests that waited for a confirmed configuration, by outcome",
             self.delayed_requests.clone(),
         );
+        registry.register(
+            "unreceived_requests",
+            "Requests that were given up before they were received, by reason",
+            self.unreceived_requests.clone(),
+        );
+        registry.register("request_memory_bytes", "Memory of requests in progress", self.request_memory.clone());
         registry.register("job_request_seconds", "From receipt to answer", self.request_seconds.clone());
         registry.register(
             "jobs_accepted",
--- /dev/null
+++ b/components/web/src/budget.rs
@@ -0,0 +1,210 @@
+//! Memory that the requests of a process take while they are received and handled.
+//!
+//! The bound applies to all of them together. When it is reached, the body that has been incomplete for the longest time is
+//! given up: bodies of ordinary clients are complete soon, those of clients that stop before the end never are.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Body as HttpBody;
+use parking_lot::Mutex;
+use thiserror::Error;
+use tokio::sync::Notify;
+
+/// Smallest buffer of a body, in bytes.
+const MIN_BUFFER_BYTES: usize = 1024;
+
+/// Why a body could not be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum ReadError {
+    #[error("the body is longer than {0} bytes")]
+    TooLong(usize),
+    #[error("the body is incomplete or malformed")]
+    Incomplete,
+    #[error("the body was not received before the deadline")]
+    Late,
+    /// The memory for requests is used up, and this body was incomplete for longer than others.
+    #[error("the memory for requests is used up")]
+    NoMemory,
+}
+
+/// Bound on the memory for requests.
+pub struct Budget {
+    /// In bytes.
+    limit: usize,
+    state: Mutex<State>,
+    /// Notified when memory is released, or a body is no longer read.
+    released: Notify,
+}
+
+#[derive(Default)]
+struct State {
+    used: usize,
+    /// Order of the next body that is read.
+    next: u64,
+    /// Bodies that are being read, oldest first.
+    reading: BTreeMap<u64, Arc<Notify>>,
+}
+
+impl Budget {
+    /// Allows `limit` bytes.
+    pub fn new(limit: usize) -> Arc<Budget> {
+        Arc::new(Budget { limit, state: Mutex::default(), released: Notify::new() })
+    }
+
+    /// The bound, in bytes.
+    pub fn limit(&self) -> usize {
+        self.limit
+    }
+
+    /// Bytes in use.
+    pub fn used(&self) -> usize {
+        self.state.lock().used
+    }
+
+    /// Reads a complete body of at most `max` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is too long or incomplete, isn't received until `deadline`, or finds no memory.
+    pub async fn read<B>(self: &Arc<Self>, body: B, max: usize, deadline: Instant) -> Result<Buffer, ReadError>
+    where
+        B: HttpBody<Data = Bytes> + Unpin,
+    {
+        if body.size_hint().lower() > max as u64 {
+            return Err(ReadError::TooLong(max));
+        }
+        let reading = Reading::begin(self);
+        let filling = tokio::time::timeout_at(deadline.into(), reading.fill(body, max));
+        tokio::select! {
+            filled = filling => filled.unwrap_or(Err(ReadError::Late)),
+            () = reading.given_up.notified() => Err(ReadError::NoMemory),
+        }
+    }
+
+    /// Reserves memory, if necessary that of incomplete bodies, which are given up.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there isn't enough.
+    pub async fn reserve(self: &Arc<Self>, bytes: usize) -> Result<Reservation, ReadError> {
+        self.reserve_for(bytes, None).await
+    }
+
+    /// Reserves memory for the body `reader`, which doesn't outlive an older one.
+    async fn reserve_for(self: &Arc<Self>, bytes: usize, reader: Option<u64>) -> Result<Reservation, ReadError> {
+        loop {
+            let released = self.released.notified();
+            tokio::pin!(released);
+            released.as_mut().enable();
+            {
+                let mut state = self.state.lock();
+                if bytes <= self.limit.saturating_sub(state.used) {
+                    state.used += bytes;
+                    return Ok(Reservation { budget: self.clone(), bytes });
+                }
+                let others = bytes <= self.limit
+                    && state.reading.first_key_value().is_some_and(|(oldest, _)| Some(*oldest) != reader);
+                if !others {
+                    return Err(ReadError::NoMemory);
+                }
+                if let Some((_, given_up)) = state.reading.pop_first() {
+                    given_up.notify_one();
+                }
+            }
+            released.await;
+        }
+    }
+}
+
+/// Memory in use. Dropping it releases the memory.
+pub struct Reservation {
+    budget: Arc<Budget>,
+    bytes: usize,
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.budget.state.lock().used -= self.bytes;
+        self.budget.released.notify_waiters();
+    }
+}
+
+/// A complete body, with the memory that it takes.
+pub struct Buffer {
+    bytes: Vec<u8>,
+    reservation: Option<Reservation>,
+}
+
+impl Buffer {
+    /// The content.
+    pub fn bytes(&self) -> &[u8] {
+        &self.bytes
+    }
+
+    /// Returns the content, and its memory for as long as it is needed.
+    pub fn into_parts(self) -> (Bytes, Option<Reservation>) {
+        (Bytes::from(self.bytes), self.reservation)
+    }
+
+    /// Appends `data`. The memory of the old and the new buffer is reserved while the content is moved.
+    async fn append(&mut self, data: &[u8], max: usize, budget: &Arc<Budget>, reader: u64) -> Result<(), ReadError> {
+        let length = self.bytes.len() + data.len();
+        if length > max {
+            return Err(ReadError::TooLong(max));
+        }
+        if length > self.bytes.capacity() {
+            let capacity = length.max(self.bytes.capacity() * 2).max(MIN_BUFFER_BYTES).min(max.max(length));
+            let reservation = budget.reserve_for(capacity, Some(reader)).await?;
+            let mut larger = Vec::with_capacity(capacity);
+            larger.extend_from_slice(&self.bytes);
+            self.bytes = larger;
+            self.reservation = Some(reservation);
+        }
+        self.bytes.extend_from_slice(data);
+        Ok(())
+    }
+}
+
+/// A body that is being read.
+struct Reading {
+    budget: Arc<Budget>,
+    order: u64,
+    given_up: Arc<Notify>,
+}
+
+impl Reading {
+    fn begin(budget: &Arc<Budget>) -> Reading {
+        let given_up = Arc::new(Notify::new());
+        let mut state = budget.state.lock();
+        let order = state.next;
+        state.next += 1;
+        state.reading.insert(order, given_up.clone());
+        Reading { budget: budget.clone(), order, given_up }
+    }
+
+    /// Copies the body into one buffer, since each piece as received takes more memory than its content.
+    async fn fill<B>(&self, mut body: B, max: usize) -> Result<Buffer, ReadError>
+    where
+        B: HttpBody<Data = Bytes> + Unpin,
+    {
+        let mut buffer = Buffer { bytes: Vec::new(), reservation: None };
+        while let Some(frame) = body.frame().await {
+            // Trailers are dropped.
+            if let Ok(data) = frame.map_err(|_| ReadError::Incomplete)?.into_data() {
+                buffer.append(&data, max, &self.budget, self.order).await?;
+            }
+        }
+        Ok(buffer)
+    }
+}
+
+impl Drop for Reading {
+    fn drop(&mut self) {
+        self.budget.state.lock().reading.remove(&self.order);
+        self.budget.released.notify_waiters();
+    }
+}
--- a/components/work/src/job.rs
+++ b/components/work/src/job.rs
@@ -122,6 +122,12 @@
         }
     }
 
+    /// Returns the memory that the description takes, in bytes.
+    pub fn memory(&self) -> usize {
+        let steps: usize = self.steps.iter().map(Step::memory).sum();
+        size_of::<Job>() + self.specification.capacity() + steps
+    }
+
     /// Returns the number of rounds; 1 for a job that isn't repeated.
     pub fn rounds(&self) -> u32 {
         self.schedule.map_or(1, |schedule| schedule.rounds)
@@ -135,6 +141,12 @@
 }
 
 impl Step {
+    /// Returns the memory that the step takes, in bytes.
+    fn memory(&self) -> usize {
+        let texts = self.label.capacity() + self.rack.capacity() + self.image.capacity();
+        size_of::<Step>() + texts + self.after.capacity() * size_of::<u16>()
+    }
+
     fn check(&self, number: usize) -> Result<(), JobError> {
         if self.count == 0 || self.count > MAX_TASKS_PER_STEP {
             return Err(JobError::Tasks { step: number, count: self.count });
