Fix: clients that don't complete their requests keep out all others

What callers saw: while 3,000 connections were open whose clients stopped one byte before the end of a request, no ordinary request was answered, for as long as they stayed. A machine with few descriptors ran out of them before, and then couldn't open connections of its own either. Sixteen idle connections to the readiness port did the same to readiness checks.

Cause: a listener accepted connections up to a constant number, and further ones waited in its backlog until one of those ended. Bodies had no time limit, a client that doesn't read its answer none either, and the number was above what some machines have descriptors for. Each head could take 32 KB, and what a client had sent unread as much as the system grants.

Why it works: at the limit, the connection that has waited longest for its client makes room for a new one.

--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -142,6 +142,8 @@
     REQUEST_DELAYED = 622, Info, "caller's request waited for a confirmed configuration";
     /// A caller's request was given up because its body was late, or found no memory.
     REQUEST_NOT_RECEIVED = 623, Warning, "caller's request not received; nothing was done";
+    /// As many connections are open as the listener allows.
+    CONNECTION_REPLACED = 624, Warning, "connection that had waited longest for its client closed for a new one";
     /// An operator's command was carried out.
     COMMAND_DONE = 701, Info, "command carried out";
     /// An operator's command was not carried out.
--- a/components/metrics/src/jobs.rs
+++ b/components/metrics/src/jobs.rs
@@ -39,6 +39,12 @@
     pub outcome: &'static str,
 }
 
+/// Label of a counter by listener.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ListenerLabels {
+    pub listener: &'static str,
+}
+
 /// Labels of a call to the store.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct StoreCallLabels {
@@ -70,6 +76,8 @@
     pub delayed_requests: Family<OutcomeLabels, Counter>,
     /// Requests that were given up before they were received, by the reason.
     pub unreceived_requests: Family<OutcomeLabels, Counter>,
+    /// Connections that were closed for new ones, by listener.
+    pub replaced_connections: Family<ListenerLabels, Counter>,
     /// Bytes that requests in progress take.
     pub request_memory: Gauge,
     /// Seconds from the receipt of a request to its response.
@@ -154,6 +162,7 @@
             requests: Family::default(),
             delayed_requests: Family::default(),
             unreceived_requests: Family::default(),
+            replaced_connections: Family::default(),
             request_memory: Gauge::default(),
             request_seconds: seconds_histogram(),
             jobs_accepted: Family::default(),
--- a/components/metrics/src/lib.rs
+++ b/components/metrics/src/lib.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-pub use jobs::{JobMetrics, OutcomeLabels};
+pub use jobs::{JobMetrics, ListenerLabels, OutcomeLabels};
 
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
