--- a/components/node/src/commands.rs
+++ b/components/node/src/commands.rs
@@ -72,7 +72,8 @@
 }
 
 fn refuse(shared: &Shared, command: &Command, reason: String, retry_after: Option<Duration>) -> Outcome {
-    events::emit!(shared.log, events::COMMAND_NOT_DONE, "command" => command.command.to_string(), "why" => &reason);
+    events::emit!(shared.log, events::COMMAND_NOT_DONE, "command" => command.command.to_string(),
+        "why" => events::excerpt(&reason));
     let retry_after_ms = retry_after.map(|after| after.as_millis() as u64);
     Outcome { retry_after_ms, ..Outcome::not_done(reason) }
 }
@@ -85,7 +86,8 @@
         Ok(None) => refuse(shared, command, reason, None),
         Err(error) => {
             let why = format!("{reason}; whether the command was carried out before is unknown: {error}");
-            events::emit!(shared.log, events::COMMAND_UNKNOWN, "command" => command.command.to_string(), "why" => &why);
+            events::emit!(shared.log, events::COMMAND_UNKNOWN, "command" => command.command.to_string(),
+                "why" => events::excerpt(&why));
             Outcome::unknown(why)
         }
     }
@@ -106,7 +108,8 @@
         }
         CommitOutcome::NotDone(reason) => refuse(shared, command, reason, Some(RETRY_AFTER)),
         CommitOutcome::Unknown(reason) => {
-            events::emit!(shared.log, events::COMMAND_UNKNOWN, "command" => command.command.to_string(), "why" => &reason);
+            events::emit!(shared.log, events::COMMAND_UNKNOWN, "command" => command.command.to_string(),
+        "why" => events::excerpt(&reason));
             Outcome::unknown(format!("{reason}; query the outcome by the command's id"))
         }
     }
