Fix: a body of many empty steps takes many times its size

What operators saw: each request with 87,000 empty steps, which is rejected, took some 40 MB for a moment.

Cause: all steps of a body were decoded before their number was checked. A step of 3 bytes takes some 200 in memory, twice.

--- a/components/console/src/types.rs
+++ b/components/console/src/types.rs
@@ -16,6 +16,7 @@
     #[serde(default)]
     pub specification: String,
     /// The steps of the job.
+    #[serde(deserialize_with = "work::bounded::steps")]
     pub steps: Vec<Step>,
 }
 
@@ -31,7 +32,7 @@
     #[serde(default)]
     pub estimate_ms: u64,
     /// Earlier steps that must be done first.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "work::bounded::steps")]
     pub after: Vec<u16>,
     /// Whether the tasks run only all at once.
     #[serde(default)]
--- a/components/work/src/job.rs
+++ b/components/work/src/job.rs
@@ -9,7 +9,7 @@
 /// Maximum length of a specification, in bytes; the users' platform doesn't allow longer ones.
 const MAX_SPECIFICATION: usize = 4000;
 /// Maximum number of steps of a job, which bounds the memory of a job. Jobs seen so far have up to 4 steps.
-const MAX_STEPS: usize = 64;
+pub(crate) const MAX_STEPS: usize = 64;
 /// Maximum number of tasks of a step. The largest step seen so far has 60 tasks.
 const MAX_TASKS_PER_STEP: u32 = 2000;
 
--- a/components/work/src/lib.rs
+++ b/components/work/src/lib.rs
@@ -1,6 +1,7 @@
 //! Types shared by everything that handles jobs: queues, workspaces, jobs with their steps and tasks, and the log records that
 //! persist them.
 
+pub mod bounded;
 mod id;
 mod incarnation;
 mod job;
