--- a/components/web/src/budget.rs
+++ b/components/web/src/budget.rs
@@ -4,16 +4,17 @@
 //! given up: bodies of ordinary clients are complete soon, those of clients that stop before the end never are.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Body as HttpBody;
-use parking_lot::Mutex;
 use thiserror::Error;
 use tokio::sync::Notify;
 
+use crate::lock;
+
 /// Smallest buffer of a body, in bytes.
 const MIN_BUFFER_BYTES: usize = 1024;
 
@@ -62,7 +63,7 @@
 
     /// Bytes in use.
     pub fn used(&self) -> usize {
-        self.state.lock().used
+        lock(&self.state).used
     }
 
     /// Reads a complete body of at most `max` bytes.
@@ -101,7 +102,7 @@
             tokio::pin!(released);
             released.as_mut().enable();
             {
-                let mut state = self.state.lock();
+                let mut state = lock(&self.state);
                 if bytes <= self.limit.saturating_sub(state.used) {
                     state.used += bytes;
                     return Ok(Reservation { budget: self.clone(), bytes });
@@ -128,7 +129,7 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.budget.state.lock().used -= self.bytes;
+        lock(&self.budget.state).used -= self.bytes;
         self.budget.released.notify_waiters();
     }
 }
@@ -179,7 +180,7 @@
 impl Reading {
     fn begin(budget: &Arc<Budget>) -> Reading {
         let given_up = Arc::new(Notify::new());
-        let mut state = budget.state.lock();
+        let mut state = lock(&budget.state);
         let order = state.next;
         state.next += 1;
         state.reading.insert(order, given_up.clone());
@@ -204,7 +205,7 @@
 
 impl Drop for Reading {
     fn drop(&mut self) {
-        self.budget.state.lock().reading.remove(&self.order);
+        lock(&self.budget.state).reading.remove(&self.order);
         self.budget.released.notify_waiters();
     }
 }
--- a/components/web/src/connections.rs
+++ b/components/web/src/connections.rs
@@ -2,13 +2,14 @@
 //! is closed for a new one, so that clients that don't complete their requests can't keep out others.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use parking_lot::Mutex;
 use tokio::sync::Notify;
 
+use crate::lock;
+
 /// Called with the time for which a connection had been waiting when it is closed for a new one.
 type Report = Box<dyn Fn(Duration) + Send + Sync>;
 
@@ -63,7 +64,7 @@
 
     /// Number of open connections.
     pub fn open(&self) -> usize {
-        self.state.lock().open
+        lock(&self.state).open
     }
 
     /// Admits a new connection, if necessary in place of another one. Waits while every connection has a request in
@@ -79,7 +80,7 @@
     }
 
     fn try_admit(&self) -> bool {
-        let mut state = self.state.lock();
+        let mut state = lock(&self.state);
         if state.open < self.max {
             state.open += 1;
             return true;
@@ -108,11 +109,11 @@
 impl Connection {
     /// Records that it waits for its client from now on: for the next request, or for the rest of one.
     pub(crate) fn wait(&self) {
-        let mut place = self.place.lock();
+        let mut place = lock(&self.place);
         if place.is_some() || self.close.requested.load(Ordering::Acquire) {
             return;
         }
-        let mut state = self.connections.state.lock();
+        let mut state = lock(&self.connections.state);
         let order = state.next;
         state.next += 1;
         state.waiting.insert(order, Waiting { since: Instant::now(), close: self.close.clone() });
@@ -123,8 +124,8 @@
 
     /// Records that a complete request is in progress.
     pub(crate) fn begin_request(&self) {
-        if let Some(order) = self.place.lock().take() {
-            self.connections.state.lock().waiting.remove(&order);
+        if let Some(order) = lock(&self.place).take() {
+            lock(&self.connections.state).waiting.remove(&order);
         }
     }
 
@@ -136,8 +137,8 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        let place = self.place.get_mut().take();
-        let mut state = self.connections.state.lock();
+        let place = self.place.get_mut().unwrap_or_else(PoisonError::into_inner).take();
+        let mut state = lock(&self.connections.state);
         state.open -= 1;
         if let Some(order) = place {
             state.waiting.remove(&order);
--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -15,7 +15,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
 use serde::Serialize;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::budget::Budget;
 use crate::connections::{Connection, Connections};
@@ -32,7 +32,9 @@
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Size of the system's buffer for what a client has sent and the process hasn't read, of which the system takes up to
 /// twice as much.
-const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
+const RECEIVE_BUFFER_BYTES: u32 = 16 * 1024;
+/// Connections that the system holds until they are accepted.
+const BACKLOG: u32 = 1024;
 /// Longest time to receive a body from a trusted client.
 const TRUSTED_BODY_TIMEOUT: Duration = Duration::from_secs(60);
 /// Delay after a failed accept, for example without free file descriptors, which prevents a busy loop.
@@ -78,6 +80,20 @@
     accept(listener, Connections::new(max_connections), stop, grace, begin).await;
 }
 
+/// Listens on an address for [`serve_clients`].
+///
+/// # Errors
+///
+/// Fails if the address can't be bound.
+pub fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    // Connections inherit it. The system's default grows with what a client sends.
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// Serves clients that may not complete what they send. Accepts connections until `stop` completes, then waits up to
 /// `grace` for requests in progress.
 pub async fn serve_clients<H, F>(
@@ -90,8 +106,6 @@
     H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    // Connections inherit it. The system's default grows with what a client sends.
-    let _ = socket2::SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
     let begin = move |request: Request<hyper::body::Incoming>, caller, connection| {
         handler(request.map(|body| Incoming::new(body, connection)), caller)
     };
