Fix: accepted jobs take the memory of the leader and of every one after it

What callers saw: 300 jobs of 10,000 tasks, all accepted, ended the leader's process; the next leader read them from the log and would have ended too. A single job of many rounds could do the same.

Cause: a job was accepted whatever the known ones take: some 180 bytes for each waiting task, more for a running one, its description once for the scheduler and once for each record of it in the log. The states of tasks were kept for 120 s after a job's end, and those of all rounds of a repeated job until its last.

Why it works: a job is charged at its acceptance for all that it may come to take, runs included. The leader accepts it only if that, with the other jobs, the records that aren't written and the records in the log, is within a share of the memory of the smallest host that follows it, since any of them may have to read the log. Otherwise the job is refused with 503 and Retry-After before anything is recorded; one that exceeds the bound alone gets 400. Ended jobs keep only what answers need, complete rounds only their count, and no round is opened while 10,000 tasks of its job aren't done. A new leader drops the values of the log as it decodes them.

--- a/components/entry/src/election.rs
+++ b/components/entry/src/election.rs
@@ -137,6 +137,7 @@
         idle: host.idle(),
         leader: leader.clone(),
         claim_delay: host.settings.claim_delay,
+        job_memory: Some(host.settings.job_memory),
     };
     let answer = link.call(hello, CONNECT_TIMEOUT).await;
     // This host may have begun to lead, or to follow a newer leader, while it waited for the answer.
--- a/components/entry/src/host.rs
+++ b/components/entry/src/host.rs
@@ -43,6 +43,8 @@
     pub max_admission_delay: Duration,
     /// Additional delay before this host claims leadership, so that a weak host leads only when no other does.
     pub claim_delay: Duration,
+    /// Memory for accepted jobs and the log, in bytes; see [`crate::Memory`].
+    pub job_memory: usize,
     /// Whether measures against overload are in effect: admission control, and shares of workspaces.
     pub overload_protection: bool,
 }
@@ -117,6 +119,8 @@
     pub link: Arc<Link>,
     /// How long it waits before it claims; see [`Settings::claim_delay`].
     pub claim_delay: Duration,
+    /// Its memory for accepted jobs, in bytes; `None` if it doesn't tell.
+    pub job_memory: Option<usize>,
 }
 
 impl Follower {
@@ -329,6 +333,14 @@
         !self.stopping() && self.config().version > 0 && led
     }
 
+    /// Memory for accepted jobs and the log, in bytes: the least of this host and its followers, since any of them may
+    /// be the next leader, which reads all of them from the log.
+    pub(crate) fn job_memory_limit(&self) -> usize {
+        let followers = self.followers.lock();
+        let least = followers.values().filter_map(|follower| follower.job_memory).min();
+        self.settings.job_memory.min(least.unwrap_or(usize::MAX))
+    }
+
     /// Followers that can be called now. Closes the links of followers that are gone.
     pub(crate) fn live_followers(&self) -> Vec<Follower> {
         let mut followers = self.followers.lock();
--- a/components/entry/src/leadership/accept.rs
+++ b/components/entry/src/leadership/accept.rs
@@ -57,6 +57,13 @@
                 "bytes" => size, "limit" => limit, "term" => self.term);
             return Some(Answer::TooLarge { size, limit });
         }
+        let (size, limit) = (sched::job_memory(job), self.host.job_memory_limit());
+        if size > limit {
+            emit!(self.host.log, events::JOB_REFUSED, "job" => work::format_job_id(id),
+                "why" => "the job takes more memory than there is for jobs", "bytes" => size, "limit" => limit,
+                "term" => self.term);
+            return Some(Answer::TooLarge { size, limit });
+        }
         let workspace = workspace?;
         let excess = engine.excess(workspace, job)?;
         emit!(self.host.log, events::JOB_REFUSED, "job" => work::format_job_id(id), "why" => excess.to_string(),
@@ -77,6 +84,28 @@
         Answer::Refused(after)
     }
 
+    /// Memory of all jobs that this leader knows, and of the log, in bytes.
+    pub(crate) fn memory(&self) -> usize {
+        let log = parts::memory(self) + self.pending_parts.memory();
+        self.engine.lock().memory() + log
+    }
+
+    /// Refuses a job for which there is no memory. A job that is known to the scheduler is never refused.
+    fn memory_refusal(&self, id: JobId, job: &Job, objective: Duration) -> Option<Answer> {
+        let (used, limit) = (self.memory(), self.host.job_memory_limit());
+        // The record of the job is in the log as well.
+        let size = sched::job_memory(job) + job.memory();
+        if used.saturating_add(size) <= limit || self.engine.lock().has_job(id) {
+            return None;
+        }
+        let after = retry_after(objective);
+        self.host.metrics.jobs_without_memory.inc();
+        emit!(self.host.log, events::JOB_REFUSED, "job" => work::format_job_id(id),
+            "why" => "the memory for jobs is used up", "bytes" => size, "used_bytes" => used, "limit" => limit,
+            "retry_after_ms" => after.as_millis() as u64, "term" => self.term);
+        Some(Answer::Refused(after))
+    }
+
     /// Accepts a job and waits until it is durable. Withdraws it if the store is too slow.
     pub(super) async fn submit(&self, scope: Scope, queue: QueueName, id: JobId, job: Job, wait: Duration) -> Answer {
         if let Some(refusal) = self.rejection(&scope, &queue, id, &job) {
@@ -86,6 +115,9 @@
         if self.store_unavailable() && !self.engine.lock().has_job(id) {
             return self.refuse(id, objective);
         }
+        if let Some(refusal) = self.memory_refusal(id, &job, objective) {
+            return refusal;
+        }
         let owner = scope.owner(queue);
         if let Some(refusal) = self.overload_refusal(id, &owner, &job) {
             return refusal;
--- a/components/entry/src/leadership/activity.rs
+++ b/components/entry/src/leadership/activity.rs
@@ -63,6 +63,7 @@
 pub(crate) fn log(leadership: &Leadership, pass: &Pass, pace: &Pace, cpu: Duration, starting: usize) {
     let counts = std::mem::take(&mut *leadership.activity.0.lock());
     let host = &leadership.host;
+    let (job_bytes, job_bytes_limit) = (leadership.memory(), host.job_memory_limit());
     emit!(host.log, events::LEADER_ACTIVITY, "term" => leadership.term, "passes" => counts.passes,
         "planning_ms" => counts.planning.as_millis() as u64, "longest_us" => counts.longest_pass.as_micros() as u64,
         "examined" => counts.examined, "deferred" => pass.deferred(),
@@ -71,5 +72,6 @@
         "expired_tickets" => counts.expired_tickets, "questions" => counts.questions,
         "cpu_ms" => cpu.as_millis() as u64, "longest_lag_us" => counts.longest_lag.as_micros() as u64,
         "mean_lag_us" => counts.lag.checked_div(counts.lag_samples).unwrap_or_default().as_micros() as u64,
+        "job_bytes" => job_bytes, "job_bytes_limit" => job_bytes_limit,
         "followers" => host.followers.lock().len(), "unconfirmed_ms" => leadership.unconfirmed_for().as_millis() as u64);
 }
--- a/components/entry/src/leadership/loops.rs
+++ b/components/entry/src/leadership/loops.rs
@@ -122,6 +122,8 @@
             let cpu_time = clock::process_cpu_time();
             let cpu = cpu_time.saturating_sub(std::mem::replace(&mut self.cpu_time, cpu_time));
             activity::log(leadership, &pass, pace, cpu, starting);
+            leadership.host.metrics.job_memory.set(leadership.memory() as i64);
+            leadership.host.metrics.job_memory_limit.set(leadership.host.job_memory_limit() as i64);
             leadership.host.metrics.stalled_jobs.set(stalled as i64);
             stalls.iter().for_each(|stall| report_stall(leadership, stall));
         }
--- a/components/entry/src/leadership/parts.rs
+++ b/components/entry/src/leadership/parts.rs
@@ -43,6 +43,8 @@
     rewritten: Option<u64>,
     /// Whether a transaction that deletes it is in flight.
     removing: bool,
+    /// Memory of its records, in bytes.
+    memory: usize,
 }
 
 impl StoredPart {
@@ -55,10 +57,16 @@
             workers: records.iter().filter_map(Record::worker).cloned().collect(),
             rewritten: None,
             removing: false,
+            memory: records.iter().map(sched::record_memory).sum(),
         }
     }
 }
 
+/// Memory that the records in the log take when they are read, in bytes.
+pub(crate) fn memory(leadership: &Leadership) -> usize {
+    leadership.parts.lock().iter().map(|part| part.memory).sum()
+}
+
 /// Key of a part; keys sort in the order of the parts.
 pub(crate) fn part_key(id: PartId) -> String {
     format!("{LOG_PREFIX}{:010}/{:012}", id.term, id.number)
@@ -95,7 +103,8 @@
     if let Some(item) = items.iter().find(|item| !readable(item)) {
         bail!("{} was written by another version of this program: its format is not {}", item.key, FORMAT[1]);
     }
-    let read = work::log::classify_parts(items.iter().filter_map(|item| read_part(host, item)));
+    // The values are dropped as they are decoded, since a log may take much of the memory.
+    let read = work::log::classify_parts(items.into_iter().filter_map(|item| read_part(host, &item)));
     let (excess, stale) = read.stale.split_at(read.stale.len().saturating_sub(MAX_REMOVED));
     for parts in excess.chunks(MAX_REMOVED) {
         remove(host, claim, parts).await?;
--- a/components/entry/src/leadership/pending.rs
+++ b/components/entry/src/leadership/pending.rs
@@ -12,6 +12,8 @@
 /// A part that isn't known to be written.
 struct PendingPart {
     part: Part,
+    /// Memory of its records when it was added, in bytes.
+    memory: usize,
     maybe_written: bool,
 }
 
@@ -21,7 +23,13 @@
 
 impl PendingParts {
     pub(crate) fn add(&self, number: u64, part: Part) {
-        self.0.lock().insert(number, PendingPart { part, maybe_written: false });
+        let memory = part.records.iter().map(sched::record_memory).sum();
+        self.0.lock().insert(number, PendingPart { part, memory, maybe_written: false });
+    }
+
+    /// Memory of all parts, in bytes.
+    pub(crate) fn memory(&self) -> usize {
+        self.0.lock().values().map(|pending| pending.memory).sum()
     }
 
     /// Returns the part for sending; from now on it may be written.
--- a/components/entry/src/message.rs
+++ b/components/entry/src/message.rs
@@ -64,6 +64,9 @@
         leader: Leader,
         /// How long it waits before it claims leadership; longer for weaker hosts.
         claim_delay: Duration,
+        /// Its memory for accepted jobs, in bytes. Earlier versions end the message before this field.
+        #[serde(deserialize_with = "or_default")]
+        job_memory: Option<usize>,
     },
     /// A follower asks whether the leader is alive and still leads.
     Ping,
--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -34,10 +34,10 @@
 
 pub(crate) async fn handle(host: Arc<Host>, link: Arc<Link>, call: Call) -> Answer {
     match call {
-        Call::Hello { host: name, address, idle, leader, claim_delay } => {
+        Call::Hello { host: name, address, idle, leader, claim_delay, job_memory } => {
             let term = leader.term;
             wait_for_claim_outcome(&host, &leader).await;
-            add_follower(&host, &leader, Follower { host: name, address, term, idle, link, claim_delay })
+            add_follower(&host, &leader, Follower { host: name, address, term, idle, link, claim_delay, job_memory })
         }
         Call::Ping => Answer::Alive(alive(&host)),
         Call::FetchConfig => Answer::Config((*host.config()).clone()),
--- a/components/entry/tests/planned_stop.rs
+++ b/components/entry/tests/planned_stop.rs
@@ -37,6 +37,7 @@
             idle: true,
             leader: leader.clone(),
             claim_delay: Duration::ZERO,
+            job_memory: None,
         };
         let answer = link.call(hello, CALL_TIMEOUT).await;
         // If it still leads now, it did so when it answered.
--- a/components/fakes/src/cell.rs
+++ b/components/fakes/src/cell.rs
@@ -259,6 +259,7 @@
             max_value: MAX_VALUE_BYTES,
             max_admission_delay: MAX_ADMISSION_DELAY,
             claim_delay,
+            job_memory: 64_000_000,
             overload_protection: *self.overload_protection.lock(),
         };
         let host_view = Arc::new(HostView { cell: self.clone(), host: name.to_owned() });
--- a/components/metrics/src/jobs.rs
+++ b/components/metrics/src/jobs.rs
@@ -80,6 +80,12 @@
     pub replaced_connections: Family<ListenerLabels, Counter>,
     /// Bytes that requests in progress take.
     pub request_memory: Gauge,
+    /// Jobs that were refused because the memory for jobs was used up.
+    pub jobs_without_memory: Counter,
+    /// Bytes that jobs and the log are charged for on the leader.
+    pub job_memory: Gauge,
+    /// Bytes that they may take.
+    pub job_memory_limit: Gauge,
     /// Seconds from the receipt of a request to its response.
     pub request_seconds: Histogram,
     /// Accepted jobs by workspace and share. Only counted where jobs are classified by share.
@@ -164,6 +170,9 @@
             unreceived_requests: Family::default(),
             replaced_connections: Family::default(),
             request_memory: Gauge::default(),
+            jobs_without_memory: Counter::default(),
+            job_memory: Gauge::default(),
+            job_memory_limit: Gauge::default(),
             request_seconds: seconds_histogram(),
             jobs_accepted: Family::default(),
             starts: Family::default(),
@@ -216,6 +225,17 @@
             self.unreceived_requests.clone(),
         );
         registry.register("request_memory_bytes", "Memory of requests in progress", self.request_memory.clone());
+        registry.register(
+            "jobs_without_memory",
+            "Jobs refused because the memory for jobs was used up",
+            self.jobs_without_memory.clone(),
+        );
+        registry.register("job_memory_bytes", "Memory of jobs and the log on the leader", self.job_memory.clone());
+        registry.register(
+            "job_memory_limit_bytes",
+            "Memory that jobs and the log may take",
+            self.job_memory_limit.clone(),
+        );
         registry.register("job_request_seconds", "From receipt to answer", self.request_seconds.clone());
         registry.register(
             "jobs_accepted",
--- a/components/sched/src/assemble.rs
+++ b/components/sched/src/assemble.rs
@@ -108,7 +108,7 @@
         if !step.gang || step.long_running {
             return;
         }
-        let due = |state: &UnitState| state.pending == state.tasks.len() && clock.now >= state.assemble_at;
+        let due = |state: &UnitState| state.pending == state.count && clock.now >= state.assemble_at;
         if !self.unit(unit).is_some_and(due) {
             return;
         }
--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -17,6 +17,7 @@
 use crate::limits::{AUTHORITY_TIMEOUT, Limits};
 use crate::load::Served;
 use crate::lost_runs::{EndedWorker, WorkerEndReason};
+use crate::memory::job_memory;
 use crate::pace::{self, Budget};
 use crate::pass::{Part, Pass};
 use crate::preempt::Preemption;
@@ -179,6 +180,8 @@
     pub(crate) unsent_starts: VecDeque<(u64, WorkerId, Start)>,
     /// Records that weren't handed to the log yet, by position.
     pub(crate) records: VecDeque<(u64, Record)>,
+    /// Their memory, in bytes.
+    pub(crate) records_memory: usize,
     /// Position of the newest record. Positions count from 1 in each term.
     pub(crate) position: u64,
     /// Highest position that is durable in the store.
@@ -233,6 +236,7 @@
             ended_workers: Vec::new(),
             unsent_starts: VecDeque::new(),
             records: VecDeque::new(),
+            records_memory: 0,
             position: 0,
             durable: 0,
             mark: 0,
@@ -322,9 +326,21 @@
         let units = BTreeMap::new();
         let workspace = owner.workspace.map(|name| self.quota.index(&name));
         let queue = owner.queue;
+        let memory = job_memory(&job);
         let (started, outcome, class) = (StartState::No, None, share::Class::Within);
-        let entry =
-            Entry { queue, workspace, job, accepted, class, started, outcome, units, opened: 0, changed: false };
+        let entry = Entry {
+            queue,
+            workspace,
+            job,
+            accepted,
+            class,
+            started,
+            outcome,
+            units,
+            opened: 0,
+            changed: false,
+            memory,
+        };
         self.jobs.insert(id, entry);
         self.live.insert(id);
     }
--- a/components/sched/src/entry.rs
+++ b/components/sched/src/entry.rs
@@ -62,7 +62,10 @@
 /// All tasks of a step in one round.
 #[derive(Clone, Debug)]
 pub(crate) struct UnitState {
+    /// Empty once their memory is released.
     pub tasks: Vec<TaskState>,
+    /// Number of tasks.
+    pub count: usize,
     /// Number of tasks that wait for a worker.
     pub pending: usize,
     /// Number of tasks that are done.
@@ -104,6 +107,7 @@
         };
         UnitState {
             tasks: vec![task; count],
+            count,
             pending: count,
             done: 0,
             failed: Vec::new(),
@@ -121,7 +125,17 @@
 
     /// Whether all tasks are done.
     pub(crate) fn is_complete(&self) -> bool {
-        self.done == self.tasks.len()
+        self.done == self.count
+    }
+
+    /// Whether something of the unit is, or may be, on a worker.
+    fn is_on_workers(&self) -> bool {
+        self.tasks.iter().any(|task| matches!(task.phase, Phase::Held(..)) || task.inherited.is_some())
+    }
+
+    /// Whether the states of the tasks are released; all of them are done.
+    pub(crate) fn is_released(&self) -> bool {
+        self.tasks.is_empty() && self.count > 0
     }
 
     /// Indices of the tasks that are done when the task `index` is: the whole gang, or only the task itself.
@@ -187,6 +201,8 @@
     pub opened: u32,
     /// Whether it changed since the last planning pass; see [`crate::jobs`].
     pub changed: bool,
+    /// Memory that it is charged for, in bytes.
+    pub memory: usize,
 }
 
 /// What is known of whether a task of a job has started.
@@ -244,6 +260,28 @@
         self.units.values_mut().for_each(|unit| unit.advice = UnitAdvice::default());
     }
 
+    /// Frees the memory of the tasks of complete units, which a job of many rounds would otherwise collect.
+    pub(crate) fn release_complete_units(&mut self) {
+        let complete = self.units.values_mut().filter(|unit| unit.is_complete() && !unit.is_on_workers());
+        complete.for_each(|unit| {
+            unit.tasks = Vec::new();
+            unit.failed = Vec::new();
+        });
+    }
+
+    /// Frees what is left of a job that has ended, once nothing of it is on a worker. Returns whether that is so.
+    pub(crate) fn release_ended(&mut self) -> bool {
+        if self.units.values().any(UnitState::is_on_workers) {
+            return false;
+        }
+        self.units = BTreeMap::new();
+        let job = Arc::make_mut(&mut self.job);
+        for step in &mut job.steps {
+            (step.label, step.rack, step.image) = (String::new(), String::new(), String::new());
+        }
+        true
+    }
+
     /// Whether every task of every round is done, which is never the case for long-running tasks.
     pub(crate) fn is_complete(&self) -> bool {
         self.opened == self.job.rounds() && self.units.values().all(UnitState::is_complete)
--- a/components/sched/src/jobs.rs
+++ b/components/sched/src/jobs.rs
@@ -8,6 +8,7 @@
 use work::JobId;
 
 use crate::entry::Entry;
+use crate::memory::ended_job_memory;
 
 /// Jobs by id. Every way to change one records it as changed.
 #[derive(Default)]
@@ -15,6 +16,8 @@
     entries: HashMap<JobId, Entry>,
     /// Changed jobs. A job that is still known is listed once.
     changed: Vec<JobId>,
+    /// Memory that the jobs are charged for, in bytes.
+    memory: usize,
 }
 
 impl Jobs {
@@ -47,18 +50,41 @@
     }
 
     pub(crate) fn insert(&mut self, id: JobId, entry: Entry) {
-        self.entries.insert(id, Entry { changed: true, ..entry });
+        self.memory += entry.memory;
+        let replaced = self.entries.insert(id, Entry { changed: true, ..entry });
+        self.memory -= replaced.map_or(0, |entry| entry.memory);
         self.changed.push(id);
     }
 
     pub(crate) fn remove(&mut self, id: &JobId) {
-        self.entries.remove(id);
+        self.memory -= self.entries.remove(id).map_or(0, |entry| entry.memory);
         self.changed.push(*id);
     }
 
-    /// Removes the ended jobs that `keep` rejects.
+    /// Removes the ended jobs that `keep` rejects, and frees what the others no longer need.
     pub(crate) fn retain_ended(&mut self, keep: impl Fn(&Entry) -> bool) {
-        self.entries.retain(|_, entry| entry.outcome.is_none() || keep(entry));
+        let memory = &mut self.memory;
+        self.entries.retain(|_, entry| {
+            if entry.outcome.is_none() {
+                return true;
+            }
+            let charged = entry.memory;
+            if !keep(entry) {
+                *memory -= charged;
+                return false;
+            }
+            let ended = ended_job_memory(&entry.job);
+            if charged > ended && entry.release_ended() {
+                entry.memory = ended_job_memory(&entry.job);
+                *memory -= charged - entry.memory;
+            }
+            true
+        });
+    }
+
+    /// Memory that the jobs are charged for, in bytes.
+    pub(crate) fn memory(&self) -> usize {
+        self.memory
     }
 
     /// Marks jobs as changed, for example because the configuration of their queues did.
--- a/components/sched/src/place.rs
+++ b/components/sched/src/place.rs
@@ -19,6 +19,9 @@
 const MAX_ROUNDS_PER_PASS: u32 = 16;
 /// No further rounds of a job are opened while it has this many unfinished units.
 const MAX_OPEN_UNITS: usize = 256;
+/// No further round of a job is opened while this many of its tasks aren't done: the number that the whole cell is designed
+/// to run.
+pub(crate) const MAX_OPEN_TASKS: usize = 10_000;
 
 impl Engine {
     /// Runs one scheduling pass: starts tasks, asks the advice service, and stops the remaining members of broken
@@ -73,14 +76,19 @@
         let is_due = |entry: &Entry| entry.opened < entry.job.rounds() && entry.job.due(entry.opened) <= clock.wall;
         let Some(entry) = self.jobs.get(&id) else { return false };
         // Rounds that became due while there was no leader are opened a few at a time.
-        let unfinished = entry.units.values().filter(|unit| !unit.is_complete()).count();
+        let unfinished = entry.units.values().filter(|unit| !unit.is_complete());
+        let (units, mut tasks) = unfinished.fold((0, 0), |(units, tasks), unit| (units + 1, tasks + unit.count));
         if is_due(entry)
-            && unfinished < MAX_OPEN_UNITS
+            && units < MAX_OPEN_UNITS
+            && tasks < MAX_OPEN_TASKS
             && let Some(entry) = self.jobs.get_mut(&id)
         {
+            entry.release_complete_units();
+            let round_tasks: usize = entry.job.steps.iter().map(|step| step.count as usize).sum();
             let most = entry.opened.saturating_add(MAX_ROUNDS_PER_PASS);
-            while is_due(entry) && entry.opened < most {
+            while is_due(entry) && entry.opened < most && tasks < MAX_OPEN_TASKS {
                 entry.open(entry.opened);
+                tasks += round_tasks;
             }
         }
         self.jobs.get(&id).is_some_and(|entry| entry.opened < entry.job.rounds())
@@ -131,7 +139,7 @@
         let Some(state) = entry.units.get(&(unit.round, unit.step)) else { return };
         let need = taken_room(step);
         room.unclaim(&state.claims, &need);
-        let broken = step.gang && state.pending != state.tasks.len();
+        let broken = step.gang && state.pending != state.count;
         if broken || !self.resolved(state) || state.awaits_worker_ends() {
             self.defer(clock, unit, Obstacle::Room, SHORT_EXAMINE_INTERVAL);
             return;
--- a/components/sched/src/ranking.rs
+++ b/components/sched/src/ranking.rs
@@ -198,7 +198,7 @@
             need: step.need,
             taken: taken_room(step),
             gang: step.gang,
-            count: state.tasks.len(),
+            count: state.count,
             pending: state.pending,
             workspace: entry.workspace,
             has_claims: !state.claims.is_empty(),
--- a/components/sched/src/records.rs
+++ b/components/sched/src/records.rs
@@ -3,11 +3,13 @@
 use work::{JobId, Record};
 
 use crate::engine::{Clock, Engine};
+use crate::memory::record_memory;
 
 impl Engine {
     /// Adds a record and returns its position.
     pub(crate) fn record(&mut self, record: Record) -> u64 {
         self.position += 1;
+        self.records_memory += record_memory(&record);
         self.records.push_back((self.position, record));
         self.position
     }
@@ -32,6 +34,7 @@
         };
         let count = self.records.iter().take_while(fits).count().max(1).min(self.records.len());
         let taken: Vec<Record> = self.records.drain(..count).map(|(_, record)| record).collect();
+        self.records_memory -= taken.iter().map(record_memory).sum::<usize>();
         let upto = self.records.front().map_or(self.position, |(position, _)| position - 1);
         (taken, upto)
     }
@@ -57,7 +60,12 @@
     /// Removes a job that isn't in the log and never will be.
     pub fn retract(&mut self, id: JobId) {
         self.unclassify(id);
-        self.records.retain(|(_, record)| record.job() != Some(id) && record.placed_job() != Some(id));
+        let memory = &mut self.records_memory;
+        self.records.retain(|(_, record)| {
+            let kept = record.job() != Some(id) && record.placed_job() != Some(id);
+            *memory -= if kept { 0 } else { record_memory(record) };
+            kept
+        });
         // If the job is submitted again, its starts get the same numbers.
         self.unsent_starts.retain(|(_, _, start)| start.task.unit.job != id);
         for worker in self.workers.values_mut() {
--- a/components/sched/src/reports.rs
+++ b/components/sched/src/reports.rs
@@ -240,7 +240,7 @@
         let mut found = false;
         let mut stops = Vec::new();
         for ((round, step), unit) in &entry.units {
-            let whole = unit.pending == 0 || unit.pending + unit.done == unit.tasks.len();
+            let whole = unit.pending == 0 || unit.pending + unit.done == unit.count;
             if whole || !entry.step(*step).is_some_and(|step| step.gang) {
                 continue;
             }
--- a/components/sched/src/restore.rs
+++ b/components/sched/src/restore.rs
@@ -336,6 +336,9 @@
         }));
         records.extend(task.failed.iter().map(|attempt| Record::Failed { task: task_name, attempt: *attempt }));
     }
+    if unit.is_released() {
+        records.extend((0..unit.count as u32).map(|index| Record::Done { task: Task { unit: name, index } }));
+    }
     let gang = Task { unit: name, index: 0 };
     records.extend(unit.failed.iter().map(|attempt| Record::Failed { task: gang, attempt: *attempt }));
     records
