Fix: bodies and connections that aren't complete take all memory of walkhookd

What callers saw: 3,000 bodies that stop one byte before their end took 300 MB of a host, and some with idempotency keys in chunks of one byte as much; 400 unfinished requests kept out all others where 200 connections were allowed. What operators saw: 800 endless heads on their port took 320 MB.

The beginning of each body, or all of one with a key as the pieces in which it came, was kept without a bound on their sum, until the deadline of its class; connections were accepted up to a number and then not at all; the server of the operators' API bounds nothing.

Why it works: the same means as in the adapter: a budget for the bodies of all requests (setting requests.memory, 48 MiB), held until a body is sent or its run ends; the connection that has waited longest makes room; operators come through a listener with 16 connections. The rest of a body above 64 KiB is streamed as before.

--- a/components/gateway/src/accept.rs
+++ b/components/gateway/src/accept.rs
@@ -8,11 +8,11 @@
 use http::request::Parts;
 use http::{HeaderMap, Request, Response, StatusCode, header};
 use http_body_util::BodyExt;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Body as _;
 use model::DataCentreId;
 use request::{ClassIndex, SlotRequest};
 use settings::Class;
-use web::Body;
+use web::{Body, Incoming};
 
 use crate::dispatch::{DispatchOutcome, dispatch, forward_response};
 use crate::relay::{DEADLINE_HEADER, MAX_HOPS, RelayOutcome};
@@ -148,9 +148,9 @@
         return relay_to_other_data_centre(gateway, checked).await;
     }
     let deadline = checked.slot_request.deadline;
-    let body = match body::read_first(checked.body, gateway.limits.max_body, deadline).await {
+    let body = match body::read_first(gateway, checked.body, deadline).await {
         Ok(body) => body,
-        Err(rejection) => return *rejection,
+        Err(error) => return gateway.not_received(error),
     };
     match dispatch(service, &checked.slot_request, &checked.parts, body).await {
         DispatchOutcome::Answered(response, pending) => forward_response(response, pending, deadline).await,
--- a/components/gateway/src/body.rs
+++ b/components/gateway/src/body.rs
@@ -5,14 +5,13 @@
 use std::task::{Context, Poll};
 use std::time::Instant;
 
-use bytes::{Bytes, BytesMut};
-use http::{Response, StatusCode};
+use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
-use web::Body;
+use hyper::body::{Body as HttpBody, Frame, SizeHint};
+use web::{Incoming, ReadError, Reservation};
 
-use crate::response;
+use crate::state::Gateway;
 
 /// Bytes of a body that are read before a slot is acquired, so that slow or failing callers occupy no slot and most
 /// requests are complete before any byte is sent to an instance.
@@ -26,33 +25,25 @@
     Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
 }
 
-/// Reads the beginning of a caller's body. The rest of a longer one is streamed, up to `limit` bytes in total.
+/// Reads the beginning of a caller's body. The rest of a longer one is streamed, up to the limit of a body in total.
 pub(crate) async fn read_first(
+    gateway: &Gateway,
     mut body: Incoming,
-    limit: u64,
     deadline: Instant,
-) -> Result<RequestBody, Box<Response<Body>>> {
+) -> Result<RequestBody, ReadError> {
     let declared_length = body.size_hint().exact();
-    let mut prefix = BytesMut::new();
-    while prefix.len() <= PREFETCH_BYTES {
-        let reading = tokio::time::timeout_at(tokio::time::Instant::from_std(deadline), body.frame());
-        let frame = match reading.await {
-            Ok(None) => return Ok(whole(prefix.freeze())),
-            Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(_))) => return reject(StatusCode::BAD_REQUEST, "the body is incomplete or malformed"),
-            Err(_) => return reject(StatusCode::REQUEST_TIMEOUT, "the body was not received before the deadline"),
-        };
-        // Request trailers are dropped.
-        if let Ok(data) = frame.into_data() {
-            prefix.extend_from_slice(&data);
-        }
+    let limit = gateway.limits.max_body;
+    let max = usize::try_from(limit).unwrap_or(usize::MAX);
+    let prefix = gateway.memory.read_beginning(&mut body, PREFETCH_BYTES, max, deadline).await?;
+    let (prefix, reservation) = prefix.into_parts();
+    if prefix.is_empty() {
+        return Ok(whole(prefix));
     }
     let remaining = limit.saturating_sub(prefix.len() as u64);
-    Ok(PrefixedBody { prefix: Some(prefix.freeze()), rest: body, remaining, declared_length }.boxed_unsync())
-}
-
-fn reject<T>(status: StatusCode, reason: &str) -> Result<T, Box<Response<Body>>> {
-    Err(Box::new(response::rejected(status, reason)))
+    let declared_length = declared_length.or(body.is_end_stream().then_some(prefix.len() as u64));
+    let prefixed =
+        PrefixedBody { prefix: Some(prefix), rest: body, remaining, declared_length, _reservation: reservation };
+    Ok(prefixed.boxed_unsync())
 }
 
 /// A body whose beginning has already been read.
@@ -63,6 +54,8 @@
     remaining: u64,
     /// The total length, if the caller declared it.
     declared_length: Option<u64>,
+    /// Memory of the beginning, until the body is sent.
+    _reservation: Option<Reservation>,
 }
 
 impl HttpBody for PrefixedBody {
--- a/components/gateway/src/keyed.rs
+++ b/components/gateway/src/keyed.rs
@@ -3,19 +3,18 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderMap, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
 use member::highest_ranked;
 use model::DataCentreId;
 use parking_lot::Mutex;
 use request::{BeginOutcome, ClassIndex, IdempotencyKey, IdempotencyStore, KeyStatus, SlotRequest};
 use tokio::sync::watch;
-use web::Body;
+use web::{Body, Reservation};
 
 use crate::accept::{CheckedRequest, Source, hosts_in, may_relay};
 use crate::dispatch::{DispatchOutcome, ReadError, dispatch, read_whole, strip_headers};
@@ -213,9 +212,9 @@
 
 async fn run_as_owner(gateway: &Arc<Gateway>, checked: CheckedRequest, key: IdempotencyKey) -> Response<Body> {
     let deadline = checked.slot_request.deadline;
-    let body = match read_body(checked.body, deadline).await {
-        Ok(body) => body,
-        Err(refusal) => return refusal,
+    let (body, reservation) = match gateway.memory.read(checked.body, MAX_BODY, deadline).await {
+        Ok(body) => body.into_parts(),
+        Err(error) => return gateway.not_received(error),
     };
     let mut running = {
         let mut shard = gateway.keys.shard(&key).lock();
@@ -239,6 +238,7 @@
                     parts: checked.parts,
                     body,
                     key,
+                    _reservation: reservation,
                 };
                 // Continues if the caller disconnects: the key is recorded, so its result must become known.
                 tokio::spawn(run.run_and_record(gateway.clone(), sender));
@@ -259,19 +259,6 @@
     }
 }
 
-async fn read_body(body: Incoming, deadline: Instant) -> Result<Bytes, Response<Body>> {
-    let reading = Limited::new(body, MAX_BODY).collect();
-    match tokio::time::timeout_at(tokio::time::Instant::from_std(deadline), reading).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(response::rejected(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "the body of a request with an idempotency key is limited to 1 MiB",
-        )),
-        Ok(Err(_)) => Err(response::rejected(StatusCode::BAD_REQUEST, "the body is incomplete")),
-        Err(_) => Err(response::rejected(StatusCode::REQUEST_TIMEOUT, "the body was not received before the deadline")),
-    }
-}
-
 /// The one run of a key.
 struct KeyedRun {
     class: ClassIndex,
@@ -279,6 +266,8 @@
     parts: Parts,
     body: Bytes,
     key: IdempotencyKey,
+    /// Memory of the body, until the run ends.
+    _reservation: Option<Reservation>,
 }
 
 impl KeyedRun {
--- a/components/gateway/src/relay.rs
+++ b/components/gateway/src/relay.rs
@@ -7,12 +7,11 @@
 use http::request::Parts;
 use http::{HeaderName, HeaderValue, Request, Response, Uri};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tokio::time::Instant;
-use web::Body;
+use web::{Body, Incoming};
 
 use crate::dispatch::strip_headers;
 
--- a/components/gateway/src/state.rs
+++ b/components/gateway/src/state.rs
@@ -6,19 +6,19 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime};
 
-use http::{Request, Response};
-use hyper::body::Incoming;
+use http::{Request, Response, StatusCode};
 use metrics::Metrics;
 use model::{ClassId, DataCentreId, HostId, TeamId, WorkloadId};
 use parking_lot::{Mutex, RwLock};
 use request::{Classes, Instance, KeyOwnership};
 use settings::{Class, Settings};
 use slog::Logger;
-use web::Body;
+use web::{Body, Budget, Incoming, ReadError};
 
 use crate::accept::Source;
 use crate::keyed::KeyShards;
 use crate::relay::Relay;
+use crate::response::{not_run, rejected};
 use crate::service::Service;
 
 /// Number of teams with their own metrics and queues. Further ones share the team `other`, so that callers can't
@@ -27,6 +27,9 @@
 /// Largest tolerated difference between the clocks (and host lists) of two entry hosts, or to the clock of a caller.
 pub(crate) const MAX_CLOCK_SKEW: Duration = Duration::from_secs(2);
 
+/// When a caller should retry whose request found no memory; others are complete, or given up, within this time.
+const MEMORY_RETRY: Duration = Duration::from_secs(1);
+
 /// Another entry host that requests can be relayed to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RelayHost {
@@ -85,6 +88,8 @@
     pub(crate) class_paths: Classes,
     pub(crate) counts: Vec<Counts>,
     pub(crate) services: BTreeMap<WorkloadId, Arc<Service>>,
+    /// Memory for the bodies of requests.
+    pub(crate) memory: Arc<Budget>,
     pub(crate) keys: KeyShards,
     pub(crate) ownership: Mutex<KeyOwnership>,
     pub(crate) topology: RwLock<Topology>,
@@ -112,6 +117,7 @@
             counts: settings.classes.iter().map(|_| Counts::default()).collect(),
             classes: settings.classes.clone(),
             services,
+            memory: Budget::new(settings.requests.memory as usize),
             keys: KeyShards::new(&settings.requests),
             ownership: Mutex::new(KeyOwnership::new(settings.host.clone(), MAX_CLOCK_SKEW, SystemTime::now())),
             topology: RwLock::default(),
@@ -186,12 +192,35 @@
     pub async fn handle_relayed_request(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         match self.relay.hops(&request) {
             Some(hops) => crate::accept::handle(&self, request, Source::Host(hops)).await,
-            None => {
-                crate::response::rejected(http::StatusCode::UNAUTHORIZED, "relayed requests need the cell's shared key")
-            }
+            None => rejected(StatusCode::UNAUTHORIZED, "relayed requests need the cell's shared key"),
         }
     }
 
+    /// Returns the response to a request whose body wasn't received. Nothing was sent to a backend server.
+    pub(crate) fn not_received(&self, error: ReadError) -> Response<Body> {
+        let (reason, response) = match error {
+            ReadError::TooLong(_) => return rejected(StatusCode::PAYLOAD_TOO_LARGE, &error.to_string()),
+            ReadError::Incomplete => return rejected(StatusCode::BAD_REQUEST, &error.to_string()),
+            ReadError::Late => ("late", rejected(StatusCode::REQUEST_TIMEOUT, &error.to_string())),
+            ReadError::NoMemory => ("no_memory", not_run(&error.to_string(), MEMORY_RETRY)),
+        };
+        self.metrics.record_unreceived_request(reason);
+        events::emit!(self.log, events::REQUEST_NOT_RECEIVED, "why" => error.to_string(),
+            "used_bytes" => self.memory.used(), "limit_bytes" => self.memory.limit(),
+            "status" => response.status().as_u16());
+        response
+    }
+
+    /// The connections of a listener, at most `max`. Reports those that are closed for new ones.
+    pub fn connections(self: &Arc<Self>, listener: &'static str, max: usize) -> Arc<web::Connections> {
+        let gateway = self.clone();
+        web::Connections::reporting(max, move |waited| {
+            gateway.metrics.record_replaced_connection(listener);
+            events::emit!(gateway.log, events::CONNECTION_REPLACED, "listener" => listener, "connections" => max,
+                "waited_ms" => waited.as_millis() as u64);
+        })
+    }
+
     /// The counters and load of each request class.
     pub fn class_stats(&self) -> Vec<ClassStats> {
         let mut stats = Vec::with_capacity(self.classes.len());
--- a/components/metrics/src/lib.rs
+++ b/components/metrics/src/lib.rs
@@ -57,6 +57,10 @@
     pub platform_calls: Family<UsageLabels, Counter>,
     /// Bytes sent and received between entry hosts.
     pub control_bytes: Family<UsageLabels, Counter>,
+    /// Requests that were given up before they were received, by the reason.
+    pub unreceived_requests: Family<OutcomeLabels, Counter>,
+    /// Connections that were closed for new ones, by listener.
+    pub replaced_connections: Family<ListenerLabels, Counter>,
     /// Workers held by this host.
     pub workers: Gauge,
     /// Processor time of this process, in milliseconds.
@@ -79,6 +83,8 @@
             decision_seconds: Histogram::new(exponential_buckets(0.000_000_5, 2.0, 20)),
             platform_calls: Family::default(),
             control_bytes: Family::default(),
+            unreceived_requests: Family::default(),
+            replaced_connections: Family::default(),
             workers: Gauge::default(),
             cpu_milliseconds: Gauge::default(),
             resident_bytes: Gauge::default(),
@@ -96,6 +102,16 @@
         registry.register("decision_seconds", "One placement decision", self.decision_seconds.clone());
         registry.register("platform_calls", "Calls to the platform", self.platform_calls.clone());
         registry.register("control_bytes", "Bytes between entry hosts", self.control_bytes.clone());
+        registry.register(
+            "unreceived_requests",
+            "Requests that were given up before they were received, by reason",
+            self.unreceived_requests.clone(),
+        );
+        registry.register(
+            "replaced_connections",
+            "Connections closed for new ones, by listener",
+            self.replaced_connections.clone(),
+        );
         registry.register("workers", "Workers held here", self.workers.clone());
         registry.register("cpu_milliseconds", "Processor time of this process", self.cpu_milliseconds.clone());
         registry.register("resident_bytes", "Resident memory of this process", self.resident_bytes.clone());
@@ -107,6 +123,16 @@
         self.control_bytes.get_or_create(&UsageLabels { usage }).inc_by(bytes as u64);
     }
 
+    /// Counts a request that was given up before it was received.
+    pub fn record_unreceived_request(&self, outcome: &'static str) {
+        self.unreceived_requests.get_or_create(&OutcomeLabels { outcome }).inc();
+    }
+
+    /// Counts a connection that was closed for a new one.
+    pub fn record_replaced_connection(&self, listener: &'static str) {
+        self.replaced_connections.get_or_create(&ListenerLabels { listener }).inc();
+    }
+
     /// Records the end of a request and how long it took.
     pub fn record_request(&self, class: &str, team: &str, outcome: &'static str, took: Duration) {
         let (class, team) = (class.to_owned(), team.to_owned());
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -2,7 +2,7 @@
 
 use std::future::Future;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
@@ -61,6 +61,11 @@
 /// Maximum number of connections over which peers relay requests.
 const RELAY_CONNECTIONS: usize = 4096;
 
+/// Maximum number of connections of operators. Each may hold the head and the body of a request.
+const OPERATOR_CONNECTIONS: usize = 16;
+/// Address of the server of the operators' API, which is reached through a listener that bounds its connections.
+const INTERNAL_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
 struct Sockets {
     callers: TcpListener,
     relay: TcpListener,
@@ -75,14 +80,13 @@
 /// Returns an error if the host can't listen on one of its addresses.
 pub async fn run(settings: Settings, log: Logger, shutdown: impl Future<Output = ()>) -> Result<(), StartError> {
     let sockets = listen(&settings).await?;
+    let address = settings.listen.operators;
+    let operator_listener = web::bind(address).map_err(|error| listen_error("listen.operators", address, &error))?;
     let shared = build_shared(settings, log);
-    let operators =
-        api::start(shared.settings.listen.operators, Arc::new(OperatorApi::new(shared.clone())), &events::silent())
-            .map_err(|reason| StartError::Listen {
-                field: "listen.operators",
-                address: shared.settings.listen.operators,
-                reason,
-            })?;
+    let operators = api::start(INTERNAL_ADDRESS, Arc::new(OperatorApi::new(shared.clone())), &events::silent())
+        .map_err(|reason| StartError::Listen { field: "listen.operators", address: INTERNAL_ADDRESS, reason })?;
+    let connections = shared.gateway.connections("operators", OPERATOR_CONNECTIONS);
+    tokio::spawn(web::pass_on(operator_listener, connections, operators.local_addr()));
     let (stop_serving, servers) = serve(&shared, sockets);
     events::emit!(shared.log, events::STARTED, "incarnation" => shared.owner.incarnation);
     shutdown.await;
@@ -97,18 +101,22 @@
     Ok(())
 }
 
+fn listen_error(field: &'static str, address: SocketAddr, error: &io::Error) -> StartError {
+    StartError::Listen { field, address, reason: error.to_string() }
+}
+
 async fn listen(settings: &Settings) -> Result<Sockets, StartError> {
     let addresses = &settings.listen;
-    let listen_error = |field: &'static str, address: SocketAddr| {
-        move |reason: io::Error| StartError::Listen { field, address, reason: reason.to_string() }
-    };
     Ok(Sockets {
-        callers: TcpListener::bind(addresses.callers)
+        callers: web::bind(addresses.callers)
+            .map_err(|error| listen_error("listen.callers", addresses.callers, &error))?,
+        relay: web::bind(addresses.relay).map_err(|error| listen_error("listen.relay", addresses.relay, &error))?,
+        peers: TcpListener::bind(addresses.peers)
+            .await
+            .map_err(|error| listen_error("listen.peers", addresses.peers, &error))?,
+        digests: UdpSocket::bind(addresses.peers)
             .await
-            .map_err(listen_error("listen.callers", addresses.callers))?,
-        relay: TcpListener::bind(addresses.relay).await.map_err(listen_error("listen.relay", addresses.relay))?,
-        peers: TcpListener::bind(addresses.peers).await.map_err(listen_error("listen.peers", addresses.peers))?,
-        digests: UdpSocket::bind(addresses.peers).await.map_err(listen_error("listen.peers", addresses.peers))?,
+            .map_err(|error| listen_error("listen.peers", addresses.peers, &error))?,
     })
 }
 
@@ -173,14 +181,15 @@
 
     let stop_serving = watch::Sender::new(false);
     let grace = shared.settings.stop_within;
-    let connections = shared.settings.requests.connections as usize;
+    let connections = shared.gateway.connections("callers", shared.settings.requests.connections as usize);
+    let relay_connections = shared.gateway.connections("relay", RELAY_CONNECTIONS);
     let gateway = shared.gateway.clone();
     let callers = move |request, _| gateway.clone().handle_caller_request(request);
     let gateway = shared.gateway.clone();
     let hosts = move |request, _| gateway.clone().handle_relayed_request(request);
     let servers = vec![
-        tokio::spawn(web::serve(sockets.callers, connections, stopped(&stop_serving), grace, callers)),
-        tokio::spawn(web::serve(sockets.relay, RELAY_CONNECTIONS, stopped(&stop_serving), grace, hosts)),
+        tokio::spawn(web::serve_clients(sockets.callers, connections, stopped(&stop_serving), grace, callers)),
+        tokio::spawn(web::serve_clients(sockets.relay, relay_connections, stopped(&stop_serving), grace, hosts)),
     ];
     (stop_serving, servers)
 }
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -96,6 +96,8 @@
 pub struct Requests {
     /// Largest request body, in bytes.
     pub max_body: u64,
+    /// Memory for the bodies of requests on this host, in bytes.
+    pub memory: u64,
     /// Most open connections from callers.
     pub connections: u32,
     /// Most requests that wait on this host.
--- a/components/settings/src/validate.rs
+++ b/components/settings/src/validate.rs
@@ -145,9 +145,14 @@
     Tasks { lease, renew_every, partitions, keep_finished }
 }
 
+/// Smallest memory for the bodies of requests: while the largest body with an idempotency key moves to a larger buffer, it
+/// is in memory twice.
+const MIN_REQUEST_MEMORY: u64 = 4 * 1024 * 1024;
+
 fn requests(section: Option<Section<'_>>) -> Requests {
     let default = Requests {
         max_body: 16 * 1024 * 1024,
+        memory: 48 * 1024 * 1024,
         connections: 4096,
         queue: 2048,
         slots: 8,
@@ -157,12 +162,16 @@
     let Some(section) = section else { return default };
     let requests = Requests {
         max_body: section.value_or("max_body", default.max_body, tree::size),
+        memory: section.value_or("memory", default.memory, tree::size),
         connections: section.value_or("connections", default.connections, tree::number),
         queue: section.value_or("queue", default.queue, tree::number),
         slots: section.value_or("slots", default.slots, tree::number),
         key_window: section.value_or("key_window", default.key_window, tree::duration),
         max_remembered: section.value_or("max_remembered", default.max_remembered, tree::size),
     };
+    if requests.memory < MIN_REQUEST_MEMORY {
+        section.error("memory", "must be at least 4MiB");
+    }
     if requests.slots == 0 {
         section.error("slots", "must be at least 1");
     }
--- a/components/web/src/budget.rs
+++ b/components/web/src/budget.rs
@@ -71,7 +71,25 @@
     /// # Errors
     ///
     /// Fails if the body is too long or incomplete, isn't received until `deadline`, or finds no memory.
-    pub async fn read<B>(self: &Arc<Self>, body: B, max: usize, deadline: Instant) -> Result<Buffer, ReadError>
+    pub async fn read<B>(self: &Arc<Self>, mut body: B, max: usize, deadline: Instant) -> Result<Buffer, ReadError>
+    where
+        B: HttpBody<Data = Bytes> + Unpin,
+    {
+        self.read_beginning(&mut body, usize::MAX, max, deadline).await
+    }
+
+    /// Reads a body of at most `max` bytes until it is complete or more than `enough` bytes have been read.
+    ///
+    /// # Errors
+    ///
+    /// Like [`Budget::read`].
+    pub async fn read_beginning<B>(
+        self: &Arc<Self>,
+        body: &mut B,
+        enough: usize,
+        max: usize,
+        deadline: Instant,
+    ) -> Result<Buffer, ReadError>
     where
         B: HttpBody<Data = Bytes> + Unpin,
     {
@@ -79,7 +97,7 @@
             return Err(ReadError::TooLong(max));
         }
         let reading = Reading::begin(self);
-        let filling = tokio::time::timeout_at(deadline.into(), reading.fill(body, max));
+        let filling = tokio::time::timeout_at(deadline.into(), reading.fill(body, enough, max));
         tokio::select! {
             filled = filling => filled.unwrap_or(Err(ReadError::Late)),
             () = reading.given_up.notified() => Err(ReadError::NoMemory),
@@ -188,12 +206,14 @@
     }
 
     /// Copies the body into one buffer, since each piece as received takes more memory than its content.
-    async fn fill<B>(&self, mut body: B, max: usize) -> Result<Buffer, ReadError>
+    async fn fill<B>(&self, body: &mut B, enough: usize, max: usize) -> Result<Buffer, ReadError>
     where
         B: HttpBody<Data = Bytes> + Unpin,
     {
         let mut buffer = Buffer { bytes: Vec::new(), reservation: None };
-        while let Some(frame) = body.frame().await {
+        while buffer.bytes.len() <= enough
+            && let Some(frame) = body.frame().await
+        {
             // Trailers are dropped.
             if let Ok(data) = frame.map_err(|_| ReadError::Incomplete)?.into_data() {
                 buffer.append(&data, max, &self.budget, self.order).await?;
