Fix: links between hosts hold frames without a bound in bytes

What could be seen: 40 connections to the port for hosts, each with a frame that stops one byte before its end, took 320 MB. A host whose leader doesn't read kept up to 1,024 frames of any size, which carry callers' jobs, and a call that waited for room in that queue didn't keep its time limit.

Cause: the size of a frame was bounded, not the sum of those in the queue, and a connection that was accepted could begin with the largest one.

Link tests: of 200 calls of 500 KB to a peer that doesn't read, all were queued before; now those beyond the bound aren't sent within their time limit.

Why it works: an accepted connection is closed unless a frame of at most 16 KB introduces the peer within 5 s. The queue of a link holds 1 MiB, or one larger frame, and what waits for room counts against the call's time limit.

--- a/components/entry/src/peers.rs
+++ b/components/entry/src/peers.rs
@@ -28,7 +28,7 @@
             continue;
         }
         let host = host.clone();
-        Link::spawn(stream, move |link, call| handle(host.clone(), link, call));
+        Link::accept(stream, move |link, call| handle(host.clone(), link, call));
     }
 }
 
--- a/components/link/tests/link.rs
+++ b/components/link/tests/link.rs
@@ -88,3 +88,28 @@
     near.closed().await;
     assert!(near.is_closed());
 }
+
+/// Guards against frames that pile up in memory while the peer doesn't read.
+#[tokio::test]
+async fn calls_that_a_peer_does_not_read_are_bounded_in_bytes() {
+    let (near, _unread) = connected_streams().await;
+    let link: Arc<Link<String, u32>> = Link::spawn(near, |_, _| std::future::pending());
+    let text = "x".repeat(500_000);
+    let mut calls = tokio::task::JoinSet::new();
+    for _ in 0..200 {
+        let (link, text) = (link.clone(), text.clone());
+        calls.spawn(async move { link.call(text, Duration::from_millis(300)).await });
+    }
+    let outcomes = calls.join_all().await;
+    assert!(outcomes.contains(&Err(CallError::NotSent)), "all calls are queued");
+    assert!(!outcomes.iter().any(Result::is_ok));
+}
+
+/// Guards against memory for what strangers announce.
+#[tokio::test]
+async fn an_accepted_connection_that_begins_with_a_large_frame_is_closed() {
+    let (mut near, far) = connected_streams().await;
+    let link: Arc<NumberLink> = Link::accept(far, |_, number| std::future::ready(number));
+    tokio::io::AsyncWriteExt::write_all(&mut near, &1_000_000_u32.to_be_bytes()).await.expect("connected");
+    link.closed().await;
+}
--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -29,7 +29,7 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 const MAX_HEADERS: usize = 64;
 /// Size of the buffer for reading, which bounds the head of a request. Each connection may hold one.
-const MAX_HEAD_BYTES: usize = 16 * 1024;
+const MAX_HEAD_BYTES: usize = 8 * 1024;
 /// Size of the system's buffer for what a client has sent and the process hasn't read, of which the system takes up to
 /// twice as much.
 const RECEIVE_BUFFER_BYTES: u32 = 16 * 1024;
