Fix: frames of strangers on walkhookd's peer port take all memory

What could be seen: 60 connections to the peer port, each with a frame of 8 MB that stops one byte before its end, took 500 MB.

Cause: a frame is checked against the shared key once it is complete, and up to 512 connections could each hold one for 60 s.

Why it works: at most 4 frames above 64 KiB are received at the same time, each within 2 s; a peer's own call gives up after 0.8 s. Smaller ones take 32 MB on all connections together.

--- a/bins/walkhookd/tests/crowds.rs
+++ b/bins/walkhookd/tests/crowds.rs
@@ -129,3 +129,14 @@
     drop(crowd);
     check(&mut cell).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn frames_of_strangers_on_the_peer_port_stay_within_memory() {
+    let (_turn, mut cell) = start(LONG_DEADLINES).await;
+    let mut frame = 8_000_000_u32.to_be_bytes().to_vec();
+    frame.resize(8_000_000, 0);
+    let crowd = send(cell.hosts[0].peers, (0..60).map(|_| frame.clone())).await;
+    check(&mut cell).await;
+    drop(crowd);
+    check(&mut cell).await;
+}
--- a/bins/walkhookd/tests/support/mod.rs
+++ b/bins/walkhookd/tests/support/mod.rs
@@ -51,6 +51,7 @@
     pub callers: SocketAddr,
     pub operators: SocketAddr,
     pub relay: SocketAddr,
+    pub peers: SocketAddr,
     settings: std::path::PathBuf,
     process: Option<Child>,
 }
@@ -263,8 +264,9 @@
                 let platform = endpoints.get(data_centre).map_or(self.platform.address(), |endpoint| endpoint.address);
                 let text = settings(&name, data_centre, &data_centres, host_addresses, seed, platform, timings);
                 std::fs::write(&file, text).expect("a settings file");
-                let (callers, operators, relay) = (host_addresses[0], host_addresses[1], host_addresses[3]);
-                self.hosts.push(EntryHost { name, callers, operators, relay, settings: file, process: None });
+                let (callers, operators, peers, relay) =
+                    (host_addresses[0], host_addresses[1], host_addresses[2], host_addresses[3]);
+                self.hosts.push(EntryHost { name, callers, operators, relay, peers, settings: file, process: None });
             }
         }
     }
--- a/components/node/src/peers.rs
+++ b/components/node/src/peers.rs
@@ -9,6 +9,7 @@
 use parking_lot::Mutex;
 use slog::Logger;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
 use wire::{Answer, Key, Request};
 
 use crate::shared::Shared;
@@ -21,6 +22,13 @@
 const MAX_IDLE_PER_PEER: usize = 4;
 /// Maximum number of connections from peers.
 const MAX_CONNECTIONS: usize = 512;
+/// Largest frame that any number of connections may receive at the same time, in bytes. Anyone may connect, and a frame is
+/// checked only once it is complete.
+const SMALL_FRAME_BYTES: usize = 64 * 1024;
+/// Number of larger frames that are received at the same time.
+const LARGE_FRAMES: usize = 4;
+/// Longest time to receive a frame. The peer's own call has a shorter time limit.
+const FRAME_TIMEOUT: Duration = Duration::from_secs(2);
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// The reason why a call returned no answer.
@@ -100,7 +108,8 @@
 
 /// Serves requests from peers until the process ends.
 pub(crate) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
-    let permits = Arc::new(tokio::sync::Semaphore::new(MAX_CONNECTIONS));
+    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let large_frames = Arc::new(Semaphore::new(LARGE_FRAMES));
     loop {
         let Ok(permit) = permits.clone().acquire_owned().await else { return };
         let Ok((stream, peer)) = listener.accept().await else {
@@ -108,21 +117,20 @@
             continue;
         };
         let _ = stream.set_nodelay(true);
-        let shared = shared.clone();
+        let (shared, large_frames) = (shared.clone(), large_frames.clone());
         tokio::spawn(async move {
-            serve_connection(&shared, stream, peer).await;
+            serve_connection(&shared, stream, peer, &large_frames).await;
             drop(permit);
         });
     }
 }
 
-async fn serve_connection(shared: &Arc<Shared>, mut stream: TcpStream, peer: SocketAddr) {
+async fn serve_connection(shared: &Arc<Shared>, mut stream: TcpStream, peer: SocketAddr, large_frames: &Semaphore) {
     let key = shared.peer_client.key().clone();
     loop {
-        let read = tokio::time::timeout(IDLE_TIMEOUT, wire::read_frame::<Request>(&mut stream, &key)).await;
-        let request = match read {
-            Ok(Ok(Some((request, _)))) => request,
-            Ok(Err(error)) if error.kind() == std::io::ErrorKind::InvalidData => {
+        let request = match read_request(&mut stream, &key, large_frames).await {
+            Ok(Some(request)) => request,
+            Err(error) if error.kind() == std::io::ErrorKind::InvalidData => {
                 events::emit!(shared.log, events::MESSAGE_REFUSED, "peer" => peer.to_string(), "why" => error.to_string());
                 return;
             }
@@ -134,3 +142,14 @@
         }
     }
 }
+
+/// Reads the next request; `None` if there is none in time.
+async fn read_request(stream: &mut TcpStream, key: &Key, large_frames: &Semaphore) -> std::io::Result<Option<Request>> {
+    let Ok(length) = tokio::time::timeout(IDLE_TIMEOUT, wire::read_length(stream)).await else { return Ok(None) };
+    let Some(length) = length? else { return Ok(None) };
+    let _permit = if length > SMALL_FRAME_BYTES { large_frames.acquire().await.ok() } else { None };
+    match tokio::time::timeout(FRAME_TIMEOUT, wire::read_message(stream, key, length)).await {
+        Ok(read) => read.map(|(request, _)| Some(request)),
+        Err(_) => Ok(None),
+    }
+}
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -43,6 +43,18 @@
     stream: &mut (impl AsyncRead + Unpin),
     key: &Key,
 ) -> io::Result<Option<(T, usize)>> {
+    match read_length(stream).await? {
+        Some(length) => read_message(stream, key, length).await.map(Some),
+        None => Ok(None),
+    }
+}
+
+/// Reads the length of the next frame's message; `None` if the stream ends between frames.
+///
+/// # Errors
+///
+/// Returns an error if reading fails, or the frame exceeds [`MAX_FRAME`].
+pub async fn read_length(stream: &mut (impl AsyncRead + Unpin)) -> io::Result<Option<usize>> {
     let mut length = [0; 4];
     match stream.read_exact(&mut length).await {
         Ok(_) => {}
@@ -53,6 +65,19 @@
     if length > MAX_FRAME {
         return Err(invalid_data(MessageError::Large));
     }
+    Ok(Some(length))
+}
+
+/// Reads the message of a frame of this length. Returns it with the size of the frame in bytes.
+///
+/// # Errors
+///
+/// Returns an error if reading fails, the stream ends within the frame, or the message is rejected by [`decode`].
+pub async fn read_message<T: DeserializeOwned>(
+    stream: &mut (impl AsyncRead + Unpin),
+    key: &Key,
+    length: usize,
+) -> io::Result<(T, usize)> {
     // The buffer grows as data arrives, so that a large announced length alone allocates nothing.
     let mut bytes = Vec::new();
     let received = stream.take(length as u64).read_to_end(&mut bytes).await?;
@@ -60,7 +85,7 @@
         return Err(io::ErrorKind::UnexpectedEof.into());
     }
     let message = decode(key, &bytes).map_err(invalid_data)?;
-    Ok(Some((message, 4 + length)))
+    Ok((message, 4 + length))
 }
 
 fn invalid_data(error: MessageError) -> io::Error {
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -10,7 +10,7 @@
 mod message;
 
 pub use codec::{Key, MAX_DATAGRAM, MessageError, decode, encode};
-pub use frame::{MAX_FRAME, read_frame, write_frame};
+pub use frame::{MAX_FRAME, read_frame, read_length, read_message, write_frame};
 pub use message::{
     Answer, ConfigKey, ConfigValue, Fact, FactKey, HostKind, InventoryAnswer, InventoryItem, KeyRecord, ListedHost,
     RecordedResponse, Request, ReserveOrder, StartAnswer, StartOrder, StopOrder, TaskFact, TaskState, WorkerFact,
