--- a/components/sched/tests/memory.rs
+++ b/components/sched/tests/memory.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use sched::{Clock, Engine, Limits, Owner, job_memory};
-use work::{Config, Job, Schedule, Step};
+use work::{Config, Job, Record, Schedule, Step, Task, Unit};
 
 const KEEP_ENDED: Duration = Duration::from_secs(120);
 
@@ -67,3 +67,25 @@
     let many = job_memory(&job(1000, 10_000));
     assert!(many < 20 * one, "rounds that aren't open take little: {many} of {one}");
 }
+
+/// Guards against tasks of complete rounds that run again after a takeover since their states were released.
+#[test]
+fn complete_rounds_stay_complete_for_the_next_leader_though_their_tasks_are_released() {
+    let mut engine = engine();
+    let task = |index| Task { unit: Unit { job: 7, round: 0, step: 0 }, index };
+    let (at_start, accepted) = (
+        at(1),
+        Record::Accepted { id: 7, queue: "r-1".to_owned(), workspace: None, at: Duration::ZERO, job: job(5, 3) },
+    );
+    engine.replay(at_start, accepted);
+    (0..5).for_each(|index| engine.replay(at_start, Record::Done { task: task(index) }));
+    engine.finish_replay(at_start);
+    engine.plan(at(2));
+    engine.rewrite([7]);
+    let (records, _) = engine.take_records(1_000_000);
+    let is_done = |index| {
+        let done = Record::Rewritten(Box::new(Record::Done { task: task(index) }));
+        records.contains(&done)
+    };
+    assert!((0..5).all(is_done), "{records:?}");
+}
