--- a/bins/walkhookd/tests/crowds.rs
+++ b/bins/walkhookd/tests/crowds.rs
@@ -70,7 +70,8 @@
     let response = call.ok().flatten().expect("an answer for an ordinary caller");
     assert!([200, 503].contains(&response.status), "{response:?}");
     assert!(cell.hosts[0].is_running(), "the process has ended");
-    let status = std::fs::read_to_string(format!("/proc/{}/status", cell.hosts[0].process_id()));
+    let process = cell.hosts[0].process.as_ref().expect("the process is running").id();
+    let status = std::fs::read_to_string(format!("/proc/{process}/status"));
     let status = status.expect("the process is running");
     let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("the peak of the memory");
     let peak = peak.trim().trim_end_matches(" kB").parse::<u64>().expect("a number") * 1024;
--- a/bins/walkhookd/tests/support/mod.rs
+++ b/bins/walkhookd/tests/support/mod.rs
@@ -53,7 +53,7 @@
     pub relay: SocketAddr,
     pub peers: SocketAddr,
     settings: std::path::PathBuf,
-    process: Option<Child>,
+    pub process: Option<Child>,
 }
 
 /// Returns the command that starts the daemon. Examples are not built together with the daemon's binary, so an example
@@ -110,11 +110,6 @@
         kill(Pid::from_raw(id as i32), signal).expect("a signal to a child process");
     }
 
-    /// Id of the process.
-    pub fn process_id(&self) -> u32 {
-        self.process.as_ref().expect("the process is running").id()
-    }
-
     /// Kills the process with SIGKILL.
     pub fn kill(&mut self) {
         let mut process = self.process.take().expect("the process is running");
--- a/components/sched/src/engine.rs
+++ b/components/sched/src/engine.rs
@@ -323,7 +323,6 @@
 
     /// Adds a job without writing a record and without deciding its class.
     pub(crate) fn insert(&mut self, id: JobId, owner: Owner, job: Arc<Job>, accepted: Accepted) {
-        let units = BTreeMap::new();
         let workspace = owner.workspace.map(|name| self.quota.index(&name));
         let queue = owner.queue;
         let memory = job_memory(&job);
@@ -336,7 +335,7 @@
             class,
             started,
             outcome,
-            units,
+            units: BTreeMap::new(),
             opened: 0,
             changed: false,
             memory,
@@ -457,12 +456,6 @@
         }
     }
 
-    /// Drops ended jobs whose retention time is over.
-    pub fn forget_ended_jobs(&mut self, now: Duration) {
-        let keep = self.limits.keep_ended;
-        self.jobs.retain_ended(|entry| entry.outcome.is_none_or(|ended| now.saturating_sub(ended.at) < keep));
-    }
-
     /// A summary of a job that has ended.
     pub fn summary(&self, id: JobId) -> Option<Summary> {
         let entry = self.jobs.get(&id)?;
--- a/components/sched/src/memory.rs
+++ b/components/sched/src/memory.rs
@@ -4,6 +4,7 @@
 //! the log is the same.
 
 use std::mem::size_of;
+use std::time::Duration;
 
 use work::{Job, JobId, Record};
 
@@ -43,6 +44,12 @@
 }
 
 impl Engine {
+    /// Drops ended jobs whose retention time is over.
+    pub fn forget_ended_jobs(&mut self, now: Duration) {
+        let keep = self.limits.keep_ended;
+        self.jobs.retain_ended(|entry| entry.outcome.is_none_or(|ended| now.saturating_sub(ended.at) < keep));
+    }
+
     /// Memory of all known jobs and of the records that aren't handed to the log yet, in bytes.
     pub fn memory(&self) -> usize {
         self.jobs.memory() + self.records_memory
