--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -86,7 +86,7 @@
     let operators = api::start(INTERNAL_ADDRESS, Arc::new(OperatorApi::new(shared.clone())), &events::silent())
         .map_err(|reason| StartError::Listen { field: "listen.operators", address: INTERNAL_ADDRESS, reason })?;
     let connections = shared.gateway.connections("operators", OPERATOR_CONNECTIONS);
-    tokio::spawn(web::pass_on(operator_listener, connections, operators.local_addr()));
+    tokio::spawn(web::forward(operator_listener, connections, operators.local_addr()));
     let (stop_serving, servers) = serve(&shared, sockets);
     events::emit!(shared.log, events::STARTED, "incarnation" => shared.owner.incarnation);
     shutdown.await;
--- a/components/web/src/front.rs
+++ b/components/web/src/forward.rs
@@ -1,5 +1,5 @@
 //! Connections in front of a server that bounds neither their number nor what their clients may send before a request is
-//! complete. Bytes are passed on unchanged to the server's own address.
+//! complete. Bytes are forwarded unchanged to the server's own address.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -18,8 +18,8 @@
 /// Delay after a failed accept, for example without free file descriptors, which prevents a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Accepts connections and passes them on to the server at `to`, until it is dropped.
-pub async fn pass_on(listener: TcpListener, connections: Arc<Connections>, to: SocketAddr) {
+/// Accepts connections and forwards them to the server at `to`, until it is dropped.
+pub async fn forward(listener: TcpListener, connections: Arc<Connections>, to: SocketAddr) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -4,7 +4,7 @@
 mod budget;
 mod client;
 mod connections;
-mod front;
+mod forward;
 mod incoming;
 mod server;
 mod stream;
@@ -14,7 +14,7 @@
 pub use budget::{Budget, Buffer, ReadError, Reservation};
 pub use client::{Client, ClientError, request};
 pub use connections::Connections;
-pub use front::pass_on;
+pub use forward::forward;
 pub use incoming::Incoming;
 pub use server::{Body, bind, full, json, read_limited, serve, serve_clients};
 
