Fix: ordinary bodies give up each other while a crowd's memory is being released

What callers saw: under a crowd, one of two requests that came at the same time got 503 although memory for both was about to be released. Cause: each request for memory gave up the oldest body that was left, without counting what was on its way back, and also where that couldn't be enough. Evidence: two component tests, both failed before (new_bodies_do_not_give_up_each_other..., no_body_is_given_up_in_vain). Why it works: one decision, without clock and network, counts what given-up bodies will release and gives up no more than needed.

--- a/components/web/src/budget.rs
+++ b/components/web/src/budget.rs
@@ -47,7 +47,51 @@
     /// Order of the next body that is read.
     next: u64,
     /// Bodies that are being read, oldest first.
-    reading: BTreeMap<u64, Arc<Notify>>,
+    reading: BTreeMap<u64, Reader>,
+    /// Bytes of the bodies that were given up and haven't released them yet.
+    releasing: BTreeMap<u64, usize>,
+}
+
+struct Reader {
+    /// Size of its buffer, in bytes.
+    bytes: usize,
+    given_up: Arc<Notify>,
+}
+
+/// Decision on a reservation.
+enum Decision {
+    Granted,
+    /// The memory will be free once bodies that were given up have released it.
+    Wait,
+    Refused,
+}
+
+impl State {
+    /// Decides on a reservation of `bytes` for the body `reader`, or for a complete one. Bodies older than that are given
+    /// up if that gives enough memory.
+    fn request(&mut self, bytes: usize, limit: usize, reader: Option<u64>) -> Decision {
+        if reader.is_some_and(|reader| self.releasing.contains_key(&reader)) {
+            return Decision::Refused;
+        }
+        if bytes <= limit.saturating_sub(self.used) {
+            self.used += bytes;
+            return Decision::Granted;
+        }
+        let older = ..reader.unwrap_or(u64::MAX);
+        let evictable: usize = self.reading.range(older).map(|(_, reader)| reader.bytes).sum();
+        let mut kept = self.used.saturating_sub(self.releasing.values().sum());
+        if kept.saturating_sub(evictable).saturating_add(bytes) > limit {
+            return Decision::Refused;
+        }
+        while kept.saturating_add(bytes) > limit
+            && let Some((oldest, given_up)) = self.reading.pop_first()
+        {
+            kept = kept.saturating_sub(given_up.bytes);
+            self.releasing.insert(oldest, given_up.bytes);
+            given_up.given_up.notify_one();
+        }
+        Decision::Wait
+    }
 }
 
 impl Budget {
@@ -119,20 +163,10 @@
             let released = self.released.notified();
             tokio::pin!(released);
             released.as_mut().enable();
-            {
-                let mut state = lock(&self.state);
-                if bytes <= self.limit.saturating_sub(state.used) {
-                    state.used += bytes;
-                    return Ok(Reservation { budget: self.clone(), bytes });
-                }
-                let others = bytes <= self.limit
-                    && state.reading.first_key_value().is_some_and(|(oldest, _)| Some(*oldest) != reader);
-                if !others {
-                    return Err(ReadError::NoMemory);
-                }
-                if let Some((_, given_up)) = state.reading.pop_first() {
-                    given_up.notify_one();
-                }
+            match lock(&self.state).request(bytes, self.limit, reader) {
+                Decision::Granted => return Ok(Reservation { budget: self.clone(), bytes }),
+                Decision::Refused => return Err(ReadError::NoMemory),
+                Decision::Wait => {}
             }
             released.await;
         }
@@ -170,18 +204,19 @@
     }
 
     /// Appends `data`. The memory of the old and the new buffer is reserved while the content is moved.
-    async fn append(&mut self, data: &[u8], max: usize, budget: &Arc<Budget>, reader: u64) -> Result<(), ReadError> {
+    async fn append(&mut self, data: &[u8], max: usize, reading: &Reading) -> Result<(), ReadError> {
         let length = self.bytes.len() + data.len();
         if length > max {
             return Err(ReadError::TooLong(max));
         }
         if length > self.bytes.capacity() {
             let capacity = length.max(self.bytes.capacity() * 2).max(MIN_BUFFER_BYTES).min(max.max(length));
-            let reservation = budget.reserve_for(capacity, Some(reader)).await?;
+            let reservation = reading.budget.reserve_for(capacity, Some(reading.order)).await?;
             let mut larger = Vec::with_capacity(capacity);
             larger.extend_from_slice(&self.bytes);
             self.bytes = larger;
             self.reservation = Some(reservation);
+            reading.resize(capacity);
         }
         self.bytes.extend_from_slice(data);
         Ok(())
@@ -201,10 +236,17 @@
         let mut state = lock(&budget.state);
         let order = state.next;
         state.next += 1;
-        state.reading.insert(order, given_up.clone());
+        state.reading.insert(order, Reader { bytes: 0, given_up: given_up.clone() });
         Reading { budget: budget.clone(), order, given_up }
     }
 
+    /// Records the size of the buffer.
+    fn resize(&self, bytes: usize) {
+        if let Some(reader) = lock(&self.budget.state).reading.get_mut(&self.order) {
+            reader.bytes = bytes;
+        }
+    }
+
     /// Copies the body into one buffer, since each piece as received takes more memory than its content.
     async fn fill<B>(&self, body: &mut B, enough: usize, max: usize) -> Result<Buffer, ReadError>
     where
@@ -216,7 +258,7 @@
         {
             // Trailers are dropped.
             if let Ok(data) = frame.map_err(|_| ReadError::Incomplete)?.into_data() {
-                buffer.append(&data, max, &self.budget, self.order).await?;
+                buffer.append(&data, max, self).await?;
             }
         }
         Ok(buffer)
@@ -225,7 +267,10 @@
 
 impl Drop for Reading {
     fn drop(&mut self) {
-        lock(&self.budget.state).reading.remove(&self.order);
+        let mut state = lock(&self.budget.state);
+        state.reading.remove(&self.order);
+        state.releasing.remove(&self.order);
+        drop(state);
         self.budget.released.notify_waiters();
     }
 }
--- a/components/web/tests/budget.rs
+++ b/components/web/tests/budget.rs
@@ -91,3 +91,29 @@
     assert_eq!(too_long.err(), Some(ReadError::TooLong(5000)));
     assert_eq!(budget.used(), 0);
 }
+
+/// Guards against bodies of ordinary clients that are given up although the memory of others is about to be released.
+#[tokio::test]
+async fn new_bodies_do_not_give_up_each_other_while_an_old_one_releases_its_memory() {
+    let budget = Budget::new(10_000);
+    let old = begin(&budget, 9000).await;
+    let (first, second) = tokio::join!(
+        budget.read(Pieces::new(1, 3000, true), 100_000, far()),
+        budget.read(Pieces::new(1, 3000, true), 100_000, far()),
+    );
+    assert_eq!((first.err(), second.err()), (None, None));
+    assert_eq!(old.await.expect("the task ends"), Some(ReadError::NoMemory));
+}
+
+/// Guards against bodies that are given up for one that finds no memory all the same.
+#[tokio::test]
+async fn no_body_is_given_up_in_vain() {
+    let budget = Budget::new(10_000);
+    let complete = budget.read(Pieces::new(1, 8000, true), 100_000, far()).await.expect("read");
+    let incomplete = begin(&budget, 1500).await;
+    let read = budget.read(Pieces::new(1, 5000, true), 100_000, far()).await;
+    assert_eq!(read.err(), Some(ReadError::NoMemory));
+    tokio::task::yield_now().await;
+    assert!(!incomplete.is_finished());
+    drop(complete);
+}
