Fix: a client that read late once is disconnected later; unread responses are bounded in the system's buffers

The time limit for writes went on after everything was written, so that the next short block of the same connection ended it; it now ends with the write. The system's buffer for responses grew without a bound of ours; listeners for clients set it, as they do the one for what arrives.

--- a/components/web/src/lib.rs
+++ b/components/web/src/lib.rs
@@ -17,6 +17,7 @@
 pub use forward::forward;
 pub use incoming::Incoming;
 pub use server::{Body, bind, full, json, read_limited, serve, serve_clients};
+pub use stream::Stream;
 
 /// Locks a mutex whose state is consistent even if a holder panicked.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/components/web/src/server.rs
+++ b/components/web/src/server.rs
@@ -33,6 +33,8 @@
 /// Size of the system's buffer for what a client has sent and the process hasn't read, of which the system takes up to
 /// twice as much.
 const RECEIVE_BUFFER_BYTES: u32 = 16 * 1024;
+/// Size of the system's buffer for what a client hasn't read of its responses. As much again may be in use.
+const SEND_BUFFER_BYTES: u32 = 32 * 1024;
 /// Connections that the system holds until they are accepted.
 const BACKLOG: u32 = 1024;
 /// Longest time to receive a body from a trusted client.
@@ -88,8 +90,9 @@
 pub fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.set_reuseaddr(true)?;
-    // Connections inherit it. The system's default grows with what a client sends.
+    // Connections inherit both. The system's defaults grow with what a client sends, or doesn't read.
     socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
--- a/components/web/src/stream.rs
+++ b/components/web/src/stream.rs
@@ -14,7 +14,7 @@
 const MIN_PROGRESS_BYTES: usize = 4096;
 
 /// A stream whose writes fail when the peer doesn't read.
-pub(crate) struct Stream<S> {
+pub struct Stream<S> {
     inner: S,
     /// Expires while writing is blocked and the peer makes no progress.
     blocked: Option<Pin<Box<Sleep>>>,
@@ -23,16 +23,23 @@
 }
 
 impl<S> Stream<S> {
-    pub(crate) fn new(inner: S) -> Stream<S> {
+    /// Limits the writes to `inner`.
+    pub fn new(inner: S) -> Stream<S> {
         Stream { inner, blocked: None, written: 0 }
     }
 
     /// Applies the time limit to the outcome of a write.
-    fn limit(&mut self, context: &mut Context<'_>, polled: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+    fn limit(
+        &mut self,
+        context: &mut Context<'_>,
+        length: usize,
+        polled: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
         match polled {
             Poll::Ready(Ok(written)) => {
                 self.written = self.written.saturating_add(written);
-                if self.written >= MIN_PROGRESS_BYTES {
+                // Nothing is left that the peer could delay, or it has made progress.
+                if written == length || self.written >= MIN_PROGRESS_BYTES {
                     self.blocked = None;
                 }
                 Poll::Ready(Ok(written))
@@ -64,7 +71,7 @@
 impl<S: AsyncWrite + Unpin> AsyncWrite for Stream<S> {
     fn poll_write(mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.inner).poll_write(context, bytes);
-        self.limit(context, polled)
+        self.limit(context, bytes.len(), polled)
     }
 
     fn poll_write_vectored(
@@ -73,7 +80,7 @@
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.inner).poll_write_vectored(context, buffers);
-        self.limit(context, polled)
+        self.limit(context, buffers.iter().map(|buffer| buffer.len()).sum(), polled)
     }
 
     fn is_write_vectored(&self) -> bool {
